--- a/bench/journal_bench.cpp
+++ b/bench/journal_bench.cpp
@@ -3,8 +3,8 @@
 #include <fmt/format.h>
 
 #include "core/clock.h"
-#include "journal/batch_planner.h"
-#include "journal/journal.h"
+#include "event_log/batch_planner.h"
+#include "event_log/journal.h"
 
 using namespace coriandermount;
 
@@ -12,10 +12,10 @@
 
 constexpr std::size_t journalBytes = 16 * 1024 * 1024;
 
-journal::event placedEvent(std::uint64_t number)
+event_log::event placedEvent(std::uint64_t number)
 {
-    journal::event entry;
-    entry.kind = journal::event_kind::task_placed;
+    event_log::event entry;
+    entry.kind = event_log::event_kind::task_placed;
     entry.job = job_key { { "kellari" }, fmt::format("release-check-{:012}", number), wall_time(std::chrono::milliseconds(1)) };
     entry.task = static_cast<std::uint32_t>(number % 260);
     entry.subject = "worker-0123";
@@ -29,7 +29,7 @@
 {
     const auto sample = placedEvent(1);
     for (auto _ : state) {
-        journal::event entry = sample;
+        event_log::event entry = sample;
         benchmark::DoNotOptimize(entry);
     }
 }
@@ -37,7 +37,7 @@
 void recordEvent(benchmark::State& state)
 {
     static const system_clock_source clock;
-    static journal::memory_journal journal(clock, { "entry-1" }, journalBytes);
+    static event_log::memory_journal journal(clock, { "entry-1" }, journalBytes);
     const auto sample = placedEvent(1);
     for (auto _ : state)
         journal.record(sample);
@@ -51,7 +51,7 @@
 void findJob(benchmark::State& state)
 {
     const system_clock_source clock;
-    journal::memory_journal journal(clock, { "entry-1" }, journalBytes);
+    event_log::memory_journal journal(clock, { "entry-1" }, journalBytes);
     for (std::uint64_t number = 0; number < 200000; ++number)
         journal.record(placedEvent(number));
     const auto key = *placedEvent(199990).job;
@@ -63,17 +63,17 @@
 void appendedBytes(benchmark::State& state)
 {
     for (auto _ : state) {
-        journal::batch_planner planner({ { "entry-1" }, 1 });
+        event_log::batch_planner planner({ { "entry-1" }, 1 });
         std::uint64_t bytes = 0;
         std::uint64_t number = 0;
         for (int second = 0; second < 600; ++second) {
-            journal::journal_news news;
+            event_log::journal_news news;
             for (int index = 0; index < 500; ++index)
                 news.detail.push_back(placedEvent(++number));
             news.missedDetail = 5100;
             for (int index = 0; index < 20; ++index) {
                 auto entry = placedEvent(++number);
-                entry.kind = journal::event_kind::job_refused;
+                entry.kind = event_log::event_kind::job_refused;
                 entry.problem = error_kind::plan_concurrency_exceeded;
                 news.faults.push_back(entry);
             }
--- /dev/null
+++ b/cells/cell_owner.cpp
@@ -0,0 +1,207 @@
+#include "cells/cell_owner_data.h"
+
+#include <fmt/format.h>
+
+namespace coriandermount::cells {
+
+cell_owner::cell_owner(jobs::record_store& store, worker_link& link, const clock_source& clock, jobs::record_stream stream,
+    cell_settings settings)
+    : m_data(std::make_shared<data>(store, link, clock, std::move(stream), settings))
+{
+}
+
+cell_owner::~cell_owner() { stepDown(); }
+
+void cell_owner::data::begin(const ownership_term& next)
+{
+    end();
+    term = next;
+    phase = owner_phase::fencing;
+    takenOverAt = clock.now();
+    nextMark = takenOverAt;
+    writeLog(log_level::info, "cell", "takes over",
+        { { "epoch", fmt::to_string(term.epoch) }, { "previous_stopped", term.previousOwnerStopped ? "yes" : "no" } });
+    writeMark(takenOverAt);
+}
+
+void cell_owner::data::end()
+{
+    if (phase != owner_phase::idle)
+        writeLog(log_level::info, "cell", "steps down", { { "epoch", fmt::to_string(term.epoch) } });
+    ++termNumber;
+    phase = owner_phase::idle;
+    paused = false;
+    markInFlight = false;
+    workersKnown = false;
+    settled = false;
+    book.clear();
+    sessions.clear();
+    ready.clear();
+    sequence = 0;
+    flushNumber = 0;
+    flush.reset();
+    flushInFlight = false;
+    flushedJobs.clear();
+    flushedEnds.clear();
+    strayKeys.clear();
+    finishedKeys.clear();
+    if (tail)
+        tail->stop();
+    tail.reset();
+}
+
+void cell_owner::data::writeMark(time_point now)
+{
+    if (phase != owner_phase::fencing || markInFlight || now < nextMark)
+        return;
+    markInFlight = true;
+    jobs::append_request request;
+    request.stream = stream;
+    request.records.push_back({ jobs::ownerKey(), jobs::encodeOwner(term.epoch), 0 });
+    request.from = jobs::writer { "owner", term.epoch, 0 };
+    outbox.emplace_back([self = shared_from_this(), request = std::move(request), number = termNumber] {
+        self->store.append(request, [self, number](const result<std::uint64_t>& answer) {
+            self->locked([&] {
+                if (number == self->termNumber)
+                    self->onMark(answer);
+            });
+        });
+    });
+}
+
+void cell_owner::data::onMark(const result<std::uint64_t>& answer)
+{
+    markInFlight = false;
+    if (!answer && answer.error().kind == error_kind::log_epoch_fenced) {
+        loseTerm("the store has seen a higher epoch");
+        return;
+    }
+    if (!answer) {
+        nextMark = clock.now() + flushRetry;
+        return;
+    }
+    markOffset = *answer;
+    sequence = 1;
+    phase = owner_phase::replaying;
+    tail = std::make_unique<jobs::record_tail>(store, clock, stream, *this);
+    outbox.emplace_back([self = shared_from_this(), started = tail.get(), number = termNumber] {
+        if (number == self->termNumber)
+            started->start();
+    });
+}
+
+void cell_owner::data::loseTerm(std::string_view reason)
+{
+    writeLog(log_level::warning, "cell", "is superseded",
+        { { "epoch", fmt::to_string(term.epoch) }, { "reason", std::string(reason) } });
+    end();
+    if (superseded)
+        outbox.push_back(superseded);
+}
+
+void cell_owner::data::tick(time_point now)
+{
+    writeMark(now);
+    if (tail)
+        tail->tick(now);
+    if (!givesOrders())
+        return;
+    holdWorkers(now);
+    schedule(now);
+    prepareFlush(now);
+    sendFlush(now);
+}
+
+void cell_owner::takeOver(const ownership_term& term)
+{
+    m_data->locked([&] { m_data->begin(term); });
+}
+
+void cell_owner::stepDown()
+{
+    m_data->locked([&] {
+        if (m_data->phase != owner_phase::idle)
+            m_data->end();
+    });
+}
+
+void cell_owner::pause()
+{
+    m_data->locked([&] {
+        if (!m_data->paused && m_data->phase != owner_phase::idle)
+            writeLog(log_level::warning, "cell", "pauses: the ownership is not verified");
+        m_data->paused = true;
+    });
+}
+
+void cell_owner::resume()
+{
+    m_data->locked([&] { m_data->paused = false; });
+}
+
+void cell_owner::onSuperseded(std::function<void()> lost)
+{
+    m_data->locked([&] { m_data->superseded = std::move(lost); });
+}
+
+void cell_owner::setWorkers(std::vector<worker_registration> workers)
+{
+    m_data->locked([&] {
+        std::set<worker_id> listed;
+        for (auto& worker : workers) {
+            listed.insert(worker.id);
+            m_data->updateWorker(std::move(worker), m_data->clock.now());
+        }
+        for (auto& [id, session] : m_data->sessions) {
+            if (!listed.contains(id))
+                m_data->removeWorker(id);
+        }
+        m_data->workersKnown = true;
+    });
+}
+
+void cell_owner::updateWorker(worker_registration worker)
+{
+    m_data->locked([&] { m_data->updateWorker(std::move(worker), m_data->clock.now()); });
+}
+
+void cell_owner::removeWorker(const worker_id& id)
+{
+    m_data->locked([&] { m_data->removeWorker(id); });
+}
+
+void cell_owner::tick()
+{
+    m_data->locked([&] { m_data->tick(m_data->clock.now()); });
+}
+
+result<jobs::job_state> cell_owner::state(const std::string& jobId) const
+{
+    const std::scoped_lock lock(m_data->mutex);
+    if (m_data->phase != owner_phase::serving)
+        return fail(error_kind::owner_unknown, "the records of the cell are not replayed yet");
+    const auto known = m_data->book.state(jobId);
+    if (!known)
+        return fail(error_kind::job_unknown, jobId);
+    return *known;
+}
+
+bool cell_owner::isServing() const
+{
+    const std::scoped_lock lock(m_data->mutex);
+    return m_data->phase == owner_phase::serving;
+}
+
+cell_load cell_owner::load() const
+{
+    const std::scoped_lock lock(m_data->mutex);
+    return m_data->currentLoad();
+}
+
+cell_figures cell_owner::figures() const
+{
+    const std::scoped_lock lock(m_data->mutex);
+    return m_data->figures;
+}
+
+} // namespace coriandermount::cells
--- /dev/null
+++ b/cells/cell_owner_jobs.cpp
@@ -0,0 +1,228 @@
+#include "cells/cell_owner_data.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace coriandermount::cells {
+
+namespace {
+
+    /// Jobs that find no room before the scan of the queue is given up.
+    constexpr int maxBlockedJobs = 48;
+    /// Weight of the room that a placement leaves over, against the measured speed of a worker.
+    constexpr double leftoverWeight = 0.15;
+    /// How much longer a task takes away from its data, until the platform's factor is known to the cell.
+    constexpr double remoteFactor = 3.0;
+    /// Share of the workers' room that waiting work can count on.
+    constexpr double usableShare = 0.8;
+    /// Priorities that are told apart in the load.
+    constexpr std::uint32_t reportedPriorities = 4;
+
+    double coreMilliseconds(const jobs::step& step)
+    {
+        return static_cast<double>(step.need.cpuMillis) / 1000.0 * static_cast<double>(step.estimate.count());
+    }
+
+} // namespace
+
+void cell_owner::data::enqueue(const open_job& job)
+{
+    if (!job.ended && job.readyTasks() > 0)
+        ready.emplace(job.accepted.priority, job.objective, job.accepted.work.id);
+}
+
+void cell_owner::data::requeue(const task_key& key, const worker_id& from, std::uint64_t attempt)
+{
+    open_job* job = book.find(key.jobId);
+    if (!job || job->ended || !job->contains(key))
+        return;
+    task_state& task = job->task(key);
+    if (task.phase != task_phase::placed || task.runsOn != from || task.attempt != attempt)
+        return;
+    task.phase = task_phase::waiting;
+    task.runsOn = {};
+    job->steps[key.step].waiting.push_back(key.index);
+    enqueue(*job);
+}
+
+void cell_owner::data::completeTask(open_job& job, const task_key& key, const worker_id& by)
+{
+    task_state& task = job.task(key);
+    if (task.phase == task_phase::done)
+        return;
+    step_state& step = job.steps[key.step];
+    if (task.phase == task_phase::waiting)
+        std::erase(step.waiting, key.index);
+    const auto elsewhere = sessions.find(task.runsOn);
+    if (task.phase == task_phase::placed && task.runsOn != by && elsewhere != sessions.end())
+        stopRun(elsewhere->second, key, clock.now());
+    task.phase = task_phase::done;
+    job.dirty = true;
+    job.started = true;
+    if (++step.done < step.tasks.size())
+        return;
+    if (++job.stepsDone == job.steps.size())
+        endJob(job, jobs::job_state::completed);
+    else
+        enqueue(job);
+}
+
+void cell_owner::data::failTask(open_job& job, const task_key& key, const worker_id& by, std::uint64_t attempt)
+{
+    task_state& task = job.task(key);
+    if (task.phase == task_phase::done)
+        return;
+    if (std::find(task.failedAttempts.begin(), task.failedAttempts.end(), attempt) != task.failedAttempts.end())
+        return;
+    task.failedAttempts.push_back(attempt);
+    task.failedOn = by;
+    job.dirty = true;
+    job.started = true;
+    writeLog(log_level::info, "cell", "a run failed",
+        { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
+            { "attempt", fmt::to_string(attempt) }, { "worker", by.value },
+            { "failures", fmt::to_string(task.failedAttempts.size()) },
+            { "max_attempts", fmt::to_string(job.accepted.maxAttempts) } });
+    if (task.failedAttempts.size() >= job.accepted.maxAttempts)
+        endJob(job, jobs::job_state::failed);
+}
+
+void cell_owner::data::endJob(open_job& job, jobs::job_state state)
+{
+    const auto now = clock.now();
+    job.ended = state;
+    ready.erase({ job.accepted.priority, job.objective, job.accepted.work.id });
+    figures.completedJobs += state == jobs::job_state::completed ? 1 : 0;
+    figures.failedJobs += state == jobs::job_state::failed ? 1 : 0;
+    figures.cancelledJobs += state == jobs::job_state::cancelled ? 1 : 0;
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index) {
+            const task_state& task = job.steps[step].tasks[index];
+            const auto session = sessions.find(task.runsOn);
+            if (task.phase == task_phase::placed && session != sessions.end())
+                stopRun(session->second, { job.accepted.work.id, 0, step, index }, now);
+        }
+    }
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - job.arrivedAt);
+    writeLog(log_level::info, "cell", "a job has ended",
+        { { "job", job.accepted.work.id }, { "queue", job.accepted.work.queue },
+            { "state", state == jobs::job_state::completed ? "completed" : state == jobs::job_state::failed ? "failed" : "cancelled" },
+            { "took_ms", fmt::to_string(took.count()) }, { "objective_ms", fmt::to_string(job.accepted.objective.count()) } });
+}
+
+bool cell_owner::data::isSettled(time_point now)
+{
+    if (settled)
+        return true;
+    const bool allListed = workersKnown
+        && std::all_of(sessions.begin(), sessions.end(), [](const auto& entry) { return entry.second.listed; });
+    const auto leaseLimit = std::chrono::milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(settings.maxLease.count()) / (1.0 - maxClockDrift)));
+    const auto limit = leaseLimit + (term.previousOwnerStopped ? holdSlack : previousOwnerLimit);
+    settled = allListed || now >= takenOverAt + limit;
+    return settled;
+}
+
+bool cell_owner::data::mayStart(const open_job& job, time_point now)
+{
+    return job.offset > markOffset || isSettled(now);
+}
+
+void cell_owner::data::schedule(time_point now)
+{
+    if (!givesOrders())
+        return;
+    // Jobs that can still be in time go first: late ones earn their callers little.
+    for (const bool late : { false, true }) {
+        int blocked = 0;
+        for (auto entry = ready.begin(); entry != ready.end() && blocked < maxBlockedJobs;) {
+            open_job* job = book.find(std::get<std::string>(*entry));
+            if (!job || job->ended) {
+                entry = ready.erase(entry);
+                continue;
+            }
+            if ((now > job->objective) != late || !mayStart(*job, now)) {
+                ++entry;
+                continue;
+            }
+            const bool placedAll = scheduleJob(*job, now);
+            blocked += placedAll ? 0 : 1;
+            entry = placedAll ? ready.erase(entry) : std::next(entry);
+        }
+    }
+}
+
+bool cell_owner::data::scheduleJob(open_job& job, time_point now)
+{
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        auto& waiting = job.steps[step].waiting;
+        if (waiting.empty() || !job.stepIsReady(step))
+            continue;
+        while (!waiting.empty()) {
+            const std::uint32_t index = waiting.back();
+            worker_session* session = chooseWorker(job, step, job.steps[step].tasks[index], now);
+            if (!session)
+                return false;
+            waiting.pop_back();
+            start(job, { job.accepted.work.id, 0, step, index }, *session, now);
+        }
+    }
+    return true;
+}
+
+worker_session* cell_owner::data::chooseWorker(const open_job& job, std::uint32_t step, const task_state& task, time_point now)
+{
+    const jobs::step& wanted = job.accepted.work.steps[step];
+    worker_session* best = nullptr;
+    double bestScore = 0;
+    for (auto& [id, session] : sessions) {
+        const auto& registration = session.registration();
+        if (registration.service != job.accepted.service || !session.takesStarts(now))
+            continue;
+        if (!wanted.need.fitsInto(session.free()) || (!wanted.requiredLabel.empty() && !session.hasLabel(wanted.requiredLabel)))
+            continue;
+        if (wanted.maxPerWorker > 0 && session.runsOfStep(job.accepted.work.id, step) >= wanted.maxPerWorker)
+            continue;
+        const double room = static_cast<double>(std::max<std::int64_t>(registration.capacity.cpuMillis, 1));
+        const double leftover = static_cast<double>(session.free().cpuMillis - wanted.need.cpuMillis) / room;
+        double score = session.slowness() + leftoverWeight * leftover;
+        if (!wanted.dataRack.empty() && !session.hasLabel(wanted.dataRack))
+            score *= remoteFactor;
+        if (id == task.failedOn)
+            score *= remoteFactor;
+        if (!best || score < bestScore) {
+            best = &session;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+cell_load cell_owner::data::currentLoad() const
+{
+    cell_load load;
+    double capacity = 0;
+    const auto now = clock.now();
+    for (const auto& [id, session] : sessions) {
+        if (session.takesStarts(now))
+            capacity += static_cast<double>(session.registration().capacity.cpuMillis) / 1000.0 * usableShare;
+    }
+    std::array<double, reportedPriorities> waiting {};
+    for (const auto& [priority, objective, id] : ready) {
+        const open_job* job = book.find(id);
+        if (!job || job->ended)
+            continue;
+        for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
+            const double work = coreMilliseconds(job->accepted.work.steps[step]) * static_cast<double>(job->steps[step].waiting.size());
+            for (std::uint32_t level = std::min(priority, reportedPriorities - 1); level < reportedPriorities; ++level)
+                waiting[level] += work;
+        }
+    }
+    for (const double work : waiting)
+        load.waitByPriority.emplace_back(static_cast<std::int64_t>(capacity > 0 ? work / capacity : 0));
+    load.pendingByQueue = book.pendingByQueue();
+    return load;
+}
+
+} // namespace coriandermount::cells
--- /dev/null
+++ b/cells/cell_owner_records.cpp
@@ -0,0 +1,321 @@
+#include "cells/cell_owner_data.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace coriandermount::cells {
+
+using jobs::record_kind;
+
+namespace {
+
+    /// Records are applied in this order when a stream is read whole.
+    int replayOrder(const jobs::record& current)
+    {
+        switch (jobs::kindOf(current.key)) {
+        case record_kind::owner:
+            return 0;
+        case record_kind::finished:
+            return 1;
+        case record_kind::accepted:
+            return 2;
+        case record_kind::progress:
+            return 3;
+        default:
+            return 4;
+        }
+    }
+
+    std::vector<jobs::task_outcome> outcomesOf(const open_job& job)
+    {
+        std::vector<jobs::task_outcome> outcomes;
+        for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+            const auto& tasks = job.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                const bool done = tasks[index].phase == task_phase::done;
+                if (done || !tasks[index].failedAttempts.empty())
+                    outcomes.push_back({ step, index, done, tasks[index].failedAttempts });
+            }
+        }
+        return outcomes;
+    }
+
+} // namespace
+
+void cell_owner::data::onSnapshot(const std::vector<jobs::record>& records)
+{
+    locked([&] {
+        if (phase == owner_phase::idle)
+            return;
+        const auto now = clock.now();
+        std::vector<const jobs::record*> ordered;
+        for (const auto& current : records)
+            ordered.push_back(&current);
+        std::stable_sort(ordered.begin(), ordered.end(),
+            [](const auto* a, const auto* b) { return replayOrder(*a) < replayOrder(*b); });
+        for (const auto* current : ordered) {
+            if (phase == owner_phase::idle)
+                return;
+            if (phase == owner_phase::replaying)
+                replay(*current, now);
+            else
+                apply(*current, now);
+        }
+        if (phase != owner_phase::replaying)
+            return;
+        phase = owner_phase::serving;
+        nextFlush = now;
+        writeLog(log_level::info, "cell", "has replayed its records",
+            { { "epoch", fmt::to_string(term.epoch) }, { "records", fmt::to_string(records.size()) },
+                { "open_jobs", fmt::to_string(book.open().size()) } });
+        tick(now);
+    });
+}
+
+void cell_owner::data::onRecord(const jobs::record& current)
+{
+    locked([&] {
+        if (phase != owner_phase::idle)
+            apply(current, clock.now());
+    });
+}
+
+void cell_owner::data::onContact(time_point)
+{
+    locked([&] {
+        if (givesOrders())
+            schedule(clock.now());
+    });
+}
+
+void cell_owner::data::onContactLost(const error& problem)
+{
+    writeLog(log_level::warning, "cell", "can't read its records", { { "detail", problem.detail } });
+}
+
+void cell_owner::data::replay(const jobs::record& current, time_point now)
+{
+    const auto kind = jobs::kindOf(current.key);
+    if (current.value && kind == record_kind::progress)
+        applyProgress(jobs::jobIdOf(current.key), *current.value);
+    else if (current.value && kind == record_kind::finished)
+        applyFinished(current, now);
+    else
+        apply(current, now);
+}
+
+void cell_owner::data::apply(const jobs::record& current, time_point now)
+{
+    if (!current.value)
+        return;
+    switch (jobs::kindOf(current.key)) {
+    case record_kind::accepted:
+        applyAccepted(current, now);
+        break;
+    case record_kind::cancelled:
+        applyCancelled(jobs::jobIdOf(current.key));
+        break;
+    case record_kind::owner:
+        applyOwner(*current.value);
+        break;
+    default:
+        // Progress and finished jobs are this owner's own records.
+        break;
+    }
+}
+
+void cell_owner::data::applyAccepted(const jobs::record& current, time_point now)
+{
+    auto accepted = jobs::decodeAccepted(*current.value);
+    if (!accepted) {
+        writeLog(log_level::error, "cell", "skips a job", { { "key", current.key }, { "detail", accepted.error().detail } });
+        return;
+    }
+    const std::string id = accepted->work.id;
+    if (book.isFinished(id)) {
+        strayKeys.push_back(current.key);
+        return;
+    }
+    const auto age = std::max(clock.wallNow() - accepted->acceptedAt, std::chrono::milliseconds(0));
+    if (const auto* job = book.accept(std::move(*accepted), current.offset, now - age))
+        enqueue(*job);
+}
+
+void cell_owner::data::applyCancelled(const std::string& jobId)
+{
+    open_job* job = book.find(jobId);
+    if (!job) {
+        strayKeys.push_back(jobs::cancelledKey(jobId));
+        return;
+    }
+    job->cancelRecorded = true;
+    if (!job->ended)
+        endJob(*job, jobs::job_state::cancelled);
+}
+
+void cell_owner::data::applyProgress(const std::string& jobId, const std::string& value)
+{
+    open_job* job = book.find(jobId);
+    const auto outcomes = jobs::decodeProgress(value);
+    if (!job || !outcomes) {
+        strayKeys.push_back(jobs::progressKey(jobId));
+        return;
+    }
+    job->hasProgress = true;
+    job->started = true;
+    for (const auto& outcome : *outcomes) {
+        const task_key key { jobId, 0, outcome.step, outcome.index };
+        if (!job->contains(key))
+            continue;
+        task_state& task = job->task(key);
+        task.failedAttempts = outcome.failedAttempts;
+        if (!outcome.done || task.phase == task_phase::done)
+            continue;
+        task.phase = task_phase::done;
+        step_state& step = job->steps[outcome.step];
+        std::erase(step.waiting, outcome.index);
+        if (++step.done == step.tasks.size())
+            ++job->stepsDone;
+    }
+}
+
+void cell_owner::data::applyFinished(const jobs::record& current, time_point now)
+{
+    const auto list = jobs::decodeFinished(*current.value);
+    if (!list)
+        return;
+    const auto at = now - std::max(clock.wallNow() - list->at, std::chrono::milliseconds(0));
+    finishedKeys.emplace(at + settings.finishedRetention, current.key);
+    for (const auto& job : list->jobs)
+        book.finish(job.id, job.state, at);
+}
+
+void cell_owner::data::applyOwner(const std::string& value)
+{
+    const auto epoch = jobs::decodeOwner(value);
+    if (epoch && *epoch > term.epoch)
+        loseTerm(fmt::format("epoch {} is marked in the records", *epoch));
+}
+
+void cell_owner::data::writeFinishedJob(const std::string& id, const open_job& job, jobs::append_request& request)
+{
+    flushedJobs.push_back(id);
+    request.records.push_back({ jobs::acceptedKey(id), std::nullopt, 0 });
+    if (job.hasProgress)
+        request.records.push_back({ jobs::progressKey(id), std::nullopt, 0 });
+    if (job.cancelRecorded)
+        request.records.push_back({ jobs::cancelledKey(id), std::nullopt, 0 });
+}
+
+bool cell_owner::data::writeJobs(jobs::append_request& request, time_point now)
+{
+    jobs::finished_list finished;
+    finished.at = clock.wallNow();
+    bool complete = true;
+    for (auto& [id, job] : book.open()) {
+        if (!job.ended && !job.dirty)
+            continue;
+        if (request.records.size() >= maxFlushedRecords) {
+            complete = false;
+            break;
+        }
+        if (job.ended) {
+            finished.jobs.push_back({ id, *job.ended });
+            writeFinishedJob(id, job, request);
+            continue;
+        }
+        request.records.push_back({ jobs::progressKey(id), jobs::encodeProgress(outcomesOf(job)), 0 });
+        job.hasProgress = true;
+        job.dirty = false;
+    }
+    if (!finished.jobs.empty()) {
+        const auto key = jobs::finishedKey(term.epoch, ++flushNumber);
+        request.records.push_back({ key, jobs::encodeFinished(finished), 0 });
+        finishedKeys.emplace(now + settings.finishedRetention, key);
+    }
+    return complete;
+}
+
+void cell_owner::data::dropOldRecords(jobs::append_request& request, time_point now)
+{
+    auto expired = finishedKeys.begin();
+    for (; expired != finishedKeys.end() && expired->first <= now; ++expired)
+        request.records.push_back({ expired->second, std::nullopt, 0 });
+    finishedKeys.erase(finishedKeys.begin(), expired);
+    for (auto& key : strayKeys)
+        request.records.push_back({ std::move(key), std::nullopt, 0 });
+    strayKeys.clear();
+    book.expire(now - settings.finishedRetention);
+}
+
+void cell_owner::data::prepareFlush(time_point now)
+{
+    if (flush || now < nextFlush)
+        return;
+    jobs::append_request request;
+    flushedJobs.clear();
+    flushedEnds.clear();
+    const bool complete = writeJobs(request, now);
+    dropOldRecords(request, now);
+    for (auto& [id, session] : sessions) {
+        if (complete && session.lastEnd > session.durableEnd)
+            flushedEnds.emplace(std::pair(id, session.registration().bornAt), session.lastEnd);
+    }
+    if (request.records.empty()) {
+        // Ends that changed nothing need no record.
+        markEndsDurable();
+        return;
+    }
+    request.stream = stream;
+    request.from = jobs::writer { "owner", term.epoch, sequence++ };
+    flush = std::move(request);
+}
+
+void cell_owner::data::markEndsDurable()
+{
+    for (const auto& [life, number] : flushedEnds) {
+        const auto session = sessions.find(life.first);
+        if (session != sessions.end() && session->second.registration().bornAt == life.second)
+            session->second.durableEnd = std::max(session->second.durableEnd, number);
+    }
+    flushedEnds.clear();
+}
+
+void cell_owner::data::sendFlush(time_point now)
+{
+    if (!flush || flushInFlight || now < nextFlush)
+        return;
+    flushInFlight = true;
+    outbox.emplace_back([self = shared_from_this(), request = *flush, number = termNumber] {
+        self->store.append(request, [self, number](const result<std::uint64_t>& answer) {
+            self->locked([&] {
+                if (number == self->termNumber)
+                    self->onFlush(answer);
+            });
+        });
+    });
+}
+
+void cell_owner::data::onFlush(const result<std::uint64_t>& answer)
+{
+    const auto now = clock.now();
+    flushInFlight = false;
+    if (!answer && answer.error().kind == error_kind::log_epoch_fenced) {
+        loseTerm("the store has seen a higher epoch");
+        return;
+    }
+    if (!answer) {
+        nextFlush = now + flushRetry;
+        return;
+    }
+    nextFlush = now + flushInterval;
+    flush.reset();
+    for (const auto& id : flushedJobs) {
+        if (const open_job* job = book.find(id))
+            book.finish(id, *job->ended, now);
+    }
+    markEndsDurable();
+}
+
+} // namespace coriandermount::cells
--- /dev/null
+++ b/cells/cell_owner_workers.cpp
@@ -0,0 +1,413 @@
+#include "cells/cell_owner_data.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace coriandermount::cells {
+
+namespace {
+
+    /// Attempts of one epoch; those of the next epoch are all higher.
+    constexpr std::uint64_t attemptsPerEpoch = 100000;
+
+    void logOrder(std::string_view message, const task_key& key, std::uint64_t attempt, const worker_id& worker,
+        std::string_view outcome)
+    {
+        writeLog(log_level::info, "cell", message,
+            { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
+                { "attempt", fmt::to_string(attempt) }, { "worker", worker.value }, { "outcome", std::string(outcome) } });
+    }
+
+} // namespace
+
+void cell_owner::data::updateWorker(worker_registration registration, time_point now)
+{
+    const auto found = sessions.find(registration.id);
+    if (found == sessions.end()) {
+        const worker_id id = registration.id;
+        sessions.emplace(id, worker_session(std::move(registration), now));
+        return;
+    }
+    worker_session& session = found->second;
+    if (registration.bornAt < session.registration().bornAt)
+        return;
+    if (registration.bornAt == session.registration().bornAt && registration.address == session.registration().address) {
+        session.gone = false;
+        session.update(std::move(registration));
+        return;
+    }
+    writeLog(log_level::info, "cell", "a worker has started again", { { "worker", registration.id.value } });
+    dropRuns(session);
+    const bool inFlight = session.holdInFlight;
+    session = worker_session(std::move(registration), now);
+    session.holdInFlight = inFlight;
+}
+
+void cell_owner::data::removeWorker(const worker_id& id)
+{
+    const auto found = sessions.find(id);
+    if (found != sessions.end())
+        found->second.gone = true;
+}
+
+void cell_owner::data::dropRuns(worker_session& session)
+{
+    const worker_id id = session.registration().id;
+    while (!session.runs().empty()) {
+        const auto [key, current] = *session.runs().begin();
+        session.removeRun(key);
+        ++figures.lostRuns;
+        logOrder("a run is lost", key, current.attempt, id, "requeued");
+        requeue(key, id, current.attempt);
+    }
+}
+
+void cell_owner::data::start(open_job& job, const task_key& key, worker_session& session, time_point now)
+{
+    const jobs::step& step = job.accepted.work.steps[key.step];
+    const worker_registration& worker = session.registration();
+    task_state& task = job.task(key);
+    task.attempt = std::max(task.attempt, (term.epoch - 1) * attemptsPerEpoch) + 1;
+    task.phase = task_phase::placed;
+    task.runsOn = worker.id;
+    job.started = true;
+    ++figures.starts;
+
+    run added;
+    added.attempt = task.attempt;
+    added.need = step.need;
+    added.estimate = step.estimate;
+    added.sentAt = now;
+    added.progressAt = now;
+    session.addRun(key, added);
+    session.nextHold = std::min(session.nextHold, now);
+
+    start_order order { key, task.attempt, job.accepted.work.payload, session.extendLease(settings.maxLease, now), term.epoch,
+        task.checkpoint };
+    outbox.emplace_back([self = shared_from_this(), worker, order = std::move(order), number = termNumber] {
+        self->link.start(worker, order,
+            [self, number, id = worker.id, key = order.task, attempt = order.attempt](const auto& answer) {
+                self->locked([&] {
+                    if (number == self->termNumber)
+                        self->onStart(id, key, attempt, answer);
+                });
+            });
+    });
+}
+
+void cell_owner::data::onStart(const worker_id& id, const task_key& key, std::uint64_t attempt,
+    const tl::expected<order_answer, order_failure>& answer)
+{
+    const auto now = clock.now();
+    const auto found = sessions.find(id);
+    if (found == sessions.end())
+        return;
+    worker_session& session = found->second;
+    run* current = session.find(key);
+    if (!current || current->attempt != attempt)
+        return;
+    if (!answer) {
+        ++figures.startFailures[static_cast<std::size_t>(answer.error())];
+        onStartRefused(session, key, *current, answer.error(), now);
+        schedule(now);
+        return;
+    }
+    session.noteClock(answer->clock, now);
+    current->answeredAt = now;
+    if (!current->confirmedAt)
+        current->confirmedAt = now;
+    if (current->state == run_state::starting)
+        current->state = run_state::running;
+}
+
+void cell_owner::data::onStartRefused(worker_session& session, const task_key& key, run& current, order_failure failure,
+    time_point now)
+{
+    const worker_id id = session.registration().id;
+    const std::uint64_t attempt = current.attempt;
+    logOrder("a start was not carried out", key, attempt, id, nameOf(failure));
+    switch (failure) {
+    case order_failure::fenced:
+        loseTerm("a worker has seen a higher token");
+        return;
+    case order_failure::no_answer:
+        current.uncertain = true;
+        session.avoidUntil(now + refusalPause);
+        session.nextHold = std::min(session.nextHold, now);
+        return;
+    case order_failure::no_room:
+        session.avoidUntil(now + roomPause);
+        break;
+    case order_failure::too_late:
+    case order_failure::attempt_too_old:
+        session.nextHold = std::min(session.nextHold, now);
+        break;
+    default:
+        session.avoidUntil(now + refusalPause);
+        break;
+    }
+    session.removeRun(key);
+    requeue(key, id, attempt);
+}
+
+void cell_owner::data::stopRun(worker_session& session, const task_key& key, time_point now)
+{
+    run* current = session.find(key);
+    if (!current)
+        return;
+    current->state = run_state::stopping;
+    current->answeredAt.reset();
+    current->stopSentAt = now;
+    session.nextHold = std::min(session.nextHold, now);
+    const worker_registration& worker = session.registration();
+    const stop_order order { key, current->attempt, term.epoch };
+    outbox.emplace_back([self = shared_from_this(), worker, order, number = termNumber] {
+        self->link.stop(worker, order, [self, number, id = worker.id, order](const auto& answer) {
+            self->locked([&] {
+                if (number == self->termNumber)
+                    self->onStop(id, order.task, order.attempt, answer);
+            });
+        });
+    });
+}
+
+void cell_owner::data::onStop(const worker_id& id, const task_key& key, std::uint64_t attempt,
+    const tl::expected<order_answer, order_failure>& answer)
+{
+    const auto now = clock.now();
+    const auto found = sessions.find(id);
+    run* current = found == sessions.end() ? nullptr : found->second.find(key);
+    if (!current || current->attempt != attempt)
+        return;
+    if (answer)
+        current->answeredAt = now;
+    else if (answer.error() == order_failure::fenced)
+        loseTerm("a worker has seen a higher token");
+}
+
+void cell_owner::data::holdWorkers(time_point now)
+{
+    for (auto entry = sessions.begin(); entry != sessions.end();) {
+        worker_session& session = entry->second;
+        if (session.gone && now >= session.leasesEnded(now) && !session.holdInFlight) {
+            dropRuns(session);
+            entry = sessions.erase(entry);
+            continue;
+        }
+        if (session.failedHolds > 1 && !session.runs().empty() && now >= session.leasesEnded(now))
+            dropRuns(session);
+        const bool needed = !session.listed || !session.runs().empty() || session.durableEnd > session.acknowledgedEnd
+            || session.lastEnd > session.durableEnd;
+        if (needed && !session.holdInFlight && now >= session.nextHold)
+            hold(session, now);
+        ++entry;
+    }
+}
+
+void cell_owner::data::hold(worker_session& session, time_point now)
+{
+    session.holdInFlight = true;
+    hold_order order;
+    order.token = term.epoch;
+    order.acknowledged = session.durableEnd;
+    // A worker that does not answer gets no longer leases, so that its runs can be given up.
+    order.extendsLease = session.knowsClock() && !session.runs().empty() && session.failedHolds < 2 && !session.gone;
+    if (order.extendsLease)
+        order.leaseEnd = session.extendLease(settings.maxLease, now);
+    order.wait = session.listed && !session.runs().empty() ? holdWait : std::chrono::milliseconds(0);
+    const worker_registration& worker = session.registration();
+    outbox.emplace_back([self = shared_from_this(), worker, order, now, number = termNumber] {
+        self->link.hold(worker, order, [self, number, worker, now](const auto& answer) {
+            self->locked([&] {
+                if (number == self->termNumber)
+                    self->onHold(worker.id, worker.bornAt, now, answer);
+            });
+        });
+    });
+    session.acknowledging = order.acknowledged;
+}
+
+void cell_owner::data::onHold(const worker_id& id, std::int64_t bornAt, time_point sentAt,
+    const tl::expected<hold_answer, order_failure>& answer)
+{
+    const auto now = clock.now();
+    const auto found = sessions.find(id);
+    if (found == sessions.end())
+        return;
+    worker_session& session = found->second;
+    session.holdInFlight = false;
+    if (session.registration().bornAt != bornAt)
+        return;
+    if (!answer) {
+        onHoldFailed(session, answer.error(), now);
+        return;
+    }
+    if (answer->bornAt > bornAt) {
+        worker_registration next = session.registration();
+        next.bornAt = answer->bornAt;
+        updateWorker(std::move(next), now);
+        return;
+    }
+    if (answer->bornAt < bornAt)
+        return;
+    applyHold(session, sentAt, *answer, now);
+    schedule(now);
+    if (givesOrders())
+        holdWorkers(now);
+}
+
+void cell_owner::data::onHoldFailed(worker_session& session, order_failure failure, time_point now)
+{
+    if (failure == order_failure::fenced) {
+        loseTerm("a worker has seen a higher token");
+        return;
+    }
+    if (++session.failedHolds == 1)
+        logOrder("a worker does not answer", {}, 0, session.registration().id, nameOf(failure));
+    session.nextHold = now + holdRetry;
+}
+
+void cell_owner::data::applyHold(worker_session& session, time_point sentAt, const hold_answer& answer, time_point now)
+{
+    if (session.failedHolds > 0)
+        logOrder("a worker answers again", {}, 0, session.registration().id, "used");
+    session.failedHolds = 0;
+    session.listed = true;
+    session.noteClock(answer.clock, now);
+    session.acknowledgedEnd = std::max(session.acknowledgedEnd, session.acknowledging);
+    const std::uint64_t before = session.lastEnd;
+    for (const auto& ended : answer.ended) {
+        if (ended.number <= session.lastEnd)
+            continue;
+        applyEnd(session, ended, now);
+        session.lastEnd = ended.number;
+    }
+    for (const auto& listed : answer.running)
+        applyRunning(session, listed, now);
+    dropUnlisted(session, sentAt, answer, now);
+    session.nextHold = session.lastEnd == before ? now + holdPause : now;
+    if (session.runs().empty())
+        session.nextHold = now + idleAcknowledgement;
+}
+
+void cell_owner::data::applyEnd(worker_session& session, const ended_task& ended, time_point now)
+{
+    const worker_id id = session.registration().id;
+    const run* current = session.find(ended.task);
+    const bool matches = current && current->attempt == ended.attempt;
+    if (matches) {
+        session.noteEnd(ended.how, *current, now);
+        session.removeRun(ended.task);
+    }
+    if (ended.how != run_end::done)
+        logOrder("a run has ended", ended.task, ended.attempt, id, nameOf(ended.how));
+    open_job* job = book.find(ended.task.jobId);
+    if (!job || job->ended || !job->contains(ended.task))
+        return;
+    task_state& task = job->task(ended.task);
+    task.attempt = std::max(task.attempt, ended.attempt);
+    if (ended.how == run_end::done) {
+        completeTask(*job, ended.task, id);
+        return;
+    }
+    if (!ended.checkpoint.empty())
+        task.checkpoint = ended.checkpoint;
+    if (ended.how == run_end::failed)
+        failTask(*job, ended.task, id, ended.attempt);
+    requeue(ended.task, id, ended.attempt);
+}
+
+void cell_owner::data::applyRunning(worker_session& session, const running_task& listed, time_point now)
+{
+    run* current = session.find(listed.task);
+    if (!current || current->attempt < listed.attempt) {
+        adopt(session, listed, now);
+        return;
+    }
+    if (current->attempt != listed.attempt)
+        return;
+    if (!current->confirmedAt)
+        current->confirmedAt = now;
+    current->uncertain = false;
+    if (listed.percent != current->percent) {
+        current->percent = listed.percent;
+        current->progressAt = now;
+    }
+    if (current->state == run_state::stopping) {
+        if (!current->stopSentAt || now - *current->stopSentAt > stopRepeat)
+            stopRun(session, listed.task, now);
+        return;
+    }
+    current->state = run_state::running;
+    if (open_job* job = book.find(listed.task.jobId); job && job->contains(listed.task) && !listed.checkpoint.empty())
+        job->task(listed.task).checkpoint = listed.checkpoint;
+    checkProgress(session, listed.task, *current, now);
+}
+
+void cell_owner::data::adopt(worker_session& session, const running_task& listed, time_point now)
+{
+    const worker_id id = session.registration().id;
+    open_job* job = book.find(listed.task.jobId);
+    run added;
+    added.attempt = listed.attempt;
+    added.state = run_state::running;
+    added.sentAt = now;
+    added.confirmedAt = now;
+    added.answeredAt = now;
+    added.progressAt = now;
+    added.percent = listed.percent;
+    const bool known = job && job->contains(listed.task);
+    if (known) {
+        added.need = job->accepted.work.steps[listed.task.step].need;
+        added.estimate = job->accepted.work.steps[listed.task.step].estimate;
+    }
+    session.addRun(listed.task, added);
+    const bool wanted = known && !job->ended && job->task(listed.task).phase == task_phase::waiting;
+    logOrder("a run is found", listed.task, listed.attempt, id, wanted ? "adopted" : "stopped");
+    if (!wanted) {
+        stopRun(session, listed.task, now);
+        return;
+    }
+    task_state& task = job->task(listed.task);
+    std::erase(job->steps[listed.task.step].waiting, listed.task.index);
+    task.phase = task_phase::placed;
+    task.runsOn = id;
+    task.attempt = std::max(task.attempt, listed.attempt);
+    job->started = true;
+}
+
+void cell_owner::data::dropUnlisted(worker_session& session, time_point sentAt, const hold_answer& answer, time_point now)
+{
+    std::set<task_key> listed;
+    for (const auto& current : answer.running)
+        listed.insert(current.task);
+    std::vector<std::pair<task_key, run>> missing;
+    for (const auto& [key, current] : session.runs()) {
+        if (!listed.contains(key))
+            missing.emplace_back(key, current);
+    }
+    for (const auto& [key, current] : missing) {
+        const bool answered = current.answeredAt && *current.answeredAt < sentAt;
+        if (answered || (current.uncertain && session.leasesEnded(now) < sentAt)) {
+            ++figures.lostRuns;
+            session.removeRun(key);
+            requeue(key, session.registration().id, current.attempt);
+        } else if (current.uncertain && (!current.stopSentAt || now - *current.stopSentAt > stopRepeat)) {
+            stopRun(session, key, now);
+        }
+    }
+}
+
+void cell_owner::data::checkProgress(worker_session& session, const task_key& key, run& current, time_point now)
+{
+    const std::chrono::duration<double, std::milli> expected
+        = std::chrono::duration<double, std::milli>(current.estimate) * session.slowness() * stillEstimates;
+    if (now - current.progressAt < stillTime || now - *current.confirmedAt < expected)
+        return;
+    logOrder("a run stands still", key, current.attempt, session.registration().id, "stopped");
+    session.avoidUntil(now + quarantine);
+    stopRun(session, key, now);
+}
+
+} // namespace coriandermount::cells
--- /dev/null
+++ b/cells/cell_settings.h
@@ -0,0 +1,54 @@
+/// Limits that the owner of a cell works by.
+#pragma once
+
+#include <chrono>
+
+namespace coriandermount::cells {
+
+struct cell_settings {
+    /// Longest lease that workers grant; from the platform's bounds.
+    std::chrono::milliseconds maxLease { 1000 };
+    /// Time until a stopped task is gone; from the platform's bounds.
+    std::chrono::milliseconds stopGrace { 50 };
+    /// How long finished jobs are remembered; from the platform's bounds, and a margin of a minute.
+    std::chrono::milliseconds finishedRetention { 180000 };
+};
+
+/// Share by which the clock of a worker may be slow; from the workers' interface.
+inline constexpr double maxClockDrift = 0.02;
+
+/// A task of an earlier owner may run on an unreachable worker for as long as that owner may go on without having verified
+/// its ownership; see `ownership_settings::unverifiedLimit`, with one beat and one call on top.
+inline constexpr std::chrono::milliseconds previousOwnerLimit { 2600 };
+
+/// Longest wait of one look at a worker; a third of the shortest lease, so that two looks may fail.
+inline constexpr std::chrono::milliseconds holdWait { 300 };
+/// Added to the wait of a look until it counts as failed; about ten calm round trips to a slowed VM.
+inline constexpr std::chrono::milliseconds holdSlack { 300 };
+/// Pause after a look that brought nothing new at once.
+inline constexpr std::chrono::milliseconds holdPause { 25 };
+/// Pause before the next look at a worker that did not answer.
+inline constexpr std::chrono::milliseconds holdRetry { 60 };
+/// Time within which ends are acknowledged on an idle worker.
+inline constexpr std::chrono::milliseconds idleAcknowledgement { 400 };
+/// Pause before starting on a worker that refused for want of room.
+inline constexpr std::chrono::milliseconds roomPause { 30 };
+/// Pause before starting on a worker that refused or did not answer.
+inline constexpr std::chrono::milliseconds refusalPause { 400 };
+/// Pause before starting again on a worker whose tasks fail or stand still.
+inline constexpr std::chrono::milliseconds quarantine { 4000 };
+/// Failed ends in a row after which a worker is left out.
+inline constexpr int failuresUntilQuarantine = 2;
+/// Time between writes of ended tasks; bounds what an outage of all VMs can undo.
+inline constexpr std::chrono::milliseconds flushInterval { 40 };
+/// Pause after a failed write.
+inline constexpr std::chrono::milliseconds flushRetry { 100 };
+/// Records after which a write is full; well under the platform's bound for one call.
+inline constexpr std::size_t maxFlushedRecords = 2000;
+/// Time after which a stop is repeated; several times `stopGrace` of the platform.
+inline constexpr std::chrono::milliseconds stopRepeat { 200 };
+/// A task without progress for this long, and beyond this multiple of its estimate, stands still.
+inline constexpr std::chrono::milliseconds stillTime { 500 };
+inline constexpr int stillEstimates = 3;
+
+} // namespace coriandermount::cells
--- /dev/null
+++ b/cells/job_book.cpp
@@ -0,0 +1,102 @@
+#include "cells/job_book.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace coriandermount::cells {
+
+bool open_job::stepIsReady(std::uint32_t step) const
+{
+    const auto& after = accepted.work.steps[step].after;
+    return std::all_of(after.begin(), after.end(),
+        [this](std::uint32_t earlier) { return steps[earlier].done == steps[earlier].tasks.size(); });
+}
+
+std::size_t open_job::readyTasks() const
+{
+    std::size_t ready = 0;
+    for (std::uint32_t number = 0; number < steps.size(); ++number) {
+        if (!steps[number].waiting.empty() && stepIsReady(number))
+            ready += steps[number].waiting.size();
+    }
+    return ready;
+}
+
+bool open_job::contains(const task_key& key) const
+{
+    return key.occurrence == 0 && key.step < steps.size() && key.index < steps[key.step].tasks.size();
+}
+
+open_job* job_book::accept(jobs::accepted_job accepted, std::uint64_t offset, time_point arrivedAt)
+{
+    const std::string id = accepted.work.id;
+    if (m_finished.contains(id) || m_open.contains(id))
+        return nullptr;
+    open_job added;
+    added.arrivedAt = arrivedAt;
+    added.objective = arrivedAt + accepted.objective;
+    added.offset = offset;
+    for (const auto& step : accepted.work.steps) {
+        step_state state;
+        state.tasks.resize(step.taskCount);
+        state.waiting.resize(step.taskCount);
+        // The last one is started first.
+        std::iota(state.waiting.rbegin(), state.waiting.rend(), 0U);
+        added.steps.push_back(std::move(state));
+    }
+    added.accepted = std::move(accepted);
+    return &m_open.emplace(id, std::move(added)).first->second;
+}
+
+open_job* job_book::find(const std::string& id)
+{
+    const auto found = m_open.find(id);
+    return found == m_open.end() ? nullptr : &found->second;
+}
+
+const open_job* job_book::find(const std::string& id) const
+{
+    const auto found = m_open.find(id);
+    return found == m_open.end() ? nullptr : &found->second;
+}
+
+std::optional<jobs::job_state> job_book::state(const std::string& id) const
+{
+    if (const auto finished = m_finished.find(id); finished != m_finished.end())
+        return finished->second.state;
+    const auto found = m_open.find(id);
+    if (found == m_open.end())
+        return std::nullopt;
+    if (found->second.ended)
+        return found->second.ended;
+    return found->second.started ? jobs::job_state::running : jobs::job_state::queued;
+}
+
+void job_book::finish(const std::string& id, jobs::job_state state, time_point now)
+{
+    m_open.erase(id);
+    m_finished.insert_or_assign(id, finished_entry { state, now });
+}
+
+void job_book::expire(time_point oldest)
+{
+    std::erase_if(m_finished, [oldest](const auto& entry) { return entry.second.at < oldest; });
+}
+
+std::map<std::string, std::uint32_t> job_book::pendingByQueue() const
+{
+    std::map<std::string, std::uint32_t> pending;
+    for (const auto& [id, current] : m_open) {
+        if (!current.started && !current.ended)
+            ++pending[current.accepted.work.queue];
+    }
+    return pending;
+}
+
+void job_book::clear()
+{
+    m_open.clear();
+    m_finished.clear();
+}
+
+} // namespace coriandermount::cells
--- /dev/null
+++ b/cells/ownership.cpp
@@ -0,0 +1,168 @@
+#include "cells/ownership.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace coriandermount::cells {
+
+namespace {
+
+    /// A store that answers long polls is heard of at least this often.
+    constexpr std::chrono::milliseconds storeContactLimit { 3000 };
+
+    std::uint64_t rankHash(const vm_id& vm, std::uint64_t epoch) { return XXH3_64bits_withSeed(vm.value.data(), vm.value.size(), epoch); }
+
+} // namespace
+
+ownership::ownership(vm_id self, std::uint64_t boot, ownership_settings settings, time_point now)
+    : m_self(std::move(self))
+    , m_boot(boot)
+    , m_settings(settings)
+    , m_startedAt(now)
+    , m_ownerSeen(now)
+    , m_ownerRecordAt(now)
+    , m_storeContact(now - 2 * storeContactLimit)
+    , m_verifiedAt(now)
+{
+}
+
+void ownership::onOwner(const owner_record& record, time_point now)
+{
+    if (m_owner && record.epoch < m_owner->epoch)
+        return;
+    const bool changed = !m_owner || record.epoch > m_owner->epoch;
+    m_owner = record;
+    m_highestEpoch = std::max(m_highestEpoch, record.epoch);
+    if (!changed)
+        return;
+    m_ownerSeen = now;
+    m_ownerRecordAt = now;
+    m_suspectedSince.reset();
+    m_paused = false;
+}
+
+void ownership::onOwnerAlive(std::uint64_t epoch, time_point now)
+{
+    if (m_owner && epoch == m_owner->epoch)
+        m_ownerRecordAt = now;
+}
+
+void ownership::onVm(const vm_registration& registration) { m_vms.insert_or_assign(registration.id, registration); }
+
+void ownership::onVmRemoved(const vm_id& id)
+{
+    m_vms.erase(id);
+    m_peers.erase(id);
+}
+
+void ownership::onBeat(const beat& current, time_point now)
+{
+    if (current.sender == m_self)
+        return;
+    m_peers.insert_or_assign(current.sender, peer { current, now });
+    m_highestEpoch = std::max(m_highestEpoch, current.epoch);
+    if (m_owner && current.ownedEpoch == m_owner->epoch)
+        m_ownerSeen = now;
+}
+
+bool ownership::isOwner() const
+{
+    return m_owner && !m_owner->released && m_owner->owner == m_self && m_owner->boot == m_boot && m_owner->epoch >= m_highestEpoch;
+}
+
+std::uint64_t ownership::epoch() const { return m_owner ? m_owner->epoch : 0; }
+
+bool ownership::storeReachable(time_point now) const { return now - m_storeContact < storeContactLimit; }
+
+std::string ownership::ownerAddress() const
+{
+    if (!m_owner || m_owner->released)
+        return {};
+    const auto found = m_vms.find(m_owner->owner);
+    return found == m_vms.end() ? std::string() : found->second.address;
+}
+
+bool ownership::mostVmsInReach(time_point now) const
+{
+    std::size_t members = 1;
+    std::size_t inReach = 1;
+    for (const auto& [id, current] : m_peers) {
+        members += now - current.at < m_settings.memberLimit ? 1 : 0;
+        inReach += now - current.at < m_settings.reachLimit ? 1 : 0;
+    }
+    return 2 * inReach > members;
+}
+
+bool ownership::mostMissOwner(time_point now) const
+{
+    std::size_t missing = 1;
+    std::size_t hearing = 0;
+    for (const auto& [id, current] : m_peers) {
+        if (now - current.at >= m_settings.reachLimit || current.last.epoch != m_owner->epoch)
+            continue;
+        const bool hears = current.last.ownerSilence && *current.last.ownerSilence < m_settings.suspectAfter;
+        (hears ? hearing : missing) += 1;
+    }
+    return missing > hearing;
+}
+
+bool ownership::ownerSuspected(time_point now) const
+{
+    if (!m_owner || m_owner->released)
+        return true;
+    if (m_owner->owner == m_self && m_owner->boot != m_boot)
+        return true;
+    const bool contactSinceRecord = m_storeContact > m_ownerRecordAt + m_settings.recordAgeLimit;
+    if (contactSinceRecord && now - m_ownerRecordAt > m_settings.recordAgeLimit)
+        return true;
+    return now - m_ownerSeen > m_settings.suspectAfter && now - m_ownerRecordAt > m_settings.suspectAfter && mostVmsInReach(now)
+        && mostMissOwner(now);
+}
+
+std::size_t ownership::ownRank(time_point now) const
+{
+    const std::uint64_t own = rankHash(m_self, epoch());
+    std::size_t rank = 0;
+    for (const auto& [id, current] : m_peers) {
+        const bool eligible = now - current.at < m_settings.reachLimit && !current.last.draining && current.last.storeReachable;
+        rank += eligible && rankHash(id, epoch()) < own ? 1 : 0;
+    }
+    return rank;
+}
+
+ownership_advice ownership::advise(time_point now)
+{
+    if (isOwner()) {
+        const bool verified = now - m_verifiedAt < m_settings.unverifiedLimit || mostVmsInReach(now);
+        if (verified != m_paused)
+            return ownership_advice::none;
+        m_paused = !verified;
+        return m_paused ? ownership_advice::pause : ownership_advice::resume;
+    }
+    if (m_draining || !storeReachable(now) || now - m_startedAt < m_settings.startDelay || !ownerSuspected(now)) {
+        m_suspectedSince.reset();
+        return ownership_advice::none;
+    }
+    if (!m_suspectedSince)
+        m_suspectedSince = now;
+    const bool due = now - *m_suspectedSince >= m_settings.rankDelay * static_cast<int>(ownRank(now));
+    return due ? ownership_advice::claim : ownership_advice::none;
+}
+
+beat ownership::ownBeat(time_point now) const
+{
+    beat current;
+    current.sender = m_self;
+    current.boot = m_boot;
+    current.epoch = m_highestEpoch;
+    current.ownedEpoch = isOwner() ? m_owner->epoch : 0;
+    if (m_owner && (isOwner() || m_ownerSeen > m_startedAt))
+        current.ownerSilence = isOwner() ? std::chrono::milliseconds(0)
+                                         : std::chrono::duration_cast<std::chrono::milliseconds>(now - m_ownerSeen);
+    current.draining = m_draining;
+    current.storeReachable = storeReachable(now);
+    return current;
+}
+
+} // namespace coriandermount::cells
--- /dev/null
+++ b/cells/ownership.h
@@ -0,0 +1,111 @@
+/// Decides which VM owns a cell: the store's order of claims decides, VMs only suspect.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cells/beat.h"
+#include "core/types.h"
+
+namespace coriandermount::cells {
+
+struct ownership_settings {
+    /// Silence after which the owner is suspected: six beats of it.
+    std::chrono::milliseconds suspectAfter { 600 };
+    /// Age of the owner's last record after which a VM without contact to the others may claim.
+    std::chrono::milliseconds recordAgeLimit { 2500 };
+    /// Time between the owner's records.
+    std::chrono::milliseconds recordInterval { 1000 };
+    /// How long an owner goes on without having verified its ownership when most VMs are out of reach.
+    std::chrono::milliseconds unverifiedLimit { 2000 };
+    /// Head start of a better placed candidate.
+    std::chrono::milliseconds rankDelay { 250 };
+    /// A VM is in reach while its last beat is younger.
+    std::chrono::milliseconds reachLimit { 700 };
+    /// A VM counts as part of the fleet while its last beat is younger.
+    std::chrono::milliseconds memberLimit { 60000 };
+    /// Time after its start before a VM claims, so that it hears of the others.
+    std::chrono::milliseconds startDelay { 400 };
+};
+
+/// An entry VM as it registered itself.
+struct vm_registration {
+    vm_id id;
+    std::uint64_t boot = 0;
+    /// `a.b.c.d:port` for beats and calls.
+    std::string address;
+    failure_domain_id failureDomain;
+};
+
+/// The owner of a cell, as stored.
+struct owner_record {
+    std::uint64_t epoch = 0;
+    vm_id owner;
+    std::uint64_t boot = 0;
+    /// The owner has stopped and gives no more orders.
+    bool released = false;
+};
+
+/// What a VM should do about the ownership.
+enum class ownership_advice { none, claim, pause, resume };
+
+/// Pure state: fed with records and beats, asked for advice. Not safe for use from several threads.
+class ownership {
+public:
+    ownership(vm_id self, std::uint64_t boot, ownership_settings settings, time_point now);
+
+    void onOwner(const owner_record& record, time_point now);
+    /// The owner of `epoch` has written a sign of life.
+    void onOwnerAlive(std::uint64_t epoch, time_point now);
+    void onVm(const vm_registration& registration);
+    void onVmRemoved(const vm_id& id);
+    void onStoreContact(time_point now) { m_storeContact = now; }
+    void onBeat(const beat& current, time_point now);
+    /// A record of this VM as the owner was stored; it was sent at `sentAt`.
+    void onVerified(time_point sentAt) { m_verifiedAt = std::max(m_verifiedAt, sentAt); }
+    void drain() { m_draining = true; }
+
+    ownership_advice advise(time_point now);
+
+    bool isOwner() const;
+    std::uint64_t epoch() const;
+    const std::optional<owner_record>& owner() const { return m_owner; }
+    const std::map<vm_id, vm_registration>& vms() const { return m_vms; }
+    bool storeReachable(time_point now) const;
+    /// Address of the current owner; empty when there is none.
+    std::string ownerAddress() const;
+    beat ownBeat(time_point now) const;
+
+private:
+    struct peer {
+        beat last;
+        time_point at;
+    };
+
+    bool ownerSuspected(time_point now) const;
+    bool mostVmsInReach(time_point now) const;
+    bool mostMissOwner(time_point now) const;
+    std::size_t ownRank(time_point now) const;
+
+    vm_id m_self;
+    std::uint64_t m_boot;
+    ownership_settings m_settings;
+    time_point m_startedAt;
+    std::optional<owner_record> m_owner;
+    time_point m_ownerSeen;
+    time_point m_ownerRecordAt;
+    std::map<vm_id, vm_registration> m_vms;
+    std::map<vm_id, peer> m_peers;
+    std::uint64_t m_highestEpoch = 0;
+    time_point m_storeContact;
+    time_point m_verifiedAt;
+    std::optional<time_point> m_suspectedSince;
+    bool m_paused = false;
+    bool m_draining = false;
+};
+
+} // namespace coriandermount::cells
--- /dev/null
+++ b/cells/ownership_codec.cpp
@@ -0,0 +1,61 @@
+#include "cells/ownership_codec.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace coriandermount::cells {
+
+using json = nlohmann::json;
+
+namespace {
+
+    std::string pack(const json& value)
+    {
+        std::string packed;
+        json::to_msgpack(value, packed);
+        return packed;
+    }
+
+    template <class Decode> auto unpack(const std::string& value, Decode decode) -> result<decltype(decode(json()))>
+    {
+        try {
+            return decode(json::from_msgpack(value));
+        } catch (const json::exception& problem) {
+            return fail(error_kind::malformed_request, fmt::format("a stored record can't be read: {}", problem.what()));
+        }
+    }
+
+} // namespace
+
+std::string encodeOwnerRecord(const owner_record& record)
+{
+    return pack(json::array({ record.epoch, record.owner.value, record.boot, record.released }));
+}
+
+result<owner_record> decodeOwnerRecord(const std::string& value)
+{
+    return unpack(value, [](const json& fields) {
+        return owner_record { fields.at(0), { fields.at(1) }, fields.at(2), fields.at(3) };
+    });
+}
+
+std::string encodeAlive(std::uint64_t epoch) { return pack(json(epoch)); }
+
+result<std::uint64_t> decodeAlive(const std::string& value)
+{
+    return unpack(value, [](const json& epoch) { return epoch.get<std::uint64_t>(); });
+}
+
+std::string encodeVm(const vm_registration& registration)
+{
+    return pack(json::array({ registration.id.value, registration.boot, registration.address, registration.failureDomain.value }));
+}
+
+result<vm_registration> decodeVm(const std::string& value)
+{
+    return unpack(value, [](const json& fields) {
+        return vm_registration { { fields.at(0) }, fields.at(1), fields.at(2), { fields.at(3) } };
+    });
+}
+
+} // namespace coriandermount::cells
--- /dev/null
+++ b/cells/worker_session.cpp
@@ -0,0 +1,112 @@
+#include "cells/worker_session.h"
+
+#include <algorithm>
+
+namespace coriandermount::cells {
+
+namespace {
+
+    /// Weight of the newest run time in the average.
+    constexpr double slownessWeight = 0.1;
+    /// Bounds of one observation: estimates may be far off.
+    constexpr double leastSlowness = 0.2;
+    constexpr double mostSlowness = 8.0;
+
+} // namespace
+
+worker_session::worker_session(worker_registration registration, time_point now)
+    : nextHold(now)
+    , m_registration(std::move(registration))
+{
+}
+
+void worker_session::noteClock(worker_time clock, time_point now)
+{
+    m_clock = clock;
+    m_clockAt = now;
+}
+
+worker_time worker_session::extendLease(std::chrono::milliseconds maxLease, time_point now)
+{
+    if (!m_clockAt)
+        return worker_time(0);
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_clockAt);
+    m_leaseEnd = std::max(m_leaseEnd, m_clock + elapsed + maxLease);
+    return m_leaseEnd;
+}
+
+time_point worker_session::leasesEnded(time_point now) const
+{
+    if (!m_clockAt)
+        return now;
+    const auto left = std::max(m_leaseEnd - m_clock, worker_time(0));
+    const std::chrono::duration<double, std::milli> stretched(static_cast<double>(left.count()) / (1.0 - maxClockDrift));
+    return *m_clockAt + std::chrono::ceil<std::chrono::milliseconds>(stretched);
+}
+
+void worker_session::addRun(const task_key& task, const run& added)
+{
+    removeRun(task);
+    m_runs.emplace(task, added);
+    m_used += added.need;
+}
+
+std::optional<run> worker_session::removeRun(const task_key& task)
+{
+    const auto found = m_runs.find(task);
+    if (found == m_runs.end())
+        return std::nullopt;
+    run removed = found->second;
+    m_used -= removed.need;
+    m_runs.erase(found);
+    return removed;
+}
+
+run* worker_session::find(const task_key& task)
+{
+    const auto found = m_runs.find(task);
+    return found == m_runs.end() ? nullptr : &found->second;
+}
+
+jobs::resources worker_session::free() const
+{
+    jobs::resources left = m_registration.capacity;
+    left -= m_used;
+    return left;
+}
+
+std::uint32_t worker_session::runsOfStep(const std::string& jobId, std::uint32_t step) const
+{
+    return static_cast<std::uint32_t>(std::count_if(m_runs.begin(), m_runs.end(),
+        [&](const auto& entry) { return entry.first.jobId == jobId && entry.first.step == step; }));
+}
+
+bool worker_session::hasLabel(const std::string& label) const
+{
+    const auto& labels = m_registration.labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool worker_session::takesStarts(time_point now) const
+{
+    return listed && !gone && !m_registration.draining && failedHolds == 0 && now >= m_avoidUntil;
+}
+
+void worker_session::noteEnd(run_end how, const run& ended, time_point now)
+{
+    if (how == run_end::failed) {
+        if (++m_failures >= failuresUntilQuarantine)
+            avoidUntil(now + quarantine);
+        return;
+    }
+    if (how != run_end::done)
+        return;
+    m_failures = 0;
+    if (ended.estimate.count() <= 0 || !ended.confirmedAt)
+        return;
+    const std::chrono::duration<double, std::milli> took = now - *ended.confirmedAt;
+    const double observed = std::clamp(took.count() / static_cast<double>(ended.estimate.count()), leastSlowness, mostSlowness);
+    m_slowness += slownessWeight * (observed - m_slowness);
+}
+
+} // namespace coriandermount::cells
--- /dev/null
+++ b/cells/worker_session.h
@@ -0,0 +1,104 @@
+/// What the owner of a cell knows about one worker.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "cells/cell_settings.h"
+#include "cells/worker_link.h"
+
+namespace coriandermount::cells {
+
+enum class run_state {
+    /// The order is on its way, or its answer was lost.
+    starting,
+    running,
+    /// Told to stop, or not wanted any more.
+    stopping,
+};
+
+/// One start of one task on one worker.
+struct run {
+    std::uint64_t attempt = 0;
+    run_state state = run_state::starting;
+    jobs::resources need;
+    std::chrono::milliseconds estimate { 0 };
+    time_point sentAt;
+    /// When the worker was first known to run it.
+    std::optional<time_point> confirmedAt;
+    /// When the last order about this run was answered: looks sent later show the run unless it is over.
+    std::optional<time_point> answeredAt;
+    /// No answer came: the start may still be executed until the end of its lease.
+    bool uncertain = false;
+    int percent = 0;
+    time_point progressAt;
+    std::optional<time_point> stopSentAt;
+};
+
+/// State of one life of one worker. Not safe for use from several threads.
+class worker_session {
+public:
+    worker_session(worker_registration registration, time_point now);
+
+    const worker_registration& registration() const { return m_registration; }
+    /// Takes over changed facts of the same life.
+    void update(worker_registration registration) { m_registration = std::move(registration); }
+
+    /// Notes the worker's clock as read from an answer that arrived at `now`.
+    void noteClock(worker_time clock, time_point now);
+    bool knowsClock() const { return m_clockAt.has_value(); }
+
+    /// Returns the end of a lease of full length that starts now, and remembers that it was handed out.
+    worker_time extendLease(std::chrono::milliseconds maxLease, time_point now);
+
+    /// Earliest time at which every lease that was handed out has ended on the worker's clock.
+    time_point leasesEnded(time_point now) const;
+
+    void addRun(const task_key& task, const run& added);
+    std::optional<run> removeRun(const task_key& task);
+    run* find(const task_key& task);
+    std::map<task_key, run>& runs() { return m_runs; }
+    const std::map<task_key, run>& runs() const { return m_runs; }
+
+    jobs::resources free() const;
+    /// Runs of one step on this worker.
+    std::uint32_t runsOfStep(const std::string& jobId, std::uint32_t step) const;
+    bool hasLabel(const std::string& label) const;
+
+    /// May get new tasks at `now`.
+    bool takesStarts(time_point now) const;
+
+    /// Learns from an end: failures in a row lead to quarantine, run times to the measured speed.
+    void noteEnd(run_end how, const run& ended, time_point now);
+    void avoidUntil(time_point until) { m_avoidUntil = std::max(m_avoidUntil, until); }
+    /// Run time as a multiple of the estimate, averaged.
+    double slowness() const { return m_slowness; }
+
+    /// A look under the owner's token has been answered.
+    bool listed = false;
+    bool holdInFlight = false;
+    time_point nextHold;
+    int failedHolds = 0;
+    /// Number of the last end that was handled, that is durable, and that the worker was told of.
+    std::uint64_t lastEnd = 0;
+    std::uint64_t durableEnd = 0;
+    std::uint64_t acknowledgedEnd = 0;
+    /// Number that the look in flight acknowledges.
+    std::uint64_t acknowledging = 0;
+    /// Deregistered: no start any more.
+    bool gone = false;
+
+private:
+    worker_registration m_registration;
+    std::map<task_key, run> m_runs;
+    jobs::resources m_used;
+    worker_time m_clock { 0 };
+    std::optional<time_point> m_clockAt;
+    worker_time m_leaseEnd { 0 };
+    time_point m_avoidUntil;
+    int m_failures = 0;
+    double m_slowness = 1.0;
+};
+
+} // namespace coriandermount::cells
--- a/cli/refusals_command.cpp
+++ b/cli/refusals_command.cpp
@@ -4,7 +4,7 @@
 #include "cli/refusals_page.h"
 #include "cli/table.h"
 #include "core/error.h"
-#include "journal/attribution.h"
+#include "event_log/attribution.h"
 
 namespace coriandermount::cli {
 
@@ -56,7 +56,7 @@
         page += fmt::format("| `{}` | {} | {} | {} | {} | {} |\n", row.name, row.httpStatus, nameOf(row.result),
             nameOf(row.responsible), row.retryable ? "yes" : "no", row.message);
     }
-    return page + "\n## Whose move it is\n\n" + journal::attributionPage();
+    return page + "\n## Whose move it is\n\n" + event_log::attributionPage();
 }
 
 const command& refusalsCommand()
--- a/configuration/configuration_controller.cpp
+++ b/configuration/configuration_controller.cpp
@@ -145,8 +145,8 @@
 
 void controller::data::perform(const adopted& action)
 {
-    journal::event entry;
-    entry.kind = journal::event_kind::configuration_adopted;
+    event_log::event entry;
+    entry.kind = event_log::event_kind::configuration_adopted;
     entry.subject = action.entry.author;
     entry.rule = "configuration";
     entry.value = action.entry.recordId;
@@ -159,8 +159,8 @@
 
 void controller::data::perform(const rejected& action) const
 {
-    journal::event entry;
-    entry.kind = journal::event_kind::configuration_rejected;
+    event_log::event entry;
+    entry.kind = event_log::event_kind::configuration_rejected;
     entry.problem = error_kind::configuration_invalid;
     entry.subject = action.entry.author;
     entry.rule = "configuration";
--- a/configuration/configuration_controller.h
+++ b/configuration/configuration_controller.h
@@ -6,7 +6,7 @@
 
 #include "configuration/follower.h"
 #include "core/clock.h"
-#include "journal/journal.h"
+#include "event_log/journal.h"
 #include "metrics/metrics.h"
 #include "peers/peer_link.h"
 #include "platform/log.h"
@@ -19,7 +19,7 @@
     platform::log& log;
     peers::peer_link& link;
     peers::peer_service& service;
-    journal::event_sink& journal;
+    event_log::event_sink& journal;
     metrics::registry& metrics;
 };
 
--- a/dispatch/dispatcher.cpp
+++ b/dispatch/dispatcher.cpp
@@ -243,12 +243,12 @@
 void dispatcher::data::perform(record_event& decision)
 {
     // The answer is recorded when it is handed over, with the whole of its time.
-    if (decision.entry.kind == journal::event_kind::job_answered)
+    if (decision.entry.kind == event_log::event_kind::job_answered)
         return;
-    if (decision.entry.kind == journal::event_kind::job_refused)
+    if (decision.entry.kind == event_log::event_kind::job_refused)
         completeRefusal(decision.entry, *parts.board.configuration.read());
     const auto* ended = std::get_if<task_ended>(handled);
-    if (ended && decision.entry.kind == journal::event_kind::task_answered)
+    if (ended && decision.entry.kind == event_log::event_kind::task_answered)
         completeTask(decision.entry, *ended, handledAt);
     parts.journal.record(std::move(decision.entry));
 }
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -8,7 +8,7 @@
 #include "claims/claim_service.h"
 #include "core/clock.h"
 #include "dispatch/engine.h"
-#include "journal/journal.h"
+#include "event_log/journal.h"
 #include "metrics/metrics.h"
 #include "workers/worker_link.h"
 
@@ -20,7 +20,7 @@
     blackboard& board;
     claims::claim_service& claims;
     workers::worker_link& workers;
-    journal::event_sink& journal;
+    event_log::event_sink& journal;
     metrics::registry& metrics;
     vm_id vm;
 };
--- a/dispatch/engine_admission.cpp
+++ b/dispatch/engine_admission.cpp
@@ -255,7 +255,7 @@
 {
     if (problem.retryAfter)
         problem.retryAfter = jittered(*problem.retryAfter);
-    journal::event& entry = note(journal::event_kind::job_refused, input.job.get());
+    event_log::event& entry = note(event_log::event_kind::job_refused, input.job.get());
     entry.problem = problem.kind;
     entry.rule = nameOf(problem.kind);
     entry.value = problem.detail;
@@ -268,14 +268,14 @@
     job.unfinished = job.reports.size();
     open_job& added = jobs.add(std::move(job));
     deadlines.add(added.deadline, added.serial);
-    journal::event& entry = note(journal::event_kind::job_admitted, added.request.get());
+    event_log::event& entry = note(event_log::event_kind::job_admitted, added.request.get());
     entry.subject = limits.idOf(added.plan).value;
     entry.value = fmt::format("{} tasks", added.reports.size());
     for (std::size_t part = 0; part < added.parts.size(); ++part) {
         enqueue(added, static_cast<std::uint16_t>(part), now);
         for (const std::uint32_t index : added.parts[part].waiting) {
             retries.firstTry(added.request->key.customer, added.request->tasks[index].service);
-            noteTask(journal::event_kind::task_queued, *added.request, index, {}, {}, std::nullopt);
+            noteTask(event_log::event_kind::task_queued, *added.request, index, {}, {}, std::nullopt);
         }
     }
 }
--- a/dispatch/engine_answers.cpp
+++ b/dispatch/engine_answers.cpp
@@ -123,7 +123,7 @@
     job.reports[lease.index].state = task_state::waiting;
     if (!provesNotRun(kind))
         progress.mayHaveRun = true;
-    noteTask(journal::event_kind::task_retried, *job.request, lease.index, job.reports[lease.index].worker.value,
+    noteTask(event_log::event_kind::task_retried, *job.request, lease.index, job.reports[lease.index].worker.value,
         inMicroseconds(now - lease.startedAt), kind);
     job_part& part = job.parts[progress.part];
     part.waiting.push_back(lease.index);
@@ -140,7 +140,7 @@
     --job.running;
     task_report& report = job.reports[lease.index];
     report.ran = runTimeOf(lease, input, now);
-    noteTask(journal::event_kind::task_answered, *job.request, lease.index, report.worker.value, report.ran,
+    noteTask(event_log::event_kind::task_answered, *job.request, lease.index, report.worker.value, report.ran,
         input.output ? std::nullopt : std::optional(input.output.error().kind));
     if (input.output) {
         report.state = task_state::done;
@@ -213,7 +213,7 @@
     open_job* job = jobs.findUnanswered(input.key);
     if (!job)
         return;
-    note(journal::event_kind::job_cancelled, job->request.get());
+    note(event_log::event_kind::job_cancelled, job->request.get());
     const job_serial serial = job->serial;
     const bool anyStarted = job->started > 0;
     failJob(
--- a/dispatch/engine_placement.cpp
+++ b/dispatch/engine_placement.cpp
@@ -170,7 +170,7 @@
     leases.emplace(id, std::move(lease));
     leasesOfWorker[static_cast<std::size_t>(worker)].push_back(id);
     watches.add(now + options.health.hungAfter, id);
-    noteTask(journal::event_kind::task_placed, *job.request, index, report.worker.value, report.queued, std::nullopt);
+    noteTask(event_log::event_kind::task_placed, *job.request, index, report.worker.value, report.queued, std::nullopt);
     out.emplace_back(start_task { id, job.serial, index, job.epoch, job.request, pool.infoOf(worker), duration });
 }
 
--- a/dispatch/engine_reports.cpp
+++ b/dispatch/engine_reports.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-journal::event& engine::data::note(journal::event_kind kind, const job_request* job)
+event_log::event& engine::data::note(event_log::event_kind kind, const job_request* job)
 {
     record_event& added = std::get<record_event>(out.emplace_back(record_event {}));
     added.entry.kind = kind;
@@ -44,12 +44,12 @@
     return added.entry;
 }
 
-void engine::data::noteTask(journal::event_kind kind, const job_request& job, std::uint32_t index, std::string subject,
+void engine::data::noteTask(event_log::event_kind kind, const job_request& job, std::uint32_t index, std::string subject,
     std::chrono::microseconds took, std::optional<error_kind> problem)
 {
     if (!options.recordTasks)
         return;
-    journal::event& entry = note(kind, &job);
+    event_log::event& entry = note(kind, &job);
     entry.task = index;
     entry.subject = std::move(subject);
     entry.took = took;
@@ -73,7 +73,8 @@
     if (!ejected && !readmitted)
         return;
     count(ejected ? ejectionCounter(change.reason) : decision_counter::worker_readmitted);
-    journal::event& entry = note(ejected ? journal::event_kind::worker_ejected : journal::event_kind::worker_readmitted, nullptr);
+    event_log::event& entry
+        = note(ejected ? event_log::event_kind::worker_ejected : event_log::event_kind::worker_readmitted, nullptr);
     entry.subject = pool.infoOf(change.worker)->id.value;
     entry.rule = placement::nameOf(change.reason);
     entry.value = fmt::format("{:.4g}", change.value);
--- a/dispatch/engine_state.h
+++ b/dispatch/engine_state.h
@@ -150,8 +150,8 @@
     quota::demand currentDemand() const;
 
     // Journal.
-    journal::event& note(journal::event_kind kind, const job_request* job);
-    void noteTask(journal::event_kind kind, const job_request& job, std::uint32_t index, std::string subject,
+    event_log::event& note(event_log::event_kind kind, const job_request* job);
+    void noteTask(event_log::event_kind kind, const job_request& job, std::uint32_t index, std::string subject,
         std::chrono::microseconds took, std::optional<error_kind> problem);
     void noteHealth(const placement::condition_change& change, placement::worker_condition before);
     void count(metrics::decision_counter counter) { out.emplace_back(count_decision { counter }); }
--- a/dispatch/events.h
+++ b/dispatch/events.h
@@ -10,7 +10,7 @@
 #include "configuration/configuration.h"
 #include "core/job.h"
 #include "core/worker.h"
-#include "journal/event.h"
+#include "event_log/event.h"
 #include "metrics/metrics.h"
 #include "quota/shares.h"
 
@@ -86,7 +86,7 @@
 
 /// Write a journal entry.
 struct record_event {
-    journal::event entry;
+    event_log::event entry;
 };
 
 /// Count a decision that no answer shows.
--- a/dispatch/job_events.cpp
+++ b/dispatch/job_events.cpp
@@ -5,15 +5,15 @@
 
 #include <fmt/format.h>
 
-#include "journal/rules.h"
+#include "event_log/rules.h"
 
 namespace coriandermount::dispatch {
 
 namespace {
 
-    journal::event eventOf(journal::event_kind kind, const job_key& key)
+    event_log::event eventOf(event_log::event_kind kind, const job_key& key)
     {
-        journal::event entry;
+        event_log::event entry;
         entry.kind = kind;
         entry.job = key;
         return entry;
@@ -29,23 +29,23 @@
     using configuration::plan_limits;
 
     constexpr std::array planRules = std::to_array<plan_rule>({
-        { error_kind::plan_concurrency_exceeded, journal::rules::planConcurrentTasks,
+        { error_kind::plan_concurrency_exceeded, event_log::rules::planConcurrentTasks,
             [](const plan_limits& plan) { return std::int64_t { plan.concurrentTasks }; } },
-        { error_kind::plan_rate_exceeded, journal::rules::planTasksPerSecond,
+        { error_kind::plan_rate_exceeded, event_log::rules::planTasksPerSecond,
             [](const plan_limits& plan) { return std::int64_t { plan.tasksPerSecond }; } },
-        { error_kind::plan_accelerators_exceeded, journal::rules::planAccelerators,
+        { error_kind::plan_accelerators_exceeded, event_log::rules::planAccelerators,
             [](const plan_limits& plan) { return std::int64_t { plan.accelerators }; } },
-        { error_kind::plan_memory_exceeded, journal::rules::planMemory,
+        { error_kind::plan_memory_exceeded, event_log::rules::planMemory,
             [](const plan_limits& plan) { return std::int64_t { plan.memoryMegabytes }; } },
-        { error_kind::run_time_above_plan, journal::rules::planTaskRunTime,
+        { error_kind::run_time_above_plan, event_log::rules::planTaskRunTime,
             [](const plan_limits& plan) { return std::int64_t { plan.taskRunTime.count() }; } },
-        { error_kind::too_many_tasks, journal::rules::planTasksPerJob,
+        { error_kind::too_many_tasks, event_log::rules::planTasksPerJob,
             [](const plan_limits& plan) { return std::int64_t { plan.tasksPerJob }; } },
     });
 
 } // namespace
 
-void completeRefusal(journal::event& refusal, const configuration::snapshot& inForce)
+void completeRefusal(event_log::event& refusal, const configuration::snapshot& inForce)
 {
     if (!refusal.job || !refusal.problem)
         return;
@@ -54,7 +54,7 @@
         return;
     if (refusal.problem == error_kind::service_not_in_plan) {
         refusal.subject = plan->value;
-        refusal.rule = journal::rules::planServices;
+        refusal.rule = event_log::rules::planServices;
         return;
     }
     for (const auto& row : planRules) {
@@ -66,7 +66,7 @@
     }
 }
 
-void completeTask(journal::event& answered, const task_ended& ended, time_point now)
+void completeTask(event_log::event& answered, const task_ended& ended, time_point now)
 {
     answered.took = std::chrono::duration_cast<std::chrono::microseconds>(now - ended.startedAt);
     // A worker's clock may run fast; its part is never more than the whole.
@@ -75,32 +75,32 @@
         answered.value = ended.output.error().detail;
 }
 
-journal::event receivedEvent(const job_request& job)
+event_log::event receivedEvent(const job_request& job)
 {
-    auto entry = eventOf(journal::event_kind::job_received, job.key);
+    auto entry = eventOf(event_log::event_kind::job_received, job.key);
     entry.limit = fmt::format("{}", job.timeLimit.count());
     entry.value = fmt::format("{}", job.tasks.size());
     return entry;
 }
 
-journal::event claimedEvent(const job_key& key, std::chrono::microseconds took, std::string verdict)
+event_log::event claimedEvent(const job_key& key, std::chrono::microseconds took, std::string verdict)
 {
-    auto entry = eventOf(journal::event_kind::job_claimed, key);
+    auto entry = eventOf(event_log::event_kind::job_claimed, key);
     entry.took = took;
     entry.value = std::move(verdict);
     return entry;
 }
 
-journal::event dispatchedEvent(const job_key& key, std::chrono::microseconds took)
+event_log::event dispatchedEvent(const job_key& key, std::chrono::microseconds took)
 {
-    auto entry = eventOf(journal::event_kind::job_dispatched, key);
+    auto entry = eventOf(event_log::event_kind::job_dispatched, key);
     entry.took = took;
     return entry;
 }
 
-journal::event answeredEvent(const job_answer& answer, std::chrono::microseconds took, std::chrono::microseconds afterLastTask)
+event_log::event answeredEvent(const job_answer& answer, std::chrono::microseconds took, std::chrono::microseconds afterLastTask)
 {
-    auto entry = eventOf(journal::event_kind::job_answered, answer.key);
+    auto entry = eventOf(event_log::event_kind::job_answered, answer.key);
     entry.took = took;
     entry.part = afterLastTask;
     if (answer.problem) {
--- a/dispatch/job_events.h
+++ b/dispatch/job_events.h
@@ -6,24 +6,24 @@
 #include "configuration/configuration.h"
 #include "core/job.h"
 #include "dispatch/events.h"
-#include "journal/event.h"
+#include "event_log/event.h"
 
 namespace coriandermount::dispatch {
 
-journal::event receivedEvent(const job_request& job);
+event_log::event receivedEvent(const job_request& job);
 
 /// `verdict` is empty for a granted claim, and otherwise says what became of it.
-journal::event claimedEvent(const job_key& key, std::chrono::microseconds took, std::string verdict);
+event_log::event claimedEvent(const job_key& key, std::chrono::microseconds took, std::string verdict);
 
-journal::event dispatchedEvent(const job_key& key, std::chrono::microseconds took);
+event_log::event dispatchedEvent(const job_key& key, std::chrono::microseconds took);
 
 /// Adds plan, rule and limit to the refusal of a job for a limit of its plan.
-void completeRefusal(journal::event& refusal, const configuration::snapshot& inForce);
+void completeRefusal(event_log::event& refusal, const configuration::snapshot& inForce);
 
 /// Sets the time from start to end, and the worker's part of it.
-void completeTask(journal::event& answered, const task_ended& ended, time_point now);
+void completeTask(event_log::event& answered, const task_ended& ended, time_point now);
 
 /// `afterLastTask` is the part of `took` that passed after the last decision about the job.
-journal::event answeredEvent(const job_answer& answer, std::chrono::microseconds took, std::chrono::microseconds afterLastTask);
+event_log::event answeredEvent(const job_answer& answer, std::chrono::microseconds took, std::chrono::microseconds afterLastTask);
 
 } // namespace coriandermount::dispatch
--- a/journal/attribution.cpp
+++ b/event_log/attribution.cpp
@@ -1,12 +1,12 @@
-#include "journal/attribution.h"
+#include "event_log/attribution.h"
 
 #include <array>
 
 #include <fmt/format.h>
 
-#include "journal/rules.h"
+#include "event_log/rules.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 namespace {
 
@@ -280,6 +280,7 @@
         case error_kind::payload_too_large:
         case error_kind::not_found:
         case error_kind::method_not_allowed:
+        case error_kind::job_kind_unsupported:
             return make(request_invalid, fault.value);
         case error_kind::job_conflict:
             return make(job_id_reused, fault.value);
@@ -308,6 +309,7 @@
         case error_kind::plan_memory_exceeded:
             return attributeBound(fault, known);
         case error_kind::queue_full:
+        case error_kind::overloaded:
         case error_kind::deadline_unreachable:
             return attributeLateness(fault, known, demand_above_capacity);
         case error_kind::deadline_passed_before_start:
@@ -333,12 +335,17 @@
         case error_kind::claim_unavailable:
             return attributeClaim(fault, known);
         case error_kind::claim_owner_lost:
+        case error_kind::owner_unknown:
+        case error_kind::log_epoch_fenced:
+        case error_kind::log_position_taken:
             return make(vm_lost, fault.value);
         case error_kind::home_unreachable:
         case error_kind::peer_unreachable:
             return make(domain_cut_off, fault.value);
         case error_kind::log_unavailable:
         case error_kind::log_answer_lost:
+        case error_kind::log_records_expired:
+        case error_kind::log_full:
         case error_kind::publish_unknown:
             return make(log_failing, fault.value);
         case error_kind::publish_conflict:
@@ -365,4 +372,4 @@
 
 } // namespace
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/attribution.h
+++ b/event_log/attribution.h
@@ -7,10 +7,10 @@
 #include <string_view>
 
 #include "core/error.h"
-#include "journal/event.h"
-#include "journal/evidence.h"
+#include "event_log/event.h"
+#include "event_log/evidence.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 /// Rows of the table; docs/design/attribution.md explains each.
 enum class attribution_rule {
@@ -95,4 +95,4 @@
 /// Returns the table as Markdown, for docs/design/attribution.md.
 std::string attributionPage();
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/attribution_table.cpp
+++ b/event_log/attribution_table.cpp
@@ -1,10 +1,10 @@
-#include "journal/attribution.h"
+#include "event_log/attribution.h"
 
 #include <array>
 
 #include <fmt/format.h>
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 namespace {
 
@@ -154,4 +154,4 @@
     return page;
 }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/batch_planner.cpp
+++ b/event_log/batch_planner.cpp
@@ -1,4 +1,4 @@
-#include "journal/batch_planner.h"
+#include "event_log/batch_planner.h"
 
 #include <algorithm>
 #include <deque>
@@ -6,9 +6,9 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "journal/event_codec.h"
+#include "event_log/event_codec.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 using nlohmann::json;
 
@@ -191,4 +191,4 @@
     }
 }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/batch_planner.h
+++ b/event_log/batch_planner.h
@@ -4,10 +4,10 @@
 #include <memory>
 #include <string>
 
-#include "journal/fault_ledger.h"
-#include "journal/journal.h"
+#include "event_log/fault_ledger.h"
+#include "event_log/journal.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 struct batch_options {
     vm_id vm;
@@ -68,4 +68,4 @@
     std::unique_ptr<data> m_data;
 };
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/event.cpp
+++ b/event_log/event.cpp
@@ -1,8 +1,8 @@
-#include "journal/event.h"
+#include "event_log/event.h"
 
 #include <array>
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 std::string_view nameOf(event_kind kind)
 {
@@ -37,4 +37,4 @@
     }
 }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/event.h
+++ b/event_log/event.h
@@ -7,7 +7,7 @@
 #include "core/error.h"
 #include "core/types.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 enum class event_kind {
     /// A submission arrived; `limit` is its time limit in ms, `value` its number of tasks.
@@ -66,7 +66,7 @@
     std::optional<error_kind> problem;
     /// Worker, VM, plan or customer that the event is about.
     std::string subject;
-    /// Rule that was applied, by its name in journal/rules.h or docs/design/attribution.md.
+    /// Rule that was applied, by its name in event_log/rules.h or docs/design/attribution.md.
     std::string rule;
     /// Bound of the rule and the value that met it.
     std::string limit;
@@ -86,4 +86,4 @@
 /// Whether the event tells of a fault; faults are kept longer than the rest.
 bool isFault(const event& entry);
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/event_buffer.cpp
+++ b/event_log/event_buffer.cpp
@@ -1,4 +1,4 @@
-#include "journal/event_buffer.h"
+#include "event_log/event_buffer.h"
 
 #include <algorithm>
 #include <array>
@@ -6,7 +6,7 @@
 #include <deque>
 #include <string_view>
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 namespace {
 
@@ -223,4 +223,4 @@
     }
 }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/event_buffer.h
+++ b/event_log/event_buffer.h
@@ -5,9 +5,9 @@
 #include <memory>
 #include <vector>
 
-#include "journal/event.h"
+#include "event_log/event.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 /// Keeps events as bytes in chunks. One writer at a time; a reader scans a view without holding up the writer.
 class event_buffer {
@@ -61,4 +61,4 @@
 /// Appends the matching events of `source` to `found`, oldest first, without their VM.
 void scan(const event_buffer::view& source, const event_filter& filter, std::vector<event>& found);
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/event_codec.cpp
+++ b/event_log/event_codec.cpp
@@ -1,4 +1,4 @@
-#include "journal/event_codec.h"
+#include "event_log/event_codec.h"
 
 #include <algorithm>
 #include <array>
@@ -7,7 +7,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 using nlohmann::json;
 
@@ -107,8 +107,11 @@
     line += fmt::format("{}", fmt::join(fields.begin(), fields.begin() + static_cast<std::ptrdiff_t>(used), ","));
     line += "]";
     std::string newTexts;
-    for (const auto& text : added)
-        newTexts += (m_data->texts.empty() && newTexts.empty() ? "" : ",") + quoted(text);
+    for (const auto& text : added) {
+        if (!m_data->texts.empty() || !newTexts.empty())
+            newTexts += ',';
+        newTexts += quoted(text);
+    }
     if (size() + line.size() + newTexts.size() > mostBytes)
         return false;
     for (const auto& text : added)
@@ -226,4 +229,4 @@
     }
 }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/event_codec.h
+++ b/event_log/event_codec.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "journal/event.h"
+#include "event_log/event.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 /// Builds a list of events of one VM; texts that occur more than once are written once.
 class event_list_encoder {
@@ -41,4 +41,4 @@
 
 std::optional<event_kind> eventKindNamed(std::string_view name);
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/evidence.cpp
+++ b/event_log/evidence.cpp
@@ -1,10 +1,10 @@
-#include "journal/evidence.h"
+#include "event_log/evidence.h"
 
 #include <algorithm>
 #include <charconv>
 #include <vector>
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 namespace {
 
@@ -150,4 +150,4 @@
     return newest;
 }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/evidence.h
+++ b/event_log/evidence.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <string_view>
 
-#include "journal/event.h"
+#include "event_log/event.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 /// How far back a lowered limit counts as the cause of a refusal.
 inline constexpr std::chrono::minutes limitChangeWindow { 15 };
@@ -75,4 +75,4 @@
 /// Reads the number at the start of a text such as "40" or "40 tasks".
 std::optional<double> leadingNumber(std::string_view text);
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/explanation.cpp
+++ b/event_log/explanation.cpp
@@ -1,14 +1,14 @@
-#include "journal/explanation.h"
+#include "event_log/explanation.h"
 
 #include <algorithm>
 #include <set>
 
 #include <fmt/format.h>
 
-#include "journal/fault_ledger.h"
-#include "journal/journal.h"
+#include "event_log/fault_ledger.h"
+#include "event_log/journal.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 namespace {
 
@@ -123,4 +123,4 @@
     return found;
 }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/explanation.h
+++ b/event_log/explanation.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "journal/attribution.h"
+#include "event_log/attribution.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 /// Where the events of an explanation came from.
 struct explanation_sources {
@@ -68,4 +68,4 @@
 /// Returns the explanation as lines for people.
 std::string explanationText(const explanation& value);
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/explanation_text.cpp
+++ b/event_log/explanation_text.cpp
@@ -2,9 +2,9 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "journal/explanation.h"
+#include "event_log/explanation.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 using nlohmann::json;
 
@@ -124,4 +124,4 @@
     return text + sourceLines(value.sources);
 }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/fault_ledger.cpp
+++ b/event_log/fault_ledger.cpp
@@ -1,4 +1,4 @@
-#include "journal/fault_ledger.h"
+#include "event_log/fault_ledger.h"
 
 #include <algorithm>
 #include <array>
@@ -8,7 +8,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 using nlohmann::json;
 
@@ -231,4 +231,4 @@
 
 const evidence& fault_ledger::known() const { return m_data->known; }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/fault_ledger.h
+++ b/event_log/fault_ledger.h
@@ -6,10 +6,10 @@
 #include <memory>
 #include <vector>
 
-#include "journal/attribution.h"
-#include "journal/journal.h"
+#include "event_log/attribution.h"
+#include "event_log/journal.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 enum class fault_class {
     /// A submission was answered as not run.
@@ -82,4 +82,4 @@
     std::unique_ptr<data> m_data;
 };
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/journal.cpp
+++ b/event_log/journal.cpp
@@ -1,13 +1,13 @@
-#include "journal/journal.h"
+#include "event_log/journal.h"
 
 #include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <tuple>
 
-#include "journal/event_buffer.h"
+#include "event_log/event_buffer.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 namespace {
 
@@ -164,4 +164,4 @@
     });
 }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/journal.h
+++ b/event_log/journal.h
@@ -5,9 +5,9 @@
 #include <vector>
 
 #include "core/clock.h"
-#include "journal/event.h"
+#include "event_log/event.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 /// Takes events; never blocks for long and never fails.
 class event_sink {
@@ -67,4 +67,4 @@
 /// Sorts by time; events of one VM stay in the order in which they were recorded.
 void sortByTime(std::vector<event>& events);
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/rules.h
+++ b/event_log/rules.h
@@ -3,7 +3,7 @@
 
 #include <string_view>
 
-namespace coriandermount::journal::rules {
+namespace coriandermount::event_log::rules {
 
 // Limits of a plan, as the operators list them.
 inline constexpr std::string_view planConcurrentTasks = "plan.concurrent_tasks";
@@ -16,4 +16,4 @@
 /// Plan that a customer has bought.
 inline constexpr std::string_view customerPlan = "customer.plan";
 
-} // namespace coriandermount::journal::rules
+} // namespace coriandermount::event_log::rules
--- a/journal/stream_reader.cpp
+++ b/event_log/stream_reader.cpp
@@ -1,11 +1,11 @@
-#include "journal/stream_reader.h"
+#include "event_log/stream_reader.h"
 
 #include <algorithm>
 #include <future>
 #include <limits>
 #include <set>
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 namespace {
 
@@ -62,4 +62,4 @@
     return contents;
 }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/stream_reader.h
+++ b/event_log/stream_reader.h
@@ -3,10 +3,10 @@
 
 #include <vector>
 
-#include "journal/batch_planner.h"
+#include "event_log/batch_planner.h"
 #include "platform/log.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 struct stream_contents {
     /// Oldest first; each batch once, also when it was appended twice.
@@ -19,4 +19,4 @@
 result<stream_contents> readStream(
     platform::log& log, const std::string& stream, wall_time since, std::chrono::milliseconds timeout);
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/stream_writer.cpp
+++ b/event_log/stream_writer.cpp
@@ -1,11 +1,11 @@
-#include "journal/stream_writer.h"
+#include "event_log/stream_writer.h"
 
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 namespace {
 
@@ -170,4 +170,4 @@
 
 std::uint64_t stream_writer::appendedBytes() const { return m_data->appendedBytes.load(); }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/stream_writer.h
+++ b/event_log/stream_writer.h
@@ -5,10 +5,10 @@
 #include <memory>
 
 #include "core/clock.h"
-#include "journal/batch_planner.h"
+#include "event_log/batch_planner.h"
 #include "platform/log.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 /// Name of the journal's stream of one failure domain.
 std::string streamOf(const failure_domain_id& domain);
@@ -46,4 +46,4 @@
     std::unique_ptr<data> m_data;
 };
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/journal/time_account.cpp
+++ b/event_log/time_account.cpp
@@ -1,6 +1,6 @@
-#include "journal/explanation.h"
+#include "event_log/explanation.h"
 
-namespace coriandermount::journal {
+namespace coriandermount::event_log {
 
 namespace {
 
@@ -89,4 +89,4 @@
     return account;
 }
 
-} // namespace coriandermount::journal
+} // namespace coriandermount::event_log
--- a/explain/fault_report.cpp
+++ b/explain/fault_report.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-    json encodeLine(const journal::fault_key& key, std::uint64_t count)
+    json encodeLine(const event_log::fault_key& key, std::uint64_t count)
     {
-        json line { { "minute_ms", key.minute.time_since_epoch().count() }, { "class", journal::nameOf(key.kind) },
-            { "rule", journal::rowOf(key.rule).name }, { "party", partyOf(key) }, { "customer", key.customer.value },
+        json line { { "minute_ms", key.minute.time_since_epoch().count() }, { "class", event_log::nameOf(key.kind) },
+            { "rule", event_log::rowOf(key.rule).name }, { "party", partyOf(key) }, { "customer", key.customer.value },
             { "configuration_version", key.configurationVersion }, { "count", count } };
         if (key.problem)
             line["problem"] = nameOf(*key.problem);
--- a/explain/fault_totals.cpp
+++ b/explain/fault_totals.cpp
@@ -8,20 +8,20 @@
     return own == parties.end() ? 0.0 : static_cast<double>(own->second) / static_cast<double>(all);
 }
 
-std::string partyOf(const journal::fault_key& key)
+std::string partyOf(const event_log::fault_key& key)
 {
-    const auto responsible = journal::rowOf(key.rule).responsible;
+    const auto responsible = event_log::rowOf(key.rule).responsible;
     return responsible ? std::string(nameOf(*responsible)) : "not known";
 }
 
-fault_totals addUp(const journal::fault_counts& counts)
+fault_totals addUp(const event_log::fault_counts& counts)
 {
     fault_totals sums;
     for (const auto& [key, count] : counts) {
         sums.all += count;
         sums.parties[partyOf(key)] += count;
-        sums.kinds[std::string(key.problem ? nameOf(*key.problem) : journal::nameOf(key.kind))] += count;
-        sums.rules[std::string(journal::rowOf(key.rule).name)] += count;
+        sums.kinds[std::string(key.problem ? nameOf(*key.problem) : event_log::nameOf(key.kind))] += count;
+        sums.rules[std::string(event_log::rowOf(key.rule).name)] += count;
         if (!key.customer.value.empty())
             sums.customers[key.customer.value] += count;
         if (key.configurationVersion > 0)
--- a/explain/investigator.cpp
+++ b/explain/investigator.cpp
@@ -9,8 +9,8 @@
 
 #include <fmt/format.h>
 
+#include "event_log/stream_reader.h"
 #include "explain/limit_changes.h"
-#include "journal/stream_reader.h"
 
 namespace coriandermount::explain {
 
@@ -33,8 +33,8 @@
     /// Everything that was found out for one question.
     struct findings {
         std::vector<journal_reply> replies;
-        std::vector<journal::batch> batches;
-        journal::explanation_sources sources;
+        std::vector<event_log::batch> batches;
+        event_log::explanation_sources sources;
     };
 
 } // namespace
@@ -62,7 +62,7 @@
     void askPeers(const journal_query& query, findings& found) const;
     void readStreams(wall_time since, findings& found) const;
     findings investigate(const journal_query& query) const;
-    result<journal::explanation> explain(const job_key& job) const;
+    result<event_log::explanation> explain(const job_key& job) const;
     fault_report countFaults(wall_time since) const;
 };
 
@@ -108,8 +108,8 @@
 /// A VM that was just started learns from the log which limits were changed before.
 void investigator::data::learnEvidence()
 {
-    const auto contents = journal::readStream(
-        parts.log, journal::streamOf(parts.domain), parts.clock.wallNow() - journal::limitChangeWindow, logTimeout);
+    const auto contents = event_log::readStream(
+        parts.log, event_log::streamOf(parts.domain), parts.clock.wallNow() - event_log::limitChangeWindow, logTimeout);
     if (!contents)
         return;
     for (const auto& batch : contents->batches)
@@ -162,8 +162,8 @@
 void investigator::data::readStreams(wall_time since, findings& found) const
 {
     for (const auto& domain : domains()) {
-        const std::string stream = journal::streamOf(domain);
-        auto contents = journal::readStream(parts.log, stream, since, logTimeout);
+        const std::string stream = event_log::streamOf(domain);
+        auto contents = event_log::readStream(parts.log, stream, since, logTimeout);
         if (!contents) {
             found.sources.problems.push_back(fmt::format("stream {} could not be read: {}", stream, contents.error().detail));
             continue;
@@ -187,14 +187,14 @@
     return found;
 }
 
-result<journal::explanation> investigator::data::explain(const job_key& job) const
+result<event_log::explanation> investigator::data::explain(const job_key& job) const
 {
     journal_query query;
     query.job = job;
-    query.since = std::min(job.issuedAt, parts.clock.wallNow()) - journal::limitChangeWindow - clockMargin;
+    query.since = std::min(job.issuedAt, parts.clock.wallNow()) - event_log::limitChangeWindow - clockMargin;
     findings found = investigate(query);
-    std::vector<journal::event> events;
-    std::vector<journal::event> context;
+    std::vector<event_log::event> events;
+    std::vector<event_log::event> context;
     for (auto& reply : found.replies) {
         std::move(reply.events.begin(), reply.events.end(), std::back_inserter(events));
         std::move(reply.context.begin(), reply.context.end(), std::back_inserter(context));
@@ -206,14 +206,14 @@
                 events.push_back(std::move(entry));
         }
     }
-    journal::sortByTime(context);
-    journal::evidence known;
+    event_log::sortByTime(context);
+    event_log::evidence known;
     std::set<std::pair<vm_id, std::uint64_t>> added;
     for (const auto& entry : context) {
         if (added.emplace(entry.vm, entry.sequence).second)
             known.add(entry);
     }
-    return journal::explain(job, std::move(events), known, std::move(found.sources));
+    return event_log::explain(job, std::move(events), known, std::move(found.sources));
 }
 
 fault_report investigator::data::countFaults(wall_time since) const
@@ -228,7 +228,7 @@
     std::set<std::pair<vm_id, std::uint64_t>> answered;
     for (const auto& reply : found.replies) {
         answered.emplace(reply.vm, reply.incarnation);
-        journal::addCounts(report.counts, reply.counts, SIZE_MAX);
+        event_log::addCounts(report.counts, reply.counts, SIZE_MAX);
     }
     const auto firstMinute = std::chrono::floor<std::chrono::minutes>(since);
     for (auto& batch : found.batches) {
@@ -236,7 +236,7 @@
         if (answered.contains({ batch.vm, batch.incarnation }))
             continue;
         std::erase_if(batch.counts, [firstMinute](const auto& entry) { return entry.first.minute < firstMinute; });
-        journal::addCounts(report.counts, batch.counts, SIZE_MAX);
+        event_log::addCounts(report.counts, batch.counts, SIZE_MAX);
     }
     return report;
 }
--- a/explain/investigator.h
+++ b/explain/investigator.h
@@ -6,8 +6,8 @@
 
 #include "blackboard/blackboard.h"
 #include "core/clock.h"
+#include "event_log/explanation.h"
 #include "explain/journal_query.h"
-#include "journal/explanation.h"
 #include "peers/peer_link.h"
 #include "platform/log.h"
 
@@ -17,8 +17,8 @@
 struct investigator_parts {
     const clock_source& clock;
     blackboard& board;
-    journal::memory_journal& journal;
-    journal::stream_writer& writer;
+    event_log::memory_journal& journal;
+    event_log::stream_writer& writer;
     platform::log& log;
     peers::peer_link& peers;
     vm_id vm;
@@ -30,14 +30,14 @@
 struct fault_report {
     wall_time since {};
     wall_time until {};
-    journal::fault_counts counts;
-    journal::explanation_sources sources;
+    event_log::fault_counts counts;
+    event_log::explanation_sources sources;
 };
 
 /// Answers one question after the other on a thread of its own; also notes changed limits in the journal.
 class investigator {
 public:
-    using explain_completion = std::function<void(const result<journal::explanation>&)>;
+    using explain_completion = std::function<void(const result<event_log::explanation>&)>;
     using faults_completion = std::function<void(const result<fault_report>&)>;
 
     explicit investigator(investigator_parts parts);
--- a/explain/journal_query.cpp
+++ b/explain/journal_query.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "journal/event_codec.h"
+#include "event_log/event_codec.h"
 
 namespace coriandermount::explain {
 
@@ -18,12 +18,12 @@
     std::string dump(const json& value) { return value.dump(-1, ' ', false, json::error_handler_t::replace); }
 
     /// Adds what workers did around the job's end, so that its worker can be compared with others.
-    void addWorkersOf(const journal::memory_journal& journal, journal_reply& reply)
+    void addWorkersOf(const event_log::memory_journal& journal, journal_reply& reply)
     {
         const wall_time end = reply.events.back().at;
-        auto detail = journal.detailBetween(end - journal::failureWindow, end + journal::failureWindow, mostDetail);
+        auto detail = journal.detailBetween(end - event_log::failureWindow, end + event_log::failureWindow, mostDetail);
         for (auto& entry : detail) {
-            if (entry.kind == journal::event_kind::task_answered)
+            if (entry.kind == event_log::event_kind::task_answered)
                 reply.context.push_back(std::move(entry));
         }
     }
@@ -60,9 +60,9 @@
 std::string encodeReply(const journal_reply& reply)
 {
     return dump({ { "vm", reply.vm.value }, { "incarnation", reply.incarnation },
-        { "events", json::parse(journal::encodeEvents(reply.events)) },
-        { "context", json::parse(journal::encodeEvents(reply.context)) },
-        { "counts", json::parse(journal::encodeCounts(reply.counts)) } });
+        { "events", json::parse(event_log::encodeEvents(reply.events)) },
+        { "context", json::parse(event_log::encodeEvents(reply.context)) },
+        { "counts", json::parse(event_log::encodeCounts(reply.counts)) } });
 }
 
 result<journal_reply> decodeReply(const std::string& text)
@@ -72,9 +72,9 @@
         journal_reply reply;
         reply.vm.value = object.at("vm").get<std::string>();
         reply.incarnation = object.at("incarnation").get<std::uint64_t>();
-        auto events = journal::decodeEvents(object.at("events").dump(), reply.vm);
-        auto context = journal::decodeEvents(object.at("context").dump(), reply.vm);
-        auto counts = journal::decodeCounts(object.at("counts").dump());
+        auto events = event_log::decodeEvents(object.at("events").dump(), reply.vm);
+        auto context = event_log::decodeEvents(object.at("context").dump(), reply.vm);
+        auto counts = event_log::decodeCounts(object.at("counts").dump());
         if (!events || !context || !counts)
             return fail(error_kind::malformed_request, "the lists of the reply can't be read");
         reply.events = std::move(*events);
@@ -87,7 +87,7 @@
 }
 
 journal_reply answerQuery(const journal_query& query, const vm_id& vm, std::uint64_t incarnation,
-    const journal::memory_journal& journal, journal::stream_writer& writer)
+    const event_log::memory_journal& journal, event_log::stream_writer& writer)
 {
     journal_reply reply;
     reply.vm = vm;
--- a/explain/journal_query.h
+++ b/explain/journal_query.h
@@ -3,9 +3,9 @@
 
 #include <string>
 
-#include "journal/fault_ledger.h"
-#include "journal/journal.h"
-#include "journal/stream_writer.h"
+#include "event_log/fault_ledger.h"
+#include "event_log/journal.h"
+#include "event_log/stream_writer.h"
 
 namespace coriandermount::explain {
 
@@ -22,10 +22,10 @@
     vm_id vm;
     std::uint64_t incarnation = 0;
     /// Events of the job.
-    std::vector<journal::event> events;
+    std::vector<event_log::event> events;
     /// Limit changes, ejections, losses and failures around it.
-    std::vector<journal::event> context;
-    journal::fault_counts counts;
+    std::vector<event_log::event> context;
+    event_log::fault_counts counts;
 };
 
 std::string encodeQuery(const journal_query& query);
@@ -38,6 +38,6 @@
 
 /// Answers a query from this VM's memory.
 journal_reply answerQuery(const journal_query& query, const vm_id& vm, std::uint64_t incarnation,
-    const journal::memory_journal& journal, journal::stream_writer& writer);
+    const event_log::memory_journal& journal, event_log::stream_writer& writer);
 
 } // namespace coriandermount::explain
--- a/explain/journal_service.cpp
+++ b/explain/journal_service.cpp
@@ -9,9 +9,9 @@
         return static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
     }
 
-    journal::batch_options batchOptions(const journal_service_parts& parts, std::uint64_t incarnation)
+    event_log::batch_options batchOptions(const journal_service_parts& parts, std::uint64_t incarnation)
     {
-        journal::batch_options options;
+        event_log::batch_options options;
         options.vm = parts.vm;
         options.incarnation = incarnation;
         options.bytesPerSecond = parts.logBytesPerSecond;
@@ -22,7 +22,7 @@
 
 struct journal_service::data {
     std::uint64_t incarnation;
-    journal::stream_writer writer;
+    event_log::stream_writer writer;
     investigator questions;
 
     explicit data(const journal_service_parts& parts)
@@ -61,6 +61,6 @@
 
 investigator& journal_service::questions() { return m_data->questions; }
 
-journal::stream_writer& journal_service::writer() { return m_data->writer; }
+event_log::stream_writer& journal_service::writer() { return m_data->writer; }
 
 } // namespace coriandermount::explain
--- a/explain/journal_service.h
+++ b/explain/journal_service.h
@@ -11,7 +11,7 @@
 struct journal_service_parts {
     const clock_source& clock;
     blackboard& board;
-    journal::memory_journal& journal;
+    event_log::memory_journal& journal;
     platform::log& log;
     peers::peer_link& peers;
     vm_id vm;
@@ -36,7 +36,7 @@
     void stop();
 
     investigator& questions();
-    journal::stream_writer& writer();
+    event_log::stream_writer& writer();
 
 private:
     struct data;
--- a/explain/limit_changes.cpp
+++ b/explain/limit_changes.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-#include "journal/rules.h"
+#include "event_log/rules.h"
 
 namespace coriandermount::explain {
 
@@ -10,7 +10,7 @@
 
     using configuration::plan_limits;
     using configuration::snapshot;
-    namespace rules = journal::rules;
+    namespace rules = event_log::rules;
 
     /// Collects the differences of one pair of versions.
     class difference {
@@ -24,8 +24,8 @@
         {
             if (before == after)
                 return;
-            journal::event change;
-            change.kind = journal::event_kind::limit_changed;
+            event_log::event change;
+            change.kind = event_log::event_kind::limit_changed;
             change.subject = subject;
             change.rule = rule;
             change.limit = std::move(before);
@@ -35,11 +35,11 @@
             m_changes.push_back(std::move(change));
         }
 
-        std::vector<journal::event> take() { return std::move(m_changes); }
+        std::vector<event_log::event> take() { return std::move(m_changes); }
 
     private:
         const snapshot& m_after;
-        std::vector<journal::event> m_changes;
+        std::vector<event_log::event> m_changes;
     };
 
     std::string number(std::int64_t value) { return fmt::format("{}", value); }
@@ -71,7 +71,7 @@
 
 } // namespace
 
-std::vector<journal::event> limitChanges(const snapshot& before, const snapshot& after)
+std::vector<event_log::event> limitChanges(const snapshot& before, const snapshot& after)
 {
     difference found(after);
     for (const auto& [id, plan] : after.plans) {
--- a/explain/limit_changes.h
+++ b/explain/limit_changes.h
@@ -4,11 +4,11 @@
 #include <vector>
 
 #include "configuration/configuration.h"
-#include "journal/event.h"
+#include "event_log/event.h"
 
 namespace coriandermount::explain {
 
 /// Returns one `limit_changed` event for each bound, service list and customer's plan that differs.
-std::vector<journal::event> limitChanges(const configuration::snapshot& before, const configuration::snapshot& after);
+std::vector<event_log::event> limitChanges(const configuration::snapshot& before, const configuration::snapshot& after);
 
 } // namespace coriandermount::explain
--- a/explain/node_status.h
+++ b/explain/node_status.h
@@ -7,8 +7,8 @@
 
 #include "blackboard/blackboard.h"
 #include "core/clock.h"
+#include "event_log/fault_ledger.h"
 #include "explain/activity.h"
-#include "journal/fault_ledger.h"
 
 namespace coriandermount::explain {
 
@@ -30,7 +30,7 @@
     std::shared_ptr<const quota::share_snapshot> shares;
     std::vector<activity_second> seconds;
     /// Faults of the last ten minutes on this VM.
-    journal::fault_counts faults;
+    event_log::fault_counts faults;
 };
 
 /// Returns the status as JSON.
--- a/explain/status_page.cpp
+++ b/explain/status_page.cpp
@@ -89,7 +89,7 @@
             legend, largest, seconds.size(), chartWidth, chartHeight, lines);
     }
 
-    std::string faultChart(const journal::fault_counts& faults)
+    std::string faultChart(const event_log::fault_counts& faults)
     {
         const auto sums = addUp(faults);
         if (sums.all == 0)
--- a/explain/status_service.h
+++ b/explain/status_service.h
@@ -4,9 +4,9 @@
 #include <functional>
 #include <memory>
 
+#include "event_log/journal.h"
+#include "event_log/stream_writer.h"
 #include "explain/node_status.h"
-#include "journal/journal.h"
-#include "journal/stream_writer.h"
 #include "metrics/metrics.h"
 
 namespace coriandermount::explain {
@@ -15,8 +15,8 @@
 struct status_parts {
     const clock_source& clock;
     blackboard& board;
-    journal::memory_journal& journal;
-    journal::stream_writer& writer;
+    event_log::memory_journal& journal;
+    event_log::stream_writer& writer;
     metrics::registry& metrics;
     vm_id vm;
     std::function<std::size_t()> openJobs;
--- a/fleet/fleet_controller.cpp
+++ b/fleet/fleet_controller.cpp
@@ -37,12 +37,12 @@
         return names[static_cast<std::size_t>(state)];
     }
 
-    journal::event_kind kindOf(const member_changed& change)
+    event_log::event_kind kindOf(const member_changed& change)
     {
         if (change.to == member_state::suspected)
-            return journal::event_kind::vm_suspected;
+            return event_log::event_kind::vm_suspected;
         const bool left = change.to == member_state::dead || change.to == member_state::leaving;
-        return left ? journal::event_kind::vm_left : journal::event_kind::vm_joined;
+        return left ? event_log::event_kind::vm_left : event_log::event_kind::vm_joined;
     }
 
 } // namespace
@@ -173,7 +173,7 @@
 
 void fleet_controller::data::perform(const member_changed& action)
 {
-    journal::event entry;
+    event_log::event entry;
     entry.kind = kindOf(action);
     entry.subject = action.vm.value;
     entry.rule = "membership";
--- a/fleet/fleet_controller.h
+++ b/fleet/fleet_controller.h
@@ -6,8 +6,8 @@
 
 #include "blackboard/blackboard.h"
 #include "core/clock.h"
+#include "event_log/journal.h"
 #include "fleet/membership.h"
-#include "journal/journal.h"
 #include "metrics/metrics.h"
 #include "peers/peer_link.h"
 #include "platform/vm_list.h"
@@ -21,7 +21,7 @@
     peers::peer_service& service;
     platform::vm_list& listing;
     blackboard& board;
-    journal::event_sink& journal;
+    event_log::event_sink& journal;
     metrics::registry& metrics;
 };
 
--- a/front/api.cpp
+++ b/front/api.cpp
@@ -66,8 +66,8 @@
 void api::data::refuseText(const error& problem) const
 {
     parts.metrics.count(problem.kind);
-    journal::event entry;
-    entry.kind = journal::event_kind::job_answered;
+    event_log::event entry;
+    entry.kind = event_log::event_kind::job_answered;
     entry.problem = problem.kind;
     entry.value = problem.detail;
     parts.journal.record(std::move(entry));
--- a/front/api.h
+++ b/front/api.h
@@ -8,7 +8,7 @@
 #include "blackboard/blackboard.h"
 #include "claims/claim_service.h"
 #include "dispatch/dispatcher.h"
-#include "journal/journal.h"
+#include "event_log/journal.h"
 #include "metrics/metrics.h"
 #include "net/http_server.h"
 
@@ -21,7 +21,7 @@
     claims::claim_service& claims;
     dispatch::dispatcher& dispatcher;
     metrics::registry& metrics;
-    journal::event_sink& journal;
+    event_log::event_sink& journal;
 };
 
 /// Routes requests to the dispatcher and the controllers. Further subsystems add their own routes.
--- a/front/operator_routes.cpp
+++ b/front/operator_routes.cpp
@@ -42,8 +42,8 @@
             responder->reply(errorResponse(key.error()));
             return;
         }
-        investigator.explain(*key, [responder](const result<journal::explanation>& found) {
-            responder->reply(found ? jsonResponse(journal::encodeExplanation(*found)) : errorResponse(found.error()));
+        investigator.explain(*key, [responder](const result<event_log::explanation>& found) {
+            responder->reply(found ? jsonResponse(event_log::encodeExplanation(*found)) : errorResponse(found.error()));
         });
     });
     target.addRoute("GET", "/v1/faults", [&clock, &investigator](const auto& request, const auto& responder) {
--- /dev/null
+++ b/jobs/job_intake.cpp
@@ -0,0 +1,171 @@
+#include "jobs/job_intake.h"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+
+#include <fmt/format.h>
+
+#include "core/log.h"
+#include "jobs/record_codec.h"
+
+namespace coriandermount::jobs {
+
+namespace {
+
+    /// One record on its way to the store.
+    struct pending_append {
+        record content;
+        job_intake::completion done;
+        time_point since;
+        /// An append of it was not answered: it may be stored.
+        bool mayBeStored = false;
+        time_point retryAt;
+    };
+
+    using pending_pointer = std::shared_ptr<pending_append>;
+
+} // namespace
+
+struct job_intake::data : std::enable_shared_from_this<job_intake::data> {
+    record_store& store;
+    const clock_source& clock;
+    record_stream stream;
+    intake_settings settings;
+    std::mutex mutex;
+    std::vector<pending_pointer> waiting;
+    std::atomic<time_point::rep> lastStored { 0 };
+
+    data(record_store& target, const clock_source& time, record_stream where, intake_settings limits)
+        : store(target)
+        , clock(time)
+        , stream(std::move(where))
+        , settings(limits)
+    {
+    }
+
+    void append(const pending_pointer& current);
+    void onAnswer(const pending_pointer& current, const result<std::uint64_t>& answer);
+    void finish(const pending_pointer& current, const error& problem) const;
+};
+
+void job_intake::data::append(const pending_pointer& current)
+{
+    append_request request;
+    request.stream = stream;
+    request.records.push_back(current->content);
+    store.append(std::move(request), [self = shared_from_this(), current](const result<std::uint64_t>& answer) {
+        self->onAnswer(current, answer);
+    });
+}
+
+void job_intake::data::onAnswer(const pending_pointer& current, const result<std::uint64_t>& answer)
+{
+    const auto now = clock.now();
+    if (answer) {
+        lastStored.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+        writeLog(log_level::info, "intake", "a record is stored",
+            { { "key", current->content.key }, { "offset", fmt::to_string(*answer) },
+                { "took_ms", fmt::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - current->since).count()) } });
+        current->done({});
+        return;
+    }
+    current->mayBeStored = current->mayBeStored || answer.error().kind == error_kind::log_answer_lost;
+    const auto limit = current->mayBeStored ? settings.unansweredLimit : settings.refusedLimit;
+    if (now - current->since >= limit || answer.error().kind == error_kind::log_full) {
+        finish(current, answer.error());
+        return;
+    }
+    current->retryAt = now + settings.retryPause;
+    const std::scoped_lock lock(mutex);
+    waiting.push_back(current);
+}
+
+void job_intake::data::finish(const pending_pointer& current, const error& problem) const
+{
+    error told = problem;
+    told.retryAfter = settings.comeBackAfter;
+    if (current->mayBeStored)
+        told.kind = error_kind::log_answer_lost;
+    writeLog(log_level::warning, "intake", "a record could not be stored",
+        { { "key", current->content.key }, { "outcome", std::string(nameOf(told.kind)) }, { "detail", problem.detail } });
+    current->done(tl::unexpected(told));
+}
+
+job_intake::job_intake(record_store& store, const clock_source& clock, record_stream stream, intake_settings settings)
+    : m_data(std::make_shared<data>(store, clock, std::move(stream), settings))
+{
+}
+
+job_intake::~job_intake() = default;
+
+std::chrono::milliseconds longestChain(const job& work)
+{
+    std::vector<std::chrono::milliseconds> ends;
+    std::chrono::milliseconds longest { 0 };
+    for (const auto& current : work.steps) {
+        std::chrono::milliseconds start { 0 };
+        for (const std::uint32_t earlier : current.after)
+            start = std::max(start, ends[earlier]);
+        ends.push_back(start + current.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+void job_intake::submit(
+    job work, const queue_rules& rules, const std::vector<std::chrono::milliseconds>& waitByPriority, completion done)
+{
+    const auto chain = longestChain(work);
+    const auto objective
+        = std::chrono::duration_cast<std::chrono::milliseconds>(chain * std::max(rules.slackFactor, 1.0)) + rules.targetLatency;
+    if (!waitByPriority.empty()) {
+        const auto wait = waitByPriority[std::min<std::size_t>(rules.priority, waitByPriority.size() - 1)];
+        if (wait > objective - chain) {
+            writeLog(log_level::info, "intake", "a job is refused",
+                { { "job", work.id }, { "queue", rules.name }, { "reason", "overloaded" },
+                    { "expected_wait_ms", fmt::to_string(wait.count()) }, { "slack_ms", fmt::to_string((objective - chain).count()) } });
+            done(tl::unexpected(error { error_kind::overloaded,
+                fmt::format("the expected wait of {} ms is above the slack of {} ms", wait.count(), (objective - chain).count()),
+                std::max(wait, m_data->settings.comeBackAfter) }));
+            return;
+        }
+    }
+    accepted_job accepted { std::move(work), rules.service, rules.priority, rules.maxAttempts, objective, m_data->clock.wallNow() };
+    auto current = std::make_shared<pending_append>();
+    current->content = { acceptedKey(accepted.work.id), encodeAccepted(accepted), 0 };
+    current->done = std::move(done);
+    current->since = m_data->clock.now();
+    m_data->append(current);
+}
+
+void job_intake::cancel(const std::string& jobId, completion done)
+{
+    auto current = std::make_shared<pending_append>();
+    current->content = { cancelledKey(jobId), "1", 0 };
+    current->done = std::move(done);
+    current->since = m_data->clock.now();
+    m_data->append(current);
+}
+
+void job_intake::tick()
+{
+    std::vector<pending_pointer> due;
+    {
+        const auto now = m_data->clock.now();
+        const std::scoped_lock lock(m_data->mutex);
+        const auto first = std::stable_partition(
+            m_data->waiting.begin(), m_data->waiting.end(), [now](const pending_pointer& current) { return current->retryAt > now; });
+        due.assign(first, m_data->waiting.end());
+        m_data->waiting.erase(first, m_data->waiting.end());
+    }
+    for (const auto& current : due)
+        m_data->append(current);
+}
+
+time_point job_intake::lastStored() const
+{
+    return time_point(time_point::duration(m_data->lastStored.load(std::memory_order_relaxed)));
+}
+
+} // namespace coriandermount::jobs
--- /dev/null
+++ b/jobs/job_service.h
@@ -0,0 +1,33 @@
+/// What callers can ask of any entry VM.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <functional>
+#include <string>
+
+#include "core/error.h"
+#include "jobs/job.h"
+
+namespace coriandermount::jobs {
+
+/// Every method may be called from any thread; completions are called once, from any thread.
+class job_service {
+public:
+    virtual ~job_service() = default;
+
+    /// Returns the configuration in force; version 0 before the first one.
+    virtual std::shared_ptr<const queue_table> queues() const = 0;
+
+    virtual void submit(job work, const queue_rules& rules, std::function<void(result<void>)> done) = 0;
+    virtual void cancel(const std::string& jobId, std::function<void(result<void>)> done) = 0;
+    /// Fails with `job_unknown`, or with `owner_unknown` while nobody can be asked.
+    virtual void state(const std::string& jobId, std::function<void(result<job_state>)> done) = 0;
+    /// Accepted jobs of a queue of which no task has started.
+    virtual std::uint32_t pending(const std::string& queue) const = 0;
+
+    virtual bool isReady() const = 0;
+    virtual bool isDraining() const = 0;
+};
+
+} // namespace coriandermount::jobs
--- /dev/null
+++ b/jobs/record_codec.cpp
@@ -0,0 +1,151 @@
+#include "jobs/record_codec.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace coriandermount::jobs {
+
+namespace {
+
+    using json = nlohmann::json;
+
+    constexpr char acceptedMark = 'j';
+    constexpr char cancelledMark = 'x';
+    constexpr char progressMark = 'p';
+    constexpr char finishedMark = 'f';
+    constexpr char ownerMark = 'o';
+
+    std::string pack(const json& value)
+    {
+        std::string packed;
+        json::to_msgpack(value, packed);
+        return packed;
+    }
+
+    template <class Decode> auto unpack(const std::string& value, Decode decode) -> result<decltype(decode(json()))>
+    {
+        try {
+            return decode(json::from_msgpack(value));
+        } catch (const json::exception& problem) {
+            return fail(error_kind::malformed_request, fmt::format("a stored record can't be read: {}", problem.what()));
+        }
+    }
+
+    json packStep(const step& current)
+    {
+        return json::array({ current.taskCount, current.need.cpuMillis, current.need.memoryMegabytes, current.need.accelerators,
+            current.estimate.count(), current.after, current.requiredLabel, current.dataRack, current.maxPerWorker });
+    }
+
+    step unpackStep(const json& value)
+    {
+        step current;
+        current.taskCount = value.at(0);
+        current.need = { value.at(1), value.at(2), value.at(3) };
+        current.estimate = std::chrono::milliseconds(value.at(4).get<std::int64_t>());
+        current.after = value.at(5).get<std::vector<std::uint32_t>>();
+        current.requiredLabel = value.at(6);
+        current.dataRack = value.at(7);
+        current.maxPerWorker = value.at(8);
+        return current;
+    }
+
+} // namespace
+
+record_kind kindOf(const std::string& key)
+{
+    switch (key.empty() ? '\0' : key.front()) {
+    case acceptedMark:
+        return record_kind::accepted;
+    case cancelledMark:
+        return record_kind::cancelled;
+    case progressMark:
+        return record_kind::progress;
+    case finishedMark:
+        return record_kind::finished;
+    case ownerMark:
+        return record_kind::owner;
+    default:
+        return record_kind::unknown;
+    }
+}
+
+std::string jobIdOf(const std::string& key) { return key.substr(1); }
+
+std::string acceptedKey(const std::string& jobId) { return acceptedMark + jobId; }
+std::string cancelledKey(const std::string& jobId) { return cancelledMark + jobId; }
+std::string progressKey(const std::string& jobId) { return progressMark + jobId; }
+std::string finishedKey(std::uint64_t epoch, std::uint64_t number) { return fmt::format("{}{}.{}", finishedMark, epoch, number); }
+
+std::string ownerKey() { return std::string(1, ownerMark); }
+
+std::string encodeOwner(std::uint64_t epoch) { return pack(json(epoch)); }
+
+result<std::uint64_t> decodeOwner(const std::string& value)
+{
+    return unpack(value, [](const json& epoch) { return epoch.get<std::uint64_t>(); });
+}
+
+std::string encodeAccepted(const accepted_job& accepted)
+{
+    json steps = json::array();
+    for (const auto& current : accepted.work.steps)
+        steps.push_back(packStep(current));
+    return pack(json::array({ accepted.work.id, accepted.work.queue, accepted.work.payload, std::move(steps), accepted.service.value,
+        accepted.priority, accepted.maxAttempts, accepted.objective.count(), accepted.acceptedAt.time_since_epoch().count() }));
+}
+
+result<accepted_job> decodeAccepted(const std::string& value)
+{
+    return unpack(value, [](const json& fields) {
+        accepted_job accepted;
+        accepted.work = { fields.at(0), fields.at(1), fields.at(2), {} };
+        for (const auto& current : fields.at(3))
+            accepted.work.steps.push_back(unpackStep(current));
+        accepted.service.value = fields.at(4);
+        accepted.priority = fields.at(5);
+        accepted.maxAttempts = fields.at(6);
+        accepted.objective = std::chrono::milliseconds(fields.at(7).get<std::int64_t>());
+        accepted.acceptedAt = wall_time(std::chrono::milliseconds(fields.at(8).get<std::int64_t>()));
+        return accepted;
+    });
+}
+
+std::string encodeProgress(const std::vector<task_outcome>& outcomes)
+{
+    json list = json::array();
+    for (const auto& current : outcomes)
+        list.push_back(json::array({ current.step, current.index, current.done, current.failedAttempts }));
+    return pack(list);
+}
+
+result<std::vector<task_outcome>> decodeProgress(const std::string& value)
+{
+    return unpack(value, [](const json& list) {
+        std::vector<task_outcome> outcomes;
+        for (const auto& current : list)
+            outcomes.push_back({ current.at(0), current.at(1), current.at(2), current.at(3).get<std::vector<std::uint64_t>>() });
+        return outcomes;
+    });
+}
+
+std::string encodeFinished(const finished_list& list)
+{
+    json jobs = json::array();
+    for (const auto& current : list.jobs)
+        jobs.push_back(json::array({ current.id, static_cast<int>(current.state) }));
+    return pack(json::array({ list.at.time_since_epoch().count(), std::move(jobs) }));
+}
+
+result<finished_list> decodeFinished(const std::string& value)
+{
+    return unpack(value, [](const json& fields) {
+        finished_list list;
+        list.at = wall_time(std::chrono::milliseconds(fields.at(0).get<std::int64_t>()));
+        for (const auto& current : fields.at(1))
+            list.jobs.push_back({ current.at(0), static_cast<job_state>(current.at(1).get<int>()) });
+        return list;
+    });
+}
+
+} // namespace coriandermount::jobs
--- /dev/null
+++ b/jobs/record_tail.cpp
@@ -0,0 +1,149 @@
+#include "jobs/record_tail.h"
+
+#include <algorithm>
+#include <mutex>
+
+namespace coriandermount::jobs {
+
+namespace {
+
+    /// How long a read waits for a record.
+    constexpr std::chrono::milliseconds readWait { 2000 };
+    /// Pause after a failed call; doubles up to the second value.
+    constexpr std::chrono::milliseconds firstPause { 60 };
+    constexpr std::chrono::milliseconds longestPause { 500 };
+
+} // namespace
+
+struct record_tail::data : std::enable_shared_from_this<record_tail::data> {
+    record_store& store;
+    const clock_source& clock;
+    record_stream stream;
+    record_listener& listener;
+
+    std::mutex mutex;
+    bool running = false;
+    bool waiting = false;
+    /// Rises with each stop: answers to earlier calls are dropped.
+    std::uint64_t round = 0;
+    bool needsSnapshot = true;
+    std::uint64_t next = 0;
+    std::chrono::milliseconds pause { firstPause };
+    time_point retryAt {};
+
+    data(record_store& target, const clock_source& time, record_stream source, record_listener& receiver)
+        : store(target)
+        , clock(time)
+        , stream(std::move(source))
+        , listener(receiver)
+    {
+    }
+
+    void ask();
+    void onSnapshot(result<record_batch> answer, time_point asked);
+    void onRead(result<record_batch> answer, time_point asked);
+    void retryLater(const error& problem);
+    bool isCurrent(std::uint64_t expected);
+};
+
+bool record_tail::data::isCurrent(std::uint64_t expected)
+{
+    const std::scoped_lock lock(mutex);
+    return running && round == expected;
+}
+
+void record_tail::data::ask()
+{
+    const auto asked = clock.now();
+    const auto current = round;
+    auto self = shared_from_this();
+    if (needsSnapshot) {
+        store.readNewest(stream, [self, asked, current](result<record_batch> answer) {
+            if (self->isCurrent(current))
+                self->onSnapshot(std::move(answer), asked);
+        });
+        return;
+    }
+    store.read(stream, next, readWait, [self, asked, current](result<record_batch> answer) {
+        if (self->isCurrent(current))
+            self->onRead(std::move(answer), asked);
+    });
+}
+
+void record_tail::data::onSnapshot(result<record_batch> answer, time_point asked)
+{
+    if (!answer) {
+        retryLater(answer.error());
+        return;
+    }
+    needsSnapshot = false;
+    next = answer->end;
+    pause = firstPause;
+    listener.onSnapshot(answer->records);
+    listener.onContact(asked);
+    ask();
+}
+
+void record_tail::data::onRead(result<record_batch> answer, time_point asked)
+{
+    if (!answer) {
+        needsSnapshot = needsSnapshot || answer.error().kind == error_kind::log_records_expired;
+        retryLater(answer.error());
+        return;
+    }
+    pause = firstPause;
+    for (const auto& current : answer->records) {
+        next = current.offset + 1;
+        listener.onRecord(current);
+    }
+    listener.onContact(asked);
+    ask();
+}
+
+void record_tail::data::retryLater(const error& problem)
+{
+    listener.onContactLost(problem);
+    const std::scoped_lock lock(mutex);
+    waiting = true;
+    retryAt = clock.now() + (problem.kind == error_kind::log_records_expired ? std::chrono::milliseconds(0) : pause);
+    pause = std::min(pause * 2, longestPause);
+}
+
+record_tail::record_tail(record_store& store, const clock_source& clock, record_stream stream, record_listener& listener)
+    : m_data(std::make_shared<data>(store, clock, std::move(stream), listener))
+{
+}
+
+record_tail::~record_tail() { stop(); }
+
+void record_tail::start()
+{
+    {
+        const std::scoped_lock lock(m_data->mutex);
+        m_data->running = true;
+        m_data->needsSnapshot = true;
+        m_data->waiting = false;
+        ++m_data->round;
+    }
+    m_data->ask();
+}
+
+void record_tail::stop()
+{
+    const std::scoped_lock lock(m_data->mutex);
+    m_data->running = false;
+    ++m_data->round;
+}
+
+void record_tail::tick(time_point now)
+{
+    {
+        const std::scoped_lock lock(m_data->mutex);
+        if (!m_data->running || !m_data->waiting || now < m_data->retryAt)
+            return;
+        m_data->waiting = false;
+    }
+    m_data->ask();
+}
+
+} // namespace coriandermount::jobs
--- /dev/null
+++ b/main/coriandermount_entry_program.cpp
@@ -0,0 +1,56 @@
+// The daemon of one entry VM on the users' platform.
+#include <cstdlib>
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include "core/log.h"
+#include "main/entry_node.h"
+#include "main/signals.h"
+#include "platform/boot_settings.h"
+
+using namespace coriandermount;
+
+namespace {
+
+constexpr int exitSettings = 2;
+
+int run(int argc, char** argv)
+{
+    cxxopts::Options options("coriandermount-entry", "Dispatches jobs of the users' platform from one entry VM.");
+    options.add_options()("check-settings", "Check the settings that the platform wrote, and exit")("help", "Print this help");
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help")) {
+        fmt::print("{}", options.help());
+        return EXIT_SUCCESS;
+    }
+    const auto settings = platform::loadBootSettings();
+    if (!settings) {
+        writeLog(log_level::error, "node", "can't read the settings", { { "detail", settings.error().detail } });
+        return exitSettings;
+    }
+    if (parsed.count("check-settings"))
+        return EXIT_SUCCESS;
+    blockEndSignals();
+    entry_node node(*settings);
+    if (auto started = node.start(); !started) {
+        writeLog(log_level::error, "node", "can't start", { { "detail", started.error().detail } });
+        return exitSettings;
+    }
+    waitForEndSignal();
+    node.shutDown();
+    // Threads of libraries may wait for peers that never answer; nothing is left to be kept.
+    std::_Exit(EXIT_SUCCESS);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const std::exception& problem) {
+        writeLog(log_level::error, "node", "ends", { { "detail", problem.what() } });
+        return exitSettings;
+    }
+}
--- /dev/null
+++ b/main/entry_node.cpp
@@ -0,0 +1,257 @@
+#include "main/entry_node.h"
+
+#include <atomic>
+#include <charconv>
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "cells/cell_member.h"
+#include "cells/cell_owner.h"
+#include "core/log.h"
+#include "core/rcu.h"
+#include "jobs/job_intake.h"
+#include "jobs/job_service.h"
+#include "net/datagram_socket.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "peers/http_peers.h"
+#include "platform/client_front.h"
+#include "platform/config_follower.h"
+#include "platform/store_client.h"
+#include "platform/worker_client.h"
+#include "platform/worker_registry.h"
+
+namespace coriandermount {
+
+namespace {
+
+    /// Time between looks at what is due.
+    constexpr std::chrono::milliseconds tickInterval { 10 };
+    constexpr std::chrono::milliseconds idleTickInterval { 40 };
+    /// Time for the owner to tell the state of a job.
+    constexpr std::chrono::milliseconds stateTimeout { 400 };
+    /// Added to the platform's bound for how long the state of a job can be asked.
+    constexpr std::chrono::seconds retentionMargin { 60 };
+    /// Time in which the balancer notices that this VM is not ready: two looks, one a second.
+    constexpr std::chrono::milliseconds balancerDelay { 2600 };
+    /// Left of the grace period when the last requests are cut short.
+    constexpr std::chrono::milliseconds shutdownReserve { 1200 };
+    constexpr std::chrono::milliseconds shutdownPoll { 50 };
+
+    constexpr const char* stateMethod = "job.state";
+    constexpr const char* cellTopic = "keyed.cells";
+    constexpr const char* jobTopic = "keyed.jobs";
+
+    /// States and errors go between VMs by number and name.
+    std::string encodeState(const result<jobs::job_state>& state)
+    {
+        return state ? fmt::to_string(static_cast<int>(*state)) : std::string(nameOf(state.error().kind));
+    }
+
+    result<jobs::job_state> decodeState(const std::string& message)
+    {
+        int number = 0;
+        const auto [end, problem] = std::from_chars(message.data(), message.data() + message.size(), number);
+        if (problem == std::errc() && number <= static_cast<int>(jobs::job_state::cancelled))
+            return static_cast<jobs::job_state>(number);
+        return fail(errorKindNamed(message).value_or(error_kind::owner_unknown), "as told by the owner");
+    }
+
+    net::http_server_options listenerOptions(const std::string& listener)
+    {
+        net::http_server_options options;
+        const auto colon = listener.rfind(':');
+        options.address = listener.substr(0, colon);
+        options.port = static_cast<std::uint16_t>(std::stoi(listener.substr(colon + 1)));
+        options.threads = 1;
+        options.maxBodyBytes = std::size_t { 256 } * 1024;
+        options.dateHeader = false;
+        return options;
+    }
+
+    net::http_client_options clientOptions(const platform::boot_settings& settings)
+    {
+        net::http_client_options options;
+        options.sourceAddress = settings.address;
+        return options;
+    }
+
+    cells::cell_settings cellSettings(const platform::boot_settings& settings)
+    {
+        cells::cell_settings limits;
+        limits.maxLease = settings.maxLease;
+        limits.stopGrace = settings.stopGrace;
+        limits.finishedRetention = settings.statusRetention + retentionMargin;
+        return limits;
+    }
+
+    std::uint64_t bootNumber(const clock_source& clock)
+    {
+        return static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
+    }
+
+} // namespace
+
+struct entry_node::data final : jobs::job_service, cells::beat_link {
+    platform::boot_settings settings;
+    boot_clock_source clock;
+    net::http_client client;
+    platform::store_client store;
+    platform::worker_client workerLink;
+    rcu_cell<jobs::queue_table> table;
+    platform::config_follower configuration;
+    jobs::job_intake intake;
+    cells::cell_owner owner;
+    platform::worker_registry workers;
+    cells::cell_member member;
+    net::datagram_socket beats;
+    peers::http_peer_link peerLink;
+    peers::http_peer_service peerService;
+    net::http_server front;
+    net::http_server readiness;
+    std::atomic<bool> draining { false };
+    std::atomic<bool> stopping { false };
+    std::thread ticker;
+
+    explicit data(const platform::boot_settings& values);
+
+    cells::vm_registration registration() const;
+    void run();
+
+    std::shared_ptr<const jobs::queue_table> queues() const override { return table.read(); }
+    void submit(jobs::job work, const jobs::queue_rules& rules, std::function<void(result<void>)> done) override;
+    void cancel(const std::string& jobId, std::function<void(result<void>)> done) override;
+    void state(const std::string& jobId, std::function<void(result<jobs::job_state>)> done) override;
+    std::uint32_t pending(const std::string& queue) const override;
+    bool isReady() const override;
+    bool isDraining() const override { return draining.load(std::memory_order_relaxed); }
+    void send(const std::string& address, const std::string& datagram) override { beats.send(address, datagram); }
+};
+
+entry_node::data::data(const platform::boot_settings& values)
+    : settings(values)
+    , client(clientOptions(values))
+    , store(client, values.storeAddress)
+    , workerLink(client)
+    , configuration(store, clock, table)
+    , intake(store, clock, { jobTopic, 0 })
+    , owner(store, workerLink, clock, { jobTopic, 0 }, cellSettings(values))
+    , workers(store, clock, owner)
+    , member(store, *this, clock, owner, workers, { cellTopic, 0 }, registration())
+    , beats(values.address, values.firstPeerPort, [this](const std::string& datagram) { member.onDatagram(datagram); })
+    , peerLink(client)
+    , peerService(listenerOptions(fmt::format("{}:{}", values.address, values.firstPeerPort)))
+    , front(listenerOptions(values.clientListener), platform::clientHandler(*this))
+    , readiness(listenerOptions(values.readyListener), platform::readinessHandler(*this))
+{
+    peerService.addMethod(stateMethod, [this](const std::string& jobId, const peers::peer_service::reply_function& reply) {
+        reply(encodeState(owner.state(jobId)));
+    });
+}
+
+cells::vm_registration entry_node::data::registration() const
+{
+    return { settings.vm, bootNumber(clock), fmt::format("{}:{}", settings.address, settings.firstPeerPort), settings.failureDomain };
+}
+
+void entry_node::data::run()
+{
+    while (!stopping.load()) {
+        const bool owns = owner.isServing();
+        const auto now = clock.now();
+        configuration.tick(now);
+        intake.tick();
+        member.tick();
+        owner.tick();
+        std::this_thread::sleep_for(owns ? tickInterval : idleTickInterval);
+    }
+}
+
+void entry_node::data::submit(jobs::job work, const jobs::queue_rules& rules, std::function<void(result<void>)> done)
+{
+    intake.submit(std::move(work), rules, member.load().waitByPriority, std::move(done));
+}
+
+void entry_node::data::cancel(const std::string& jobId, std::function<void(result<void>)> done)
+{
+    intake.cancel(jobId, std::move(done));
+}
+
+void entry_node::data::state(const std::string& jobId, std::function<void(result<jobs::job_state>)> done)
+{
+    if (member.isOwner()) {
+        done(owner.state(jobId));
+        return;
+    }
+    const std::string address = member.ownerAddress();
+    if (address.empty()) {
+        done(fail(error_kind::owner_unknown, "the cell has no owner"));
+        return;
+    }
+    peerLink.call(address, stateMethod, jobId, stateTimeout, [done = std::move(done)](const auto& reply) {
+        if (reply)
+            done(decodeState(*reply));
+        else
+            done(fail(error_kind::owner_unknown, reply.error().message));
+    });
+}
+
+std::uint32_t entry_node::data::pending(const std::string& queue) const
+{
+    const auto load = member.load();
+    const auto found = load.pendingByQueue.find(queue);
+    return found == load.pendingByQueue.end() ? 0 : found->second;
+}
+
+bool entry_node::data::isReady() const
+{
+    return !isDraining() && table.read()->version > 0 && member.ownerKnown() && member.storeReachable();
+}
+
+entry_node::entry_node(const platform::boot_settings& settings)
+    : m_data(std::make_unique<data>(settings))
+{
+}
+
+entry_node::~entry_node()
+{
+    m_data->stopping.store(true);
+    if (m_data->ticker.joinable())
+        m_data->ticker.join();
+}
+
+result<void> entry_node::start()
+{
+    if (auto started = m_data->beats.start(); !started)
+        return started;
+    if (auto started = m_data->peerService.start(); !started)
+        return started;
+    if (auto started = m_data->front.start(); !started)
+        return started;
+    if (auto started = m_data->readiness.start(); !started)
+        return started;
+    m_data->configuration.start();
+    m_data->member.start();
+    m_data->ticker = std::thread([this] { m_data->run(); });
+    writeLog(log_level::info, "node", "started",
+        { { "vm", m_data->settings.vm.value }, { "failure_domain", m_data->settings.failureDomain.value },
+            { "store", m_data->settings.storeAddress } });
+    return {};
+}
+
+void entry_node::shutDown()
+{
+    const auto began = std::chrono::steady_clock::now();
+    writeLog(log_level::info, "node", "stops", { { "pending", fmt::to_string(m_data->front.pendingRequests()) } });
+    m_data->draining.store(true);
+    m_data->member.drain();
+    const auto limit = m_data->settings.shutdownGrace - shutdownReserve;
+    auto elapsed = [began] { return std::chrono::steady_clock::now() - began; };
+    while (elapsed() < limit && (elapsed() < balancerDelay || m_data->front.pendingRequests() > 0))
+        std::this_thread::sleep_for(shutdownPoll);
+    m_data->front.stop();
+    writeLog(log_level::info, "node", "stopped");
+}
+
+} // namespace coriandermount
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -10,6 +10,7 @@
 #include "core/clock.h"
 #include "core/log.h"
 #include "dispatch/dispatcher.h"
+#include "event_log/journal.h"
 #include "explain/journal_service.h"
 #include "explain/status_service.h"
 #include "front/api.h"
@@ -19,7 +20,6 @@
 #include "front/job_id_route.h"
 #include "front/operator_routes.h"
 #include "front/status_routes.h"
-#include "journal/journal.h"
 #include "main/claim_options.h"
 #include "main/engine_options.h"
 #include "main/fleet_options.h"
@@ -86,7 +86,7 @@
     const clock_source& clock;
     blackboard board;
     metrics::registry metrics;
-    journal::memory_journal journal;
+    event_log::memory_journal journal;
     // The clients call back into the dispatcher and the claims, so their threads end first.
     std::unique_ptr<net::http_client> workerClient = std::make_unique<net::http_client>();
     std::unique_ptr<net::http_client> controlClient = std::make_unique<net::http_client>(controlClientOptions(settings));
--- a/tests/journal/attribution_test.cpp
+++ b/tests/event_log/attribution_test.cpp
@@ -4,21 +4,21 @@
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
-#include "journal/attribution.h"
-#include "journal/rules.h"
+#include "event_log/attribution.h"
+#include "event_log/rules.h"
 
 using namespace coriandermount;
 using namespace std::chrono_literals;
-using journal::attribution_rule;
-using journal::event_kind;
+using event_log::attribution_rule;
+using event_log::event_kind;
 
 namespace {
 
 const wall_time noon { 1796385600000ms };
 
-journal::event problem(error_kind kind, std::string subject = {})
+event_log::event problem(error_kind kind, std::string subject = {})
 {
-    journal::event fault;
+    event_log::event fault;
     fault.kind = event_kind::job_answered;
     fault.at = noon;
     fault.problem = kind;
@@ -27,7 +27,7 @@
     return fault;
 }
 
-journal::event refusedBound(std::string_view rule, std::string limit, std::string value)
+event_log::event refusedBound(std::string_view rule, std::string limit, std::string value)
 {
     auto fault = problem(error_kind::plan_concurrency_exceeded, "basic");
     fault.rule = rule;
@@ -36,16 +36,16 @@
     return fault;
 }
 
-journal::event happening(event_kind kind, std::string subject, std::chrono::milliseconds before = 14s)
+event_log::event happening(event_kind kind, std::string subject, std::chrono::milliseconds before = 14s)
 {
-    journal::event entry;
+    event_log::event entry;
     entry.kind = kind;
     entry.at = noon - before;
     entry.subject = std::move(subject);
     return entry;
 }
 
-journal::event change(std::string_view rule, std::string subject, std::string before, std::string after)
+event_log::event change(std::string_view rule, std::string subject, std::string before, std::string after)
 {
     auto entry = happening(event_kind::limit_changed, std::move(subject));
     entry.rule = rule;
@@ -56,7 +56,7 @@
     return entry;
 }
 
-journal::event endedTask(std::string worker, std::optional<error_kind> failure, std::chrono::milliseconds ran = 100ms)
+event_log::event endedTask(std::string worker, std::optional<error_kind> failure, std::chrono::milliseconds ran = 100ms)
 {
     auto entry = happening(event_kind::task_answered, std::move(worker), 1s);
     entry.problem = failure;
@@ -67,19 +67,19 @@
 
 /// Evidence and the fault that meets it.
 struct story {
-    journal::evidence known;
+    event_log::evidence known;
 
-    story& with(const journal::event& entry, int times = 1)
+    story& with(const event_log::event& entry, int times = 1)
     {
         for (int count = 0; count < times; ++count)
             known.add(entry);
         return *this;
     }
 
-    void expect(const journal::event& fault, attribution_rule rule, const std::string& because = {}) const
+    void expect(const event_log::event& fault, attribution_rule rule, const std::string& because = {}) const
     {
-        const auto found = journal::attribute(fault, known);
-        BOOST_TEST(journal::rowOf(found.rule).name == journal::rowOf(rule).name);
+        const auto found = event_log::attribute(fault, known);
+        BOOST_TEST(event_log::rowOf(found.rule).name == event_log::rowOf(rule).name);
         BOOST_TEST(found.because.find(because) != std::string::npos, "\"" << found.because << "\" lacks \"" << because << "\"");
         BOOST_TEST(!found.help.empty());
         shown().insert(rule);
@@ -114,38 +114,38 @@
 
 BOOST_FIXTURE_TEST_CASE(names_the_caller_when_the_bound_was_not_lowered, story)
 {
-    expect(refusedBound(journal::rules::planConcurrentTasks, "40", "41"), attribution_rule::demand_above_plan, "40");
-    with(change(journal::rules::planConcurrentTasks, "basic", "20", "40"));
-    expect(refusedBound(journal::rules::planConcurrentTasks, "40", "41"), attribution_rule::demand_above_plan);
-    with(change(journal::rules::planConcurrentTasks, "large", "400", "100"));
-    expect(refusedBound(journal::rules::planConcurrentTasks, "40", "41"), attribution_rule::demand_above_plan);
+    expect(refusedBound(event_log::rules::planConcurrentTasks, "40", "41"), attribution_rule::demand_above_plan, "40");
+    with(change(event_log::rules::planConcurrentTasks, "basic", "20", "40"));
+    expect(refusedBound(event_log::rules::planConcurrentTasks, "40", "41"), attribution_rule::demand_above_plan);
+    with(change(event_log::rules::planConcurrentTasks, "large", "400", "100"));
+    expect(refusedBound(event_log::rules::planConcurrentTasks, "40", "41"), attribution_rule::demand_above_plan);
 }
 
 BOOST_FIXTURE_TEST_CASE(names_the_operator_who_lowered_it, story)
 {
-    with(change(journal::rules::planConcurrentTasks, "basic", "80", "40"));
-    expect(refusedBound(journal::rules::planConcurrentTasks, "40", "41"), attribution_rule::limit_lowered,
+    with(change(event_log::rules::planConcurrentTasks, "basic", "80", "40"));
+    expect(refusedBound(event_log::rules::planConcurrentTasks, "40", "41"), attribution_rule::limit_lowered,
         "operator nikos changed plan.concurrent_tasks of \"basic\" from 80 to 40 in version 812, 14 s before");
 }
 
 BOOST_FIXTURE_TEST_CASE(names_the_operator_who_set_a_bound_where_there_was_none, story)
 {
-    with(change(journal::rules::planConcurrentTasks, "basic", "0", "40"));
-    expect(refusedBound(journal::rules::planConcurrentTasks, "40", "41"), attribution_rule::limit_lowered);
+    with(change(event_log::rules::planConcurrentTasks, "basic", "0", "40"));
+    expect(refusedBound(event_log::rules::planConcurrentTasks, "40", "41"), attribution_rule::limit_lowered);
 }
 
 BOOST_FIXTURE_TEST_CASE(names_the_caller_when_the_earlier_bound_was_too_low_as_well, story)
 {
-    with(change(journal::rules::planConcurrentTasks, "basic", "80", "40"));
-    expect(refusedBound(journal::rules::planConcurrentTasks, "40", "90"), attribution_rule::demand_above_both_limits);
+    with(change(event_log::rules::planConcurrentTasks, "basic", "80", "40"));
+    expect(refusedBound(event_log::rules::planConcurrentTasks, "40", "90"), attribution_rule::demand_above_both_limits);
 }
 
 BOOST_FIXTURE_TEST_CASE(names_the_caller_when_the_change_is_long_ago, story)
 {
-    auto old = change(journal::rules::planConcurrentTasks, "basic", "80", "40");
+    auto old = change(event_log::rules::planConcurrentTasks, "basic", "80", "40");
     old.at = noon - 20min;
     with(old);
-    expect(refusedBound(journal::rules::planConcurrentTasks, "40", "41"), attribution_rule::demand_above_plan);
+    expect(refusedBound(event_log::rules::planConcurrentTasks, "40", "41"), attribution_rule::demand_above_plan);
 }
 
 BOOST_FIXTURE_TEST_CASE(names_the_dispatcher_when_only_its_share_was_used_up, story)
@@ -168,9 +168,9 @@
     auto fault = problem(error_kind::service_not_in_plan, "basic");
     fault.value = "licence-check";
     expect(fault, attribution_rule::service_not_bought);
-    with(change(journal::rules::planServices, "basic", "licence-check,title-lookup", "title-lookup"));
+    with(change(event_log::rules::planServices, "basic", "licence-check,title-lookup", "title-lookup"));
     expect(fault, attribution_rule::service_removed, "nikos");
-    with(change(journal::rules::customerPlan, "kellari", "basic", ""));
+    with(change(event_log::rules::customerPlan, "kellari", "basic", ""));
     expect(problem(error_kind::unknown_customer), attribution_rule::customer_removed, "version 812");
 }
 
@@ -178,7 +178,7 @@
 {
     expect(problem(error_kind::unknown_customer), attribution_rule::customer_never_listed);
     expect(problem(error_kind::no_such_service), attribution_rule::service_never_offered);
-    BOOST_TEST(!journal::rowOf(attribution_rule::customer_never_listed).responsible);
+    BOOST_TEST(!event_log::rowOf(attribution_rule::customer_never_listed).responsible);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -328,14 +328,14 @@
 
 BOOST_AUTO_TEST_CASE(has_a_case_for_every_row_here)
 {
-    for (const auto& row : journal::attributionTable())
+    for (const auto& row : event_log::attributionTable())
         BOOST_TEST(shown().contains(row.rule), row.name << " is brought about by no case");
 }
 
 BOOST_AUTO_TEST_CASE(answers_for_every_kind_of_error)
 {
     for (const auto& row : errorTable()) {
-        const auto found = journal::attribute(problem(row.kind), known);
+        const auto found = event_log::attribute(problem(row.kind), known);
         BOOST_TEST((found.rule != attribution_rule::own_fault || row.kind == error_kind::internal_error), row.name);
     }
 }
--- a/tests/journal/journal_test.cpp
+++ b/tests/event_log/journal_test.cpp
@@ -3,8 +3,8 @@
 #include <fmt/format.h>
 #include <rapidcheck.h>
 
-#include "journal/event_buffer.h"
-#include "journal/journal.h"
+#include "event_log/event_buffer.h"
+#include "event_log/journal.h"
 #include "tests/fakes/manual_clock.h"
 
 using namespace coriandermount;
@@ -15,9 +15,9 @@
 
 job_key keyOf(const std::string& name) { return { { "kellari" }, name, wall_time(std::chrono::milliseconds(1000)) }; }
 
-journal::event eventOf(journal::event_kind kind, const std::string& job)
+event_log::event eventOf(event_log::event_kind kind, const std::string& job)
 {
-    journal::event entry;
+    event_log::event entry;
     entry.kind = kind;
     entry.job = keyOf(job);
     return entry;
@@ -25,12 +25,12 @@
 
 struct small_journal {
     fakes::manual_clock clock;
-    journal::memory_journal journal { clock, { "entry-1" }, smallJournal };
+    event_log::memory_journal journal { clock, { "entry-1" }, smallJournal };
 
     void flood(std::size_t count)
     {
         for (std::size_t index = 0; index < count; ++index)
-            journal.record(eventOf(journal::event_kind::task_placed, fmt::format("flood-{}", index)));
+            journal.record(eventOf(event_log::event_kind::task_placed, fmt::format("flood-{}", index)));
     }
 };
 
@@ -40,7 +40,7 @@
 
 BOOST_FIXTURE_TEST_CASE(gives_back_an_event_with_all_its_fields, small_journal)
 {
-    auto entry = eventOf(journal::event_kind::job_refused, "job-1");
+    auto entry = eventOf(event_log::event_kind::job_refused, "job-1");
     entry.task = 7;
     entry.problem = error_kind::plan_concurrency_exceeded;
     entry.subject = "basic";
@@ -73,14 +73,14 @@
 BOOST_AUTO_TEST_CASE(gives_back_any_texts)
 {
     BOOST_TEST(rc::check([](const std::string& name, const std::string& subject, const std::string& value) {
-        journal::event_buffer buffer(0);
-        auto entry = eventOf(journal::event_kind::task_answered, name.substr(0, 255));
+        event_log::event_buffer buffer(0);
+        auto entry = eventOf(event_log::event_kind::task_answered, name.substr(0, 255));
         entry.subject = subject.substr(0, 255);
         entry.value = value.substr(0, 255);
         entry.sequence = 1;
         buffer.append(entry);
-        std::vector<journal::event> found;
-        journal::scan(buffer.snapshot(), {}, found);
+        std::vector<event_log::event> found;
+        event_log::scan(buffer.snapshot(), {}, found);
         RC_ASSERT(found.size() == 1U);
         RC_ASSERT(found[0].job == entry.job);
         RC_ASSERT(found[0].subject == entry.subject);
@@ -98,20 +98,20 @@
 
 BOOST_FIXTURE_TEST_CASE(drops_the_oldest_detail_and_keeps_faults, small_journal)
 {
-    auto fault = eventOf(journal::event_kind::job_refused, "early");
+    auto fault = eventOf(event_log::event_kind::job_refused, "early");
     fault.problem = error_kind::queue_full;
     journal.record(fault);
-    journal.record(eventOf(journal::event_kind::job_received, "early"));
+    journal.record(eventOf(event_log::event_kind::job_received, "early"));
     flood(50000);
     const auto found = journal.eventsOf(keyOf("early"));
     BOOST_REQUIRE_EQUAL(found.size(), 1U);
-    BOOST_TEST((found[0].kind == journal::event_kind::job_refused));
+    BOOST_TEST((found[0].kind == event_log::event_kind::job_refused));
     BOOST_TEST(journal.eventsOf(keyOf("flood-49999")).size() == 1U);
 }
 
 BOOST_FIXTURE_TEST_CASE(tells_a_reader_how_much_it_missed, small_journal)
 {
-    journal::journal_cursor cursor;
+    event_log::journal_cursor cursor;
     flood(50000);
     const auto first = journal.readNews(cursor, SIZE_MAX);
     BOOST_TEST(first.detail.size() + first.missedDetail == 50000U);
@@ -130,8 +130,8 @@
     flood(3);
     const auto before = journal.eventsSince({}).back().sequence;
     clock.advance(std::chrono::milliseconds(5));
-    journal::memory_journal restarted(clock, { "entry-1" }, smallJournal);
-    restarted.record(eventOf(journal::event_kind::job_received, "later"));
+    event_log::memory_journal restarted(clock, { "entry-1" }, smallJournal);
+    restarted.record(eventOf(event_log::event_kind::job_received, "later"));
     BOOST_TEST(restarted.eventsSince({}).front().sequence > before);
 }
 
--- a/tests/journal/stream_test.cpp
+++ b/tests/event_log/stream_test.cpp
@@ -3,9 +3,9 @@
 #include <fmt/format.h>
 #include <rapidcheck.h>
 
-#include "journal/batch_planner.h"
-#include "journal/event_codec.h"
-#include "journal/stream_reader.h"
+#include "event_log/batch_planner.h"
+#include "event_log/event_codec.h"
+#include "event_log/stream_reader.h"
 #include "tests/fakes/manual_clock.h"
 
 using namespace coriandermount;
@@ -15,23 +15,23 @@
 
 constexpr std::size_t budget = 2000;
 
-journal::event eventOf(journal::event_kind kind, std::uint64_t number)
+event_log::event eventOf(event_log::event_kind kind, std::uint64_t number)
 {
-    journal::event entry;
+    event_log::event entry;
     entry.kind = kind;
     entry.at = wall_time(1796342400000ms + std::chrono::milliseconds(number));
     entry.job = job_key { { "kellari" }, fmt::format("job-{}", number), entry.at - 3ms };
     entry.sequence = number;
-    if (kind == journal::event_kind::job_refused)
+    if (kind == event_log::event_kind::job_refused)
         entry.problem = error_kind::queue_full;
     return entry;
 }
 
-journal::journal_news newsOf(journal::event_kind kind, std::uint64_t first, std::size_t count)
+event_log::journal_news newsOf(event_log::event_kind kind, std::uint64_t first, std::size_t count)
 {
-    journal::journal_news news;
+    event_log::journal_news news;
     for (std::size_t index = 0; index < count; ++index)
-        (kind == journal::event_kind::job_refused ? news.faults : news.detail).push_back(eventOf(kind, first + index));
+        (kind == event_log::event_kind::job_refused ? news.faults : news.detail).push_back(eventOf(kind, first + index));
     return news;
 }
 
@@ -86,18 +86,18 @@
         }
     }
 
-    std::vector<journal::event> readBack()
+    std::vector<event_log::event> readBack()
     {
-        const auto contents = journal::readStream(log, "journal.a", {}, 1s);
+        const auto contents = event_log::readStream(log, "journal.a", {}, 1s);
         BOOST_REQUIRE(contents);
-        std::vector<journal::event> events;
+        std::vector<event_log::event> events;
         for (const auto& batch : contents->batches)
             events.insert(events.end(), batch.events.begin(), batch.events.end());
         return events;
     }
 
     fakes::manual_clock clock;
-    journal::batch_planner planner;
+    event_log::batch_planner planner;
     memory_log log;
     std::size_t bytes = 0;
 };
@@ -109,7 +109,7 @@
 BOOST_AUTO_TEST_CASE(keeps_every_field)
 {
     BOOST_TEST(rc::check([](std::uint16_t number, bool hasJob, const std::vector<std::uint16_t>& texts) {
-        auto entry = eventOf(journal::event_kind::task_answered, number);
+        auto entry = eventOf(event_log::event_kind::task_answered, number);
         if (!hasJob)
             entry.job.reset();
         entry.task = number % 3 == 0 ? std::nullopt : std::optional<std::uint32_t>(number % 260);
@@ -117,7 +117,7 @@
         entry.value = texts.empty() ? "" : fmt::format("\"{}\"", texts.front());
         entry.took = std::chrono::microseconds(number);
         entry.configurationVersion = texts.size();
-        const auto read = journal::decodeEvents(journal::encodeEvents({ entry, entry }), { "entry-1" });
+        const auto read = event_log::decodeEvents(event_log::encodeEvents({ entry, entry }), { "entry-1" });
         RC_ASSERT(read.has_value());
         RC_ASSERT(read->size() == 2U);
         const auto& last = read->back();
@@ -134,9 +134,9 @@
 
 BOOST_AUTO_TEST_CASE(is_refused_when_it_is_broken)
 {
-    BOOST_TEST(!journal::decodeEvents("{\"texts\":[],\"events\":[[9]]}", {}));
-    BOOST_TEST(!journal::decodeEvents("[]", {}));
-    BOOST_TEST(!journal::decodeBatch("{}"));
+    BOOST_TEST(!event_log::decodeEvents("{\"texts\":[],\"events\":[[9]]}", {}));
+    BOOST_TEST(!event_log::decodeEvents("[]", {}));
+    BOOST_TEST(!event_log::decodeBatch("{}"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -145,7 +145,7 @@
 
 BOOST_AUTO_TEST_CASE(holds_everything_while_there_is_little)
 {
-    planner.offer(newsOf(journal::event_kind::task_placed, 1, 20), {});
+    planner.offer(newsOf(event_log::event_kind::task_placed, 1, 20), {});
     pass(4s);
     BOOST_TEST(readBack().size() == 20U);
 }
@@ -154,7 +154,7 @@
 {
     const auto start = clock.now();
     for (std::uint64_t second = 0; second < 300; ++second) {
-        planner.offer(newsOf(journal::event_kind::job_refused, second * 1000 + 1, 1000), {});
+        planner.offer(newsOf(event_log::event_kind::job_refused, second * 1000 + 1, 1000), {});
         pass(1s);
     }
     const auto seconds = std::chrono::duration<double>(clock.now() - start).count();
@@ -166,13 +166,13 @@
 BOOST_AUTO_TEST_CASE(gives_faults_the_way_before_detail)
 {
     for (std::uint64_t second = 0; second < 60; ++second) {
-        planner.offer(newsOf(journal::event_kind::task_placed, second * 1000 + 1, 500), {});
-        planner.offer(newsOf(journal::event_kind::job_refused, second * 1000 + 501, 2), {});
+        planner.offer(newsOf(event_log::event_kind::task_placed, second * 1000 + 1, 500), {});
+        planner.offer(newsOf(event_log::event_kind::job_refused, second * 1000 + 501, 2), {});
         pass(1s);
     }
     pass(10s);
     const auto events = readBack();
-    const auto faults = std::count_if(events.begin(), events.end(), [](const auto& entry) { return journal::isFault(entry); });
+    const auto faults = std::count_if(events.begin(), events.end(), [](const auto& entry) { return event_log::isFault(entry); });
     BOOST_TEST(faults == 120);
     BOOST_TEST(planner.droppedFaults() == 0U);
     BOOST_TEST(planner.droppedDetail() > 0U);
@@ -180,9 +180,9 @@
 
 BOOST_AUTO_TEST_CASE(says_how_much_was_dropped)
 {
-    planner.offer(newsOf(journal::event_kind::job_refused, 1, 5000), {});
+    planner.offer(newsOf(event_log::event_kind::job_refused, 1, 5000), {});
     pass(60s);
-    const auto contents = journal::readStream(log, "journal.a", {}, 1s);
+    const auto contents = event_log::readStream(log, "journal.a", {}, 1s);
     BOOST_REQUIRE(contents);
     std::uint64_t said = 0;
     for (const auto& batch : contents->batches)
@@ -193,16 +193,16 @@
 
 BOOST_AUTO_TEST_CASE(keeps_counts_also_of_what_is_dropped)
 {
-    journal::fault_counts counts;
-    journal::fault_key key;
+    event_log::fault_counts counts;
+    event_log::fault_key key;
     key.customer.value = "kellari";
     for (std::uint64_t second = 0; second < 100; ++second) {
         counts[key] = 1000;
-        planner.offer(newsOf(journal::event_kind::job_refused, second * 1000 + 1, 1000), counts);
+        planner.offer(newsOf(event_log::event_kind::job_refused, second * 1000 + 1, 1000), counts);
         pass(1s);
     }
     pass(20s);
-    const auto contents = journal::readStream(log, "journal.a", {}, 1s);
+    const auto contents = event_log::readStream(log, "journal.a", {}, 1s);
     BOOST_REQUIRE(contents);
     std::uint64_t counted = 0;
     for (const auto& batch : contents->batches) {
@@ -217,10 +217,10 @@
 BOOST_FIXTURE_TEST_CASE(doubles_nothing_when_it_is_read_back, planner_and_log)
 {
     log.loseAnswers = true;
-    planner.offer(newsOf(journal::event_kind::job_refused, 1, 10), {});
+    planner.offer(newsOf(event_log::event_kind::job_refused, 1, 10), {});
     pass(10s);
     log.loseAnswers = false;
-    planner.offer(newsOf(journal::event_kind::job_refused, 11, 10), {});
+    planner.offer(newsOf(event_log::event_kind::job_refused, 11, 10), {});
     pass(10s);
     BOOST_TEST(log.records.size() > 2U);
     const auto events = readBack();
@@ -237,7 +237,7 @@
 {
     log.down = true;
     for (std::uint64_t second = 0; second < 600; ++second) {
-        planner.offer(newsOf(journal::event_kind::job_refused, second * 10 + 1, 2), {});
+        planner.offer(newsOf(event_log::event_kind::job_refused, second * 10 + 1, 2), {});
         pass(1s);
     }
     log.down = false;
@@ -251,11 +251,11 @@
 BOOST_AUTO_TEST_CASE(is_read_back_over_many_pages_up_to_a_time)
 {
     for (std::uint64_t number = 1; number <= 450; ++number) {
-        planner.offer(newsOf(journal::event_kind::job_refused, number, 1), {});
+        planner.offer(newsOf(event_log::event_kind::job_refused, number, 1), {});
         pass(2s);
     }
     BOOST_TEST(readBack().size() == 450U);
-    const auto contents = journal::readStream(log, "journal.a", clock.wallNow() - 60s, 1s);
+    const auto contents = event_log::readStream(log, "journal.a", clock.wallNow() - 60s, 1s);
     BOOST_REQUIRE(contents);
     BOOST_TEST(contents->complete);
     BOOST_TEST(contents->batches.size() <= 31U);
--- a/tests/explain/explain_test.cpp
+++ b/tests/explain/explain_test.cpp
@@ -2,16 +2,16 @@
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
+#include "event_log/explanation.h"
+#include "event_log/rules.h"
 #include "explain/activity.h"
 #include "explain/fault_totals.h"
 #include "explain/limit_changes.h"
 #include "explain/node_status.h"
-#include "journal/explanation.h"
-#include "journal/rules.h"
 
 using namespace coriandermount;
 using namespace std::chrono_literals;
-using journal::event_kind;
+using event_log::event_kind;
 
 namespace {
 
@@ -33,7 +33,7 @@
 public:
     const job_key key { { "kellari" }, "job-1", noon };
 
-    journal::event& add(event_kind kind, std::chrono::microseconds took = 0us, std::chrono::microseconds part = 0us)
+    event_log::event& add(event_kind kind, std::chrono::microseconds took = 0us, std::chrono::microseconds part = 0us)
     {
         auto& entry = events.emplace_back();
         entry.kind = kind;
@@ -46,7 +46,7 @@
         return entry;
     }
 
-    std::vector<journal::event> events;
+    std::vector<event_log::event> events;
 };
 
 } // namespace
@@ -62,7 +62,7 @@
     after.customers[{ "laulukaar" }] = { "basic" };
     const auto changes = explain::limitChanges(before, after);
     BOOST_REQUIRE_EQUAL(changes.size(), 4U);
-    BOOST_TEST(changes[0].rule == journal::rules::planConcurrentTasks);
+    BOOST_TEST(changes[0].rule == event_log::rules::planConcurrentTasks);
     BOOST_TEST(changes[0].limit == "80");
     BOOST_TEST(changes[0].value == "40");
     BOOST_TEST(changes[0].author == "nikos");
@@ -93,7 +93,7 @@
     add(event_kind::task_answered, 10000us, 9000us).task = 0;
     add(event_kind::task_answered, 20000us, 19000us).task = 1;
     add(event_kind::job_answered, 70900us, 100us);
-    const auto time = journal::accountTime(events);
+    const auto time = event_log::accountTime(events);
     BOOST_REQUIRE(time);
     BOOST_TEST(time->claim.count() == 700);
     BOOST_TEST(time->dispatch.count() == 200);
@@ -113,7 +113,7 @@
     add(event_kind::task_placed, 6000us).task = 0;
     add(event_kind::task_answered, 5000us, 4000us).task = 0;
     add(event_kind::job_answered, 11000us);
-    const auto time = journal::accountTime(events);
+    const auto time = event_log::accountTime(events);
     BOOST_TEST(time->queue.count() == 3000);
     BOOST_TEST(time->network.count() == 4000);
     BOOST_TEST(time->worker.count() == 4000);
@@ -126,7 +126,7 @@
     add(event_kind::job_dispatched, 100us);
     add(event_kind::job_admitted);
     add(event_kind::job_answered, 100000us, 50us).problem = error_kind::deadline_passed_before_start;
-    const auto time = journal::accountTime(events);
+    const auto time = event_log::accountTime(events);
     BOOST_TEST(time->queue.count() == 99350);
     BOOST_TEST(time->unaccounted.count() == 0);
 }
@@ -134,7 +134,7 @@
 BOOST_AUTO_TEST_CASE(is_not_told_while_the_job_is_open)
 {
     add(event_kind::job_received);
-    BOOST_TEST(!journal::accountTime(events).has_value());
+    BOOST_TEST(!event_log::accountTime(events).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -147,7 +147,7 @@
     add(event_kind::job_answered, 1000us);
     auto doubled = events;
     doubled.insert(doubled.end(), events.begin(), events.end());
-    const auto found = journal::explain(key, doubled, {}, {});
+    const auto found = event_log::explain(key, doubled, {}, {});
     BOOST_REQUIRE(found);
     BOOST_TEST(found->steps.size() == 2U);
     BOOST_TEST((found->result == outcome::done));
@@ -158,26 +158,26 @@
     auto& refused = add(event_kind::job_refused);
     refused.problem = error_kind::plan_concurrency_exceeded;
     refused.subject = "basic";
-    refused.rule = journal::rules::planConcurrentTasks;
+    refused.rule = event_log::rules::planConcurrentTasks;
     refused.limit = "40";
     refused.value = "41";
     add(event_kind::job_answered, 1000us).problem = error_kind::plan_concurrency_exceeded;
-    journal::event change;
+    event_log::event change;
     change.kind = event_kind::limit_changed;
     change.at = noon - 14s;
     change.subject = "basic";
-    change.rule = journal::rules::planConcurrentTasks;
+    change.rule = event_log::rules::planConcurrentTasks;
     change.limit = "80";
     change.value = "40";
     change.author = "nikos";
     change.configurationVersion = 812;
-    journal::evidence known;
+    event_log::evidence known;
     known.add(change);
-    const auto found = journal::explain(key, events, known, {});
+    const auto found = event_log::explain(key, events, known, {});
     BOOST_REQUIRE(found);
     BOOST_REQUIRE(found->fault);
     BOOST_TEST((found->fault->responsible() == party::operators));
-    const auto text = journal::explanationText(*found);
+    const auto text = event_log::explanationText(*found);
     BOOST_TEST(text.find("operator nikos changed plan.concurrent_tasks of \"basic\" from 80 to 40 in version 812, 14 s before")
         != std::string::npos);
     BOOST_TEST(text.find("with plan.concurrent_tasks at 80 the work would have been admitted") != std::string::npos);
@@ -185,7 +185,7 @@
 
 BOOST_AUTO_TEST_CASE(of_an_unknown_job_says_where_was_looked)
 {
-    const auto found = journal::explain(key, {}, {}, { { "entry-1" }, { "entry-1" }, { "entry-2" }, { "journal.a" }, {} });
+    const auto found = event_log::explain(key, {}, {}, { { "entry-1" }, { "entry-1" }, { "entry-2" }, { "journal.a" }, {} });
     BOOST_REQUIRE(!found);
     BOOST_TEST(found.error().detail.find("1 VMs did not answer") != std::string::npos);
 }
@@ -194,8 +194,8 @@
 {
     for (std::uint32_t task = 0; task < 260; ++task)
         add(event_kind::task_placed, 1us).task = task;
-    const auto found = journal::explain(key, events, {}, {});
-    BOOST_TEST(journal::explanationText(*found).find("... 200 more") != std::string::npos);
+    const auto found = event_log::explain(key, events, {}, {});
+    BOOST_TEST(event_log::explanationText(*found).find("... 200 more") != std::string::npos);
     BOOST_TEST(found->steps.size() == 260U);
 }
 
@@ -232,8 +232,8 @@
     status.demand = std::make_shared<const quota::demand>();
     status.shares = std::make_shared<const quota::share_snapshot>();
     status.seconds = { { noon, 5, 4, 1, 0, 2 }, { noon + 1s, 50, 40, 1, 0, 20 } };
-    journal::fault_key key;
-    key.rule = journal::attribution_rule::worker_fails_all;
+    event_log::fault_key key;
+    key.rule = event_log::attribution_rule::worker_fails_all;
     status.faults[key] = 12;
     const auto page = explain::statusPage(status);
     BOOST_TEST(page.find("<script>") == std::string::npos);
@@ -245,12 +245,12 @@
 
 BOOST_AUTO_TEST_CASE(sums_faults_by_party_and_tells_the_own_share)
 {
-    journal::fault_counts counts;
-    journal::fault_key key;
-    key.rule = journal::attribution_rule::own_fault;
+    event_log::fault_counts counts;
+    event_log::fault_key key;
+    key.rule = event_log::attribution_rule::own_fault;
     key.customer.value = "kellari";
     counts[key] = 1;
-    key.rule = journal::attribution_rule::demand_above_plan;
+    key.rule = event_log::attribution_rule::demand_above_plan;
     counts[key] = 3;
     const auto sums = explain::addUp(counts);
     BOOST_TEST(sums.all == 4U);
--- a/tests/fakes/busy_fleet.cpp
+++ b/tests/fakes/busy_fleet.cpp
@@ -91,9 +91,9 @@
     std::set<std::string> ejected;
     std::size_t most = 0;
     for (const auto& entry : driver.journal) {
-        if (entry.kind == journal::event_kind::worker_ejected)
+        if (entry.kind == event_log::event_kind::worker_ejected)
             ejected.insert(entry.subject);
-        else if (entry.kind == journal::event_kind::worker_readmitted)
+        else if (entry.kind == event_log::event_kind::worker_readmitted)
             ejected.erase(entry.subject);
         most = std::max(most, ejected.size());
     }
--- a/tests/fakes/engine_driver.h
+++ b/tests/fakes/engine_driver.h
@@ -50,7 +50,7 @@
     std::vector<dispatch::start_task> starts;
     std::vector<dispatch::stop_task> stops;
     std::vector<dispatch::finish_job> finished;
-    std::vector<journal::event> journal;
+    std::vector<event_log::event> journal;
     std::vector<quota::demand> demands;
     /// Starts that were not answered yet.
     std::map<lease_id, dispatch::start_task> open;
