--- a/cells/beat.cpp
+++ b/cells/beat.cpp
@@ -7,19 +7,50 @@
 
 using json = nlohmann::json;
 
-std::string encode(const beat& current)
-{
-    json fields = json::array({ current.sender.value, current.boot, current.epoch, current.ownedEpoch,
-        current.ownerSilence ? current.ownerSilence->count() : -1, current.draining, current.storeReachable });
-    if (current.load) {
+namespace {
+
+    json encodeView(const cell_view& view)
+    {
+        json fields = json::array(
+            { view.cell, view.epoch, view.owned, view.ownerSilence ? view.ownerSilence->count() : std::int64_t { -1 } });
+        if (!view.load)
+            return fields;
         json waits = json::array();
-        for (const auto wait : current.load->waitByPriority)
+        for (const auto wait : view.load->waitByPriority)
             waits.push_back(wait.count());
         fields.push_back(std::move(waits));
-        fields.push_back(current.load->pendingByQueue);
+        fields.push_back(view.load->pendingByQueue);
+        return fields;
+    }
+
+    cell_view decodeView(const json& fields)
+    {
+        constexpr std::size_t fieldsWithLoad = 6;
+        cell_view view;
+        view.cell = fields.at(0);
+        view.epoch = fields.at(1);
+        view.owned = fields.at(2);
+        if (const auto silence = fields.at(3).get<std::int64_t>(); silence >= 0)
+            view.ownerSilence = std::chrono::milliseconds(silence);
+        if (fields.size() < fieldsWithLoad)
+            return view;
+        view.load.emplace();
+        for (const auto& wait : fields.at(4))
+            view.load->waitByPriority.emplace_back(wait.get<std::int64_t>());
+        view.load->pendingByQueue = fields.at(5).get<std::map<std::string, std::uint32_t>>();
+        return view;
     }
+
+} // namespace
+
+std::string encode(const beat& current)
+{
+    json views = json::array();
+    for (const auto& view : current.cells)
+        views.push_back(encodeView(view));
     std::string packed;
-    json::to_msgpack(fields, packed);
+    json::to_msgpack(
+        json::array({ current.sender.value, current.boot, current.draining, current.storeReachable, std::move(views) }), packed);
     return packed;
 }
 
@@ -27,21 +58,9 @@
 {
     try {
         const json fields = json::from_msgpack(datagram);
-        beat current;
-        current.sender.value = fields.at(0);
-        current.boot = fields.at(1);
-        current.epoch = fields.at(2);
-        current.ownedEpoch = fields.at(3);
-        if (const auto silence = fields.at(4).get<std::int64_t>(); silence >= 0)
-            current.ownerSilence = std::chrono::milliseconds(silence);
-        current.draining = fields.at(5);
-        current.storeReachable = fields.at(6);
-        if (fields.size() > 8) {
-            current.load.emplace();
-            for (const auto& wait : fields.at(7))
-                current.load->waitByPriority.emplace_back(wait.get<std::int64_t>());
-            current.load->pendingByQueue = fields.at(8).get<std::map<std::string, std::uint32_t>>();
-        }
+        beat current { { fields.at(0) }, fields.at(1), fields.at(2), fields.at(3), {} };
+        for (const auto& view : fields.at(4))
+            current.cells.push_back(decodeView(view));
         return current;
     } catch (const json::exception& problem) {
         return fail(error_kind::malformed_request, fmt::format("a beat can't be read: {}", problem.what()));
--- a/cells/beat.h
+++ b/cells/beat.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "cells/cell_owner.h"
 #include "core/error.h"
@@ -12,21 +13,30 @@
 
 namespace coriandermount::cells {
 
+/// Number of a cell; the same on all VMs.
+using cell_number = std::uint32_t;
+
+/// What a VM knows of one cell.
+struct cell_view {
+    cell_number cell = 0;
+    /// Highest epoch that the VM knows of.
+    std::uint64_t epoch = 0;
+    /// The VM owns the cell in that epoch.
+    bool owned = false;
+    /// Time since the VM heard the owner; nothing when it never did.
+    std::optional<std::chrono::milliseconds> ownerSilence;
+    /// Set by the owner.
+    std::optional<cell_load> load;
+};
+
 struct beat {
     vm_id sender;
     /// Tells the lives of a VM apart.
     std::uint64_t boot = 0;
-    /// Highest epoch that the sender knows of.
-    std::uint64_t epoch = 0;
-    /// Epoch that the sender owns the cell in; 0 when it does not own it.
-    std::uint64_t ownedEpoch = 0;
-    /// Time since the sender heard the owner of `epoch`; nothing when it never did.
-    std::optional<std::chrono::milliseconds> ownerSilence;
     bool draining = false;
     /// The store has answered the sender lately.
     bool storeReachable = false;
-    /// Set by the owner.
-    std::optional<cell_load> load;
+    std::vector<cell_view> cells;
 };
 
 std::string encode(const beat& current);
--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -12,25 +12,21 @@
 
 namespace {
 
-    /// Time between beats of the owner, and of the other VMs.
-    constexpr std::chrono::milliseconds ownerBeatInterval { 100 };
-    constexpr std::chrono::milliseconds beatInterval { 200 };
     /// Pause before a failed write is repeated.
     constexpr std::chrono::milliseconds writeRetry { 200 };
-    /// Age after which a load that was heard is no longer acted upon.
-    constexpr std::chrono::milliseconds loadLimit { 1000 };
 
 } // namespace
 
 struct cell_member::data : jobs::record_listener, std::enable_shared_from_this<cell_member::data> {
     jobs::record_store& store;
-    beat_link& link;
     const clock_source& clock;
     cell_owner& owner;
     worker_directory& workers;
     jobs::record_stream stream;
-    vm_registration self;
+    vm_id self;
+    std::uint64_t boot;
     ownership_settings settings;
+    std::function<void()> changed;
 
     mutable std::mutex mutex;
     std::vector<std::function<void()>> outbox;
@@ -38,30 +34,26 @@
     std::unique_ptr<jobs::record_tail> tail;
     std::uint64_t end = 0;
     bool wasOwner = false;
-    bool registered = false;
     bool writeInFlight = false;
     time_point nextWrite;
     time_point nextRecord;
-    time_point nextBeat;
     std::uint64_t aliveSequence = 0;
     bool releaseWanted = false;
     /// The claim followed a release of the previous owner.
     bool claimedAfterRelease = false;
-    cell_load heardLoad;
-    time_point loadAt;
+    bool draining = false;
 
-    data(jobs::record_store& target, beat_link& beats, const clock_source& time, cell_owner& controlled, worker_directory& directory,
-        jobs::record_stream source, vm_registration registration, ownership_settings limits)
+    data(jobs::record_store& target, const clock_source& time, cell_owner& controlled, worker_directory& directory,
+        jobs::record_stream source, cell_number cell, vm_id vm, std::uint64_t bootNumber, ownership_settings limits)
         : store(target)
-        , link(beats)
         , clock(time)
         , owner(controlled)
         , workers(directory)
         , stream(std::move(source))
-        , self(std::move(registration))
+        , self(std::move(vm))
+        , boot(bootNumber)
         , settings(limits)
-        , state(self.id, self.boot, limits, time.now())
-        , loadAt(time.now())
+        , state(cell, self, boot, limits, time.now())
     {
     }
 
@@ -83,11 +75,14 @@
     void onContactLost(const error& problem) override;
     void apply(const jobs::record& current);
     void tick(time_point now);
+    void tellChange() const
+    {
+        if (changed)
+            changed();
+    }
     void followOwnership();
-    void sendBeats(time_point now);
     void writeDue(time_point now);
     void write(jobs::append_request request, std::function<void(const result<std::uint64_t>&)> done);
-    void registerVm();
     void claim();
     void writeAlive(time_point now);
     void release();
@@ -124,13 +119,6 @@
 {
     const auto now = clock.now();
     end = std::max(end, current.offset + 1);
-    if (current.key.starts_with(vmRecordPrefix)) {
-        if (!current.value)
-            state.onVmRemoved({ current.key.substr(vmRecordPrefix.size()) });
-        else if (const auto registration = decodeVm(*current.value))
-            state.onVm(*registration);
-        return;
-    }
     if (!current.value)
         return;
     if (current.key == ownerRecordKey) {
@@ -158,6 +146,7 @@
         outbox.emplace_back([self = shared_from_this()] {
             self->workers.stop();
             self->owner.stepDown();
+            self->tellChange();
         });
         return;
     }
@@ -166,32 +155,7 @@
     outbox.emplace_back([self = shared_from_this(), term] {
         self->owner.takeOver(term);
         self->workers.start();
-    });
-}
-
-void cell_member::data::sendBeats(time_point now)
-{
-    if (now < nextBeat)
-        return;
-    const bool owns = state.isOwner();
-    nextBeat = now + (owns ? ownerBeatInterval : beatInterval);
-    beat current = state.ownBeat(now);
-    std::vector<std::string> addresses;
-    for (const auto& [id, registration] : state.vms()) {
-        if (id != self.id)
-            addresses.push_back(registration.address);
-    }
-    outbox.emplace_back([self = shared_from_this(), current, owns, addresses = std::move(addresses)]() mutable {
-        if (owns)
-            current.load = self->owner.load();
-        const std::string datagram = encode(current);
-        for (const auto& address : addresses)
-            self->link.send(address, datagram);
-        if (owns)
-            self->locked([&] {
-                self->heardLoad = *current.load;
-                self->loadAt = self->clock.now();
-            });
+        self->tellChange();
     });
 }
 
@@ -211,16 +175,9 @@
     });
 }
 
-void cell_member::data::registerVm()
-{
-    jobs::append_request request;
-    request.records.push_back({ std::string(vmRecordPrefix) + self.id.value, encodeVm(self), 0 });
-    write(std::move(request), [this](const result<std::uint64_t>& answer) { registered = answer.has_value(); });
-}
-
 void cell_member::data::claim()
 {
-    const owner_record record { state.epoch() + 1, self.id, self.boot, false };
+    const owner_record record { state.epoch() + 1, self, boot, false };
     claimedAfterRelease = state.owner() && state.owner()->released;
     jobs::append_request request;
     request.records.push_back({ std::string(ownerRecordKey), encodeOwnerRecord(record), 0 });
@@ -231,7 +188,8 @@
     write(std::move(request), [](const result<std::uint64_t>& answer) {
         // The claim counts once it is read back; a lost answer needs no other treatment.
         if (!answer)
-            writeLog(log_level::info, "member", "the claim was not answered with success", { { "detail", answer.error().detail } });
+            writeLog(
+                log_level::info, "member", "the claim was not answered with success", { { "detail", answer.error().detail } });
     });
 }
 
@@ -260,7 +218,7 @@
         self->workers.stop();
         self->owner.stepDown();
     });
-    write(std::move(request), [](const result<std::uint64_t>&) { });
+    write(std::move(request), [](const result<std::uint64_t>&) {});
 }
 
 void cell_member::data::writeDue(time_point now)
@@ -276,9 +234,7 @@
                 self->owner.resume();
         });
     }
-    if (!registered)
-        registerVm();
-    else if (advice == ownership_advice::claim)
+    if (advice == ownership_advice::claim)
         claim();
     else if (releaseWanted && state.isOwner())
         release();
@@ -289,7 +245,6 @@
 void cell_member::data::tick(time_point now)
 {
     followOwnership();
-    sendBeats(now);
     writeDue(now);
     outbox.emplace_back([self = shared_from_this(), now] {
         self->tail->tick(now);
@@ -297,9 +252,9 @@
     });
 }
 
-cell_member::cell_member(jobs::record_store& store, beat_link& link, const clock_source& clock, cell_owner& owner,
-    worker_directory& workers, jobs::record_stream stream, vm_registration self, ownership_settings settings)
-    : m_data(std::make_shared<data>(store, link, clock, owner, workers, std::move(stream), std::move(self), settings))
+cell_member::cell_member(jobs::record_store& store, const clock_source& clock, cell_owner& owner, worker_directory& workers,
+    jobs::record_stream stream, cell_number cell, vm_id self, std::uint64_t boot, ownership_settings settings)
+    : m_data(std::make_shared<data>(store, clock, owner, workers, std::move(stream), cell, std::move(self), boot, settings))
 {
     m_data->tail = std::make_unique<jobs::record_tail>(store, clock, m_data->stream, *m_data);
 }
@@ -315,19 +270,11 @@
     m_data->locked([&] { m_data->tick(m_data->clock.now()); });
 }
 
-void cell_member::onDatagram(const std::string& datagram)
+void cell_member::onBeat(const beat& current)
 {
-    const auto current = decodeBeat(datagram);
-    if (!current)
-        return;
     m_data->locked([&] {
-        const auto now = m_data->clock.now();
-        m_data->state.onBeat(*current, now);
+        m_data->state.onBeat(current, m_data->clock.now());
         m_data->followOwnership();
-        if (!current->load)
-            return;
-        m_data->heardLoad = *current->load;
-        m_data->loadAt = now;
     });
 }
 
@@ -335,6 +282,7 @@
 {
     m_data->locked([&] {
         m_data->state.drain();
+        m_data->draining = true;
         m_data->releaseWanted = true;
     });
 }
@@ -345,16 +293,23 @@
     return m_data->state.isOwner();
 }
 
-bool cell_member::ownerKnown() const
+bool cell_member::isDraining() const
 {
     const std::scoped_lock lock(m_data->mutex);
-    return m_data->state.isOwner() || !m_data->state.ownerAddress().empty();
+    return m_data->draining;
 }
 
-std::string cell_member::ownerAddress() const
+vm_id cell_member::ownerVm() const
 {
     const std::scoped_lock lock(m_data->mutex);
-    return m_data->state.ownerAddress();
+    const auto& owner = m_data->state.owner();
+    return owner && !owner->released ? owner->owner : vm_id {};
+}
+
+void cell_member::onChange(std::function<void()> changed)
+{
+    const std::scoped_lock lock(m_data->mutex);
+    m_data->changed = std::move(changed);
 }
 
 bool cell_member::storeReachable() const
@@ -363,10 +318,16 @@
     return m_data->state.storeReachable(m_data->clock.now());
 }
 
-cell_load cell_member::load() const
+cell_view cell_member::view() const
 {
-    const std::scoped_lock lock(m_data->mutex);
-    return m_data->clock.now() - m_data->loadAt < loadLimit ? m_data->heardLoad : cell_load {};
+    cell_view current;
+    {
+        const std::scoped_lock lock(m_data->mutex);
+        current = m_data->state.view(m_data->clock.now());
+    }
+    if (current.owned)
+        current.load = m_data->owner.load();
+    return current;
 }
 
 } // namespace coriandermount::cells
--- a/cells/cell_member.h
+++ b/cells/cell_member.h
@@ -1,4 +1,4 @@
-/// Takes part in one cell: registers this VM, watches the owner, and becomes the owner when it is due.
+/// Takes part in one cell: watches its owner, and becomes the owner when it is due.
 #pragma once
 
 #include <functional>
@@ -12,13 +12,6 @@
 
 namespace coriandermount::cells {
 
-/// Sends datagrams to other VMs; losses are not reported.
-class beat_link {
-public:
-    virtual ~beat_link() = default;
-    virtual void send(const std::string& address, const std::string& datagram) = 0;
-};
-
 /// Hands the workers of the cell to the owner while it is started.
 class worker_directory {
 public:
@@ -32,8 +25,8 @@
 class cell_member {
 public:
     /// All arguments outlive the member.
-    cell_member(jobs::record_store& store, beat_link& link, const clock_source& clock, cell_owner& owner,
-        worker_directory& workers, jobs::record_stream stream, vm_registration self, ownership_settings settings = {});
+    cell_member(jobs::record_store& store, const clock_source& clock, cell_owner& owner, worker_directory& workers,
+        jobs::record_stream stream, cell_number cell, vm_id self, std::uint64_t boot, ownership_settings settings = {});
     ~cell_member();
 
     cell_member(const cell_member&) = delete;
@@ -43,18 +36,20 @@
     void stop();
     /// Carries out what is due. Called every few tens of milliseconds.
     void tick();
-    void onDatagram(const std::string& datagram);
+    void onBeat(const beat& current);
 
     /// Stops claiming, and hands the cell over if this VM owns it.
     void drain();
 
+    /// Called when this VM begins or ends to own the cell.
+    void onChange(std::function<void()> changed);
+
     bool isOwner() const;
-    /// Whether the cell has an owner that this VM can name.
-    bool ownerKnown() const;
-    std::string ownerAddress() const;
+    bool isDraining() const;
+    /// VM that owns the cell; empty when there is none.
+    vm_id ownerVm() const;
     bool storeReachable() const;
-    /// Load of the cell as last heard from its owner.
-    cell_load load() const;
+    cell_view view() const;
 
 private:
     struct data;
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -4,8 +4,8 @@
 
 namespace coriandermount::cells {
 
-cell_owner::cell_owner(jobs::record_store& store, worker_link& link, const clock_source& clock, jobs::record_stream stream,
-    cell_settings settings)
+cell_owner::cell_owner(
+    jobs::record_store& store, worker_link& link, const clock_source& clock, jobs::record_stream stream, cell_settings settings)
     : m_data(std::make_shared<data>(store, link, clock, std::move(stream), settings))
 {
 }
@@ -28,6 +28,9 @@
 {
     if (phase != owner_phase::idle)
         writeLog(log_level::info, "cell", "steps down", { { "epoch", fmt::to_string(term.epoch) } });
+    failWaiters("the term has ended");
+    endedRuns.clear();
+    orphanEnds.clear();
     ++termNumber;
     phase = owner_phase::idle;
     paused = false;
@@ -108,6 +111,7 @@
         return;
     holdWorkers(now);
     schedule(now);
+    checkRuns(now);
     prepareFlush(now);
     sendFlush(now);
 }
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cells/cell_settings.h"
+#include "cells/job_book.h"
 #include "cells/worker_link.h"
 #include "core/clock.h"
 #include "jobs/record_codec.h"
@@ -73,6 +74,10 @@
     /// Carries out what is due. Called every few tens of milliseconds.
     void tick();
 
+    /// Runs a job that is not stored. Completes with its final state, with `owner_unknown` when the term ends before, with
+    /// `overloaded` when no task could start in time, and with `deadline_passed_while_running`.
+    void run(jobs::run_request request, job_completion done);
+
     /// State of a job, `job_unknown`, or `owner_unknown` while the records are not replayed.
     result<jobs::job_state> state(const std::string& jobId) const;
     bool isServing() const;
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -70,6 +70,11 @@
     /// Stored lists of finished jobs with the time after which they are dropped.
     std::multimap<time_point, std::string> finishedKeys;
 
+    /// Jobs that are not stored and have ended.
+    std::vector<std::string> endedRuns;
+    /// Tasks that ended before their job was handed in again.
+    std::map<std::string, std::vector<task_key>> orphanEnds;
+
     cell_figures figures;
 
     data(jobs::record_store& target, worker_link& orders, const clock_source& time, jobs::record_stream source,
@@ -125,6 +130,14 @@
     void sendFlush(time_point now);
     void onFlush(const result<std::uint64_t>& answer);
 
+    // Jobs that are not stored: cell_owner_runs.cpp.
+    void run(jobs::run_request request, job_completion done);
+    void addRun(jobs::run_request request, job_completion done, time_point now);
+    void attachOrphans(open_job& job);
+    void answer(open_job& job, const result<jobs::job_state>& result);
+    void checkRuns(time_point now);
+    void failWaiters(std::string_view reason);
+
     // Jobs: cell_owner_jobs.cpp.
     void enqueue(const open_job& job);
     void requeue(const task_key& key, const worker_id& from, std::uint64_t attempt);
@@ -143,23 +156,23 @@
     void removeWorker(const worker_id& id);
     void dropRuns(worker_session& session);
     void start(open_job& job, const task_key& key, worker_session& session, time_point now);
-    void onStart(const worker_id& id, const task_key& key, std::uint64_t attempt,
-        const tl::expected<order_answer, order_failure>& answer);
-    void onStartRefused(worker_session& session, const task_key& key, run& current, order_failure failure, time_point now);
+    void onStart(
+        const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer);
+    void onStartRefused(worker_session& session, const task_key& key, worker_run& current, order_failure failure, time_point now);
     void stopRun(worker_session& session, const task_key& key, time_point now);
-    void onStop(const worker_id& id, const task_key& key, std::uint64_t attempt,
-        const tl::expected<order_answer, order_failure>& answer);
+    void onStop(
+        const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer);
     void holdWorkers(time_point now);
     void hold(worker_session& session, time_point now);
-    void onHold(const worker_id& id, std::int64_t bornAt, time_point sentAt,
-        const tl::expected<hold_answer, order_failure>& answer);
+    void onHold(
+        const worker_id& id, std::int64_t bornAt, time_point sentAt, const tl::expected<hold_answer, order_failure>& answer);
     void onHoldFailed(worker_session& session, order_failure failure, time_point now);
     void applyHold(worker_session& session, time_point sentAt, const hold_answer& answer, time_point now);
     void applyEnd(worker_session& session, const ended_task& ended, time_point now);
     void applyRunning(worker_session& session, const running_task& listed, time_point now);
     void adopt(worker_session& session, const running_task& listed, time_point now);
     void dropUnlisted(worker_session& session, time_point sentAt, const hold_answer& answer, time_point now);
-    void checkProgress(worker_session& session, const task_key& key, run& current, time_point now);
+    void checkProgress(worker_session& session, const task_key& key, worker_run& current, time_point now);
 };
 
 } // namespace coriandermount::cells
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -104,10 +104,15 @@
                 stopRun(session->second, { job.accepted.work.id, 0, step, index }, now);
         }
     }
+    if (job.accepted.work.answeredAtEnd && !job.waiters.empty())
+        answer(job, state);
     const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - job.arrivedAt);
     writeLog(log_level::info, "cell", "a job has ended",
         { { "job", job.accepted.work.id }, { "queue", job.accepted.work.queue },
-            { "state", state == jobs::job_state::completed ? "completed" : state == jobs::job_state::failed ? "failed" : "cancelled" },
+            { "state",
+                state == jobs::job_state::completed    ? "completed"
+                    : state == jobs::job_state::failed ? "failed"
+                                                       : "cancelled" },
             { "took_ms", fmt::to_string(took.count()) }, { "objective_ms", fmt::to_string(job.accepted.objective.count()) } });
 }
 
@@ -115,19 +120,16 @@
 {
     if (settled)
         return true;
-    const bool allListed = workersKnown
-        && std::all_of(sessions.begin(), sessions.end(), [](const auto& entry) { return entry.second.listed; });
-    const auto leaseLimit = std::chrono::milliseconds(static_cast<std::int64_t>(
-        static_cast<double>(settings.maxLease.count()) / (1.0 - maxClockDrift)));
+    const bool allListed
+        = workersKnown && std::all_of(sessions.begin(), sessions.end(), [](const auto& entry) { return entry.second.listed; });
+    const auto leaseLimit = std::chrono::milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(settings.maxLease.count()) / (1.0 - maxClockDrift)));
     const auto limit = leaseLimit + (term.previousOwnerStopped ? holdSlack : previousOwnerLimit);
     settled = allListed || now >= takenOverAt + limit;
     return settled;
 }
 
-bool cell_owner::data::mayStart(const open_job& job, time_point now)
-{
-    return job.offset > markOffset || isSettled(now);
-}
+bool cell_owner::data::mayStart(const open_job& job, time_point now) { return job.offset > markOffset || isSettled(now); }
 
 void cell_owner::data::schedule(time_point now)
 {
@@ -214,7 +216,8 @@
         if (!job || job->ended)
             continue;
         for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
-            const double work = coreMilliseconds(job->accepted.work.steps[step]) * static_cast<double>(job->steps[step].waiting.size());
+            const double work
+                = coreMilliseconds(job->accepted.work.steps[step]) * static_cast<double>(job->steps[step].waiting.size());
             for (std::uint32_t level = std::min(priority, reportedPriorities - 1); level < reportedPriorities; ++level)
                 waiting[level] += work;
         }
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -52,8 +52,8 @@
         std::vector<const jobs::record*> ordered;
         for (const auto& current : records)
             ordered.push_back(&current);
-        std::stable_sort(ordered.begin(), ordered.end(),
-            [](const auto* a, const auto* b) { return replayOrder(*a) < replayOrder(*b); });
+        std::stable_sort(
+            ordered.begin(), ordered.end(), [](const auto* a, const auto* b) { return replayOrder(*a) < replayOrder(*b); });
         for (const auto* current : ordered) {
             if (phase == owner_phase::idle)
                 return;
@@ -214,7 +214,7 @@
     finished.at = clock.wallNow();
     bool complete = true;
     for (auto& [id, job] : book.open()) {
-        if (!job.ended && !job.dirty)
+        if (job.accepted.work.answeredAtEnd || (!job.ended && !job.dirty))
             continue;
         if (request.records.size() >= maxFlushedRecords) {
             complete = false;
--- /dev/null
+++ b/cells/cell_owner_runs.cpp
@@ -0,0 +1,148 @@
+#include "cells/cell_owner_data.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <fmt/format.h>
+
+namespace coriandermount::cells {
+
+namespace {
+
+    /// Offset of jobs that no earlier owner has seen.
+    constexpr std::uint64_t newestOffset = std::numeric_limits<std::uint64_t>::max();
+
+    /// Latest useful first start: later ones end late, or are priced as held back.
+    std::chrono::milliseconds usefulWait(const jobs::accepted_job& accepted, std::chrono::milliseconds chain)
+    {
+        const auto share = std::chrono::milliseconds(
+            static_cast<std::int64_t>(static_cast<double>(accepted.objective.count()) * maxWaitShare));
+        return std::min(share, accepted.objective - chain);
+    }
+
+} // namespace
+
+void cell_owner::data::run(jobs::run_request request, job_completion done)
+{
+    const auto now = clock.now();
+    const std::string& id = request.accepted.work.id;
+    if (!givesOrders()) {
+        outbox.emplace_back([done = std::move(done)] { done(fail(error_kind::owner_unknown, "this VM does not own the cell")); });
+        return;
+    }
+    if (book.isFinished(id)) {
+        outbox.emplace_back([done = std::move(done), state = *book.state(id)] { done(state); });
+        return;
+    }
+    open_job* known = book.find(id);
+    if (known && known->ended) {
+        outbox.emplace_back([done = std::move(done), state = *known->ended] { done(state); });
+        return;
+    }
+    if (known) {
+        known->waiters.push_back(std::move(done));
+        known->giveUpAt = std::max(known->giveUpAt, now + request.timeLeft);
+        return;
+    }
+    addRun(std::move(request), std::move(done), now);
+    schedule(now);
+}
+
+void cell_owner::data::addRun(jobs::run_request request, job_completion done, time_point now)
+{
+    const auto chain = jobs::longestChain(request.accepted.work);
+    const auto wait = usefulWait(request.accepted, chain);
+    const std::uint64_t offset = request.again ? 0 : newestOffset;
+    open_job* job = book.accept(std::move(request.accepted), offset, now);
+    job->waiters.push_back(std::move(done));
+    job->startBy = now + wait;
+    job->giveUpAt = now + request.timeLeft;
+    if (request.again)
+        attachOrphans(*job);
+    enqueue(*job);
+}
+
+void cell_owner::data::attachOrphans(open_job& job)
+{
+    const std::string id = job.accepted.work.id;
+    if (const auto ended = orphanEnds.find(id); ended != orphanEnds.end()) {
+        const auto tasks = std::move(ended->second);
+        orphanEnds.erase(ended);
+        for (const auto& key : tasks) {
+            if (job.contains(key) && !job.ended)
+                completeTask(job, key, {});
+        }
+    }
+    for (auto& [worker, session] : sessions) {
+        for (auto& [key, current] : session.runs()) {
+            if (key.jobId != id || !current.orphaned || !job.contains(key) || job.task(key).phase != task_phase::waiting)
+                continue;
+            current.orphaned = false;
+            task_state& task = job.task(key);
+            std::erase(job.steps[key.step].waiting, key.index);
+            task.phase = task_phase::placed;
+            task.runsOn = worker;
+            task.attempt = std::max(task.attempt, current.attempt);
+            job.started = true;
+        }
+    }
+}
+
+void cell_owner::data::answer(open_job& job, const result<jobs::job_state>& result)
+{
+    for (auto& waiter : job.waiters)
+        outbox.emplace_back([done = std::move(waiter), result] { done(result); });
+    job.waiters.clear();
+    endedRuns.push_back(job.accepted.work.id);
+}
+
+void cell_owner::data::checkRuns(time_point now)
+{
+    for (auto& [id, job] : book.open()) {
+        if (!job.accepted.work.answeredAtEnd || job.ended)
+            continue;
+        if (!job.started && now > job.startBy) {
+            writeLog(log_level::info, "cell", "a job is refused",
+                { { "job", id }, { "reason", "no room in time" },
+                    { "waited_ms",
+                        fmt::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - job.arrivedAt).count()) } });
+            // An earlier owner may have started a job that is handed in again.
+            const bool fresh = job.offset == newestOffset;
+            answer(job,
+                fresh ? fail(error_kind::overloaded, "no worker had room in time")
+                      : fail(error_kind::deadline_passed_while_running, "no worker had room in time"));
+            endJob(job, jobs::job_state::cancelled);
+        } else if (now > job.giveUpAt) {
+            answer(job, fail(error_kind::deadline_passed_while_running, "the caller no longer waits"));
+            endJob(job, jobs::job_state::cancelled);
+        }
+    }
+    for (const auto& id : endedRuns) {
+        const open_job* job = book.find(id);
+        if (job && job->ended == jobs::job_state::cancelled)
+            book.erase(id);
+        else if (job)
+            book.finish(id, *job->ended, now - settings.finishedRetention + unstoredRetention);
+    }
+    endedRuns.clear();
+    if (now > takenOverAt + previousOwnerLimit)
+        orphanEnds.clear();
+    book.expire(now - settings.finishedRetention);
+}
+
+void cell_owner::data::failWaiters(std::string_view reason)
+{
+    for (auto& [id, job] : book.open()) {
+        for (auto& waiter : job.waiters)
+            outbox.emplace_back(
+                [done = std::move(waiter), detail = std::string(reason)] { done(fail(error_kind::owner_unknown, detail)); });
+        job.waiters.clear();
+    }
+}
+
+void cell_owner::run(jobs::run_request request, job_completion done)
+{
+    m_data->locked([&] { m_data->run(std::move(request), std::move(done)); });
+}
+
+} // namespace coriandermount::cells
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -11,8 +11,8 @@
     /// Attempts of one epoch; those of the next epoch are all higher.
     constexpr std::uint64_t attemptsPerEpoch = 100000;
 
-    void logOrder(std::string_view message, const task_key& key, std::uint64_t attempt, const worker_id& worker,
-        std::string_view outcome)
+    void logOrder(
+        std::string_view message, const task_key& key, std::uint64_t attempt, const worker_id& worker, std::string_view outcome)
     {
         writeLog(log_level::info, "cell", message,
             { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
@@ -74,7 +74,7 @@
     job.started = true;
     ++figures.starts;
 
-    run added;
+    worker_run added;
     added.attempt = task.attempt;
     added.need = step.need;
     added.estimate = step.estimate;
@@ -86,8 +86,8 @@
     start_order order { key, task.attempt, job.accepted.work.payload, session.extendLease(settings.maxLease, now), term.epoch,
         task.checkpoint };
     outbox.emplace_back([self = shared_from_this(), worker, order = std::move(order), number = termNumber] {
-        self->link.start(worker, order,
-            [self, number, id = worker.id, key = order.task, attempt = order.attempt](const auto& answer) {
+        self->link.start(
+            worker, order, [self, number, id = worker.id, key = order.task, attempt = order.attempt](const auto& answer) {
                 self->locked([&] {
                     if (number == self->termNumber)
                         self->onStart(id, key, attempt, answer);
@@ -96,15 +96,15 @@
     });
 }
 
-void cell_owner::data::onStart(const worker_id& id, const task_key& key, std::uint64_t attempt,
-    const tl::expected<order_answer, order_failure>& answer)
+void cell_owner::data::onStart(
+    const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer)
 {
     const auto now = clock.now();
     const auto found = sessions.find(id);
     if (found == sessions.end())
         return;
     worker_session& session = found->second;
-    run* current = session.find(key);
+    worker_run* current = session.find(key);
     if (!current || current->attempt != attempt)
         return;
     if (!answer) {
@@ -121,8 +121,8 @@
         current->state = run_state::running;
 }
 
-void cell_owner::data::onStartRefused(worker_session& session, const task_key& key, run& current, order_failure failure,
-    time_point now)
+void cell_owner::data::onStartRefused(
+    worker_session& session, const task_key& key, worker_run& current, order_failure failure, time_point now)
 {
     const worker_id id = session.registration().id;
     const std::uint64_t attempt = current.attempt;
@@ -153,7 +153,7 @@
 
 void cell_owner::data::stopRun(worker_session& session, const task_key& key, time_point now)
 {
-    run* current = session.find(key);
+    worker_run* current = session.find(key);
     if (!current)
         return;
     current->state = run_state::stopping;
@@ -172,12 +172,12 @@
     });
 }
 
-void cell_owner::data::onStop(const worker_id& id, const task_key& key, std::uint64_t attempt,
-    const tl::expected<order_answer, order_failure>& answer)
+void cell_owner::data::onStop(
+    const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer)
 {
     const auto now = clock.now();
     const auto found = sessions.find(id);
-    run* current = found == sessions.end() ? nullptr : found->second.find(key);
+    worker_run* current = found == sessions.end() ? nullptr : found->second.find(key);
     if (!current || current->attempt != attempt)
         return;
     if (answer)
@@ -228,8 +228,8 @@
     session.acknowledging = order.acknowledged;
 }
 
-void cell_owner::data::onHold(const worker_id& id, std::int64_t bornAt, time_point sentAt,
-    const tl::expected<hold_answer, order_failure>& answer)
+void cell_owner::data::onHold(
+    const worker_id& id, std::int64_t bornAt, time_point sentAt, const tl::expected<hold_answer, order_failure>& answer)
 {
     const auto now = clock.now();
     const auto found = sessions.find(id);
@@ -294,7 +294,7 @@
 void cell_owner::data::applyEnd(worker_session& session, const ended_task& ended, time_point now)
 {
     const worker_id id = session.registration().id;
-    const run* current = session.find(ended.task);
+    const worker_run* current = session.find(ended.task);
     const bool matches = current && current->attempt == ended.attempt;
     if (matches) {
         session.noteEnd(ended.how, *current, now);
@@ -303,6 +303,8 @@
     if (ended.how != run_end::done)
         logOrder("a run has ended", ended.task, ended.attempt, id, nameOf(ended.how));
     open_job* job = book.find(ended.task.jobId);
+    if (!job && ended.how == run_end::done && now < takenOverAt + previousOwnerLimit)
+        orphanEnds[ended.task.jobId].push_back(ended.task);
     if (!job || job->ended || !job->contains(ended.task))
         return;
     task_state& task = job->task(ended.task);
@@ -320,7 +322,7 @@
 
 void cell_owner::data::applyRunning(worker_session& session, const running_task& listed, time_point now)
 {
-    run* current = session.find(listed.task);
+    worker_run* current = session.find(listed.task);
     if (!current || current->attempt < listed.attempt) {
         adopt(session, listed, now);
         return;
@@ -340,6 +342,10 @@
         return;
     }
     current->state = run_state::running;
+    if (current->orphaned && now > takenOverAt + handInAgainLimit) {
+        stopRun(session, listed.task, now);
+        return;
+    }
     if (open_job* job = book.find(listed.task.jobId); job && job->contains(listed.task) && !listed.checkpoint.empty())
         job->task(listed.task).checkpoint = listed.checkpoint;
     checkProgress(session, listed.task, *current, now);
@@ -349,7 +355,7 @@
 {
     const worker_id id = session.registration().id;
     open_job* job = book.find(listed.task.jobId);
-    run added;
+    worker_run added;
     added.attempt = listed.attempt;
     added.state = run_state::running;
     added.sentAt = now;
@@ -358,13 +364,16 @@
     added.progressAt = now;
     added.percent = listed.percent;
     const bool known = job && job->contains(listed.task);
+    added.orphaned = !job && !book.isFinished(listed.task.jobId) && now < takenOverAt + handInAgainLimit;
     if (known) {
         added.need = job->accepted.work.steps[listed.task.step].need;
         added.estimate = job->accepted.work.steps[listed.task.step].estimate;
     }
     session.addRun(listed.task, added);
     const bool wanted = known && !job->ended && job->task(listed.task).phase == task_phase::waiting;
-    logOrder("a run is found", listed.task, listed.attempt, id, wanted ? "adopted" : "stopped");
+    logOrder("a run is found", listed.task, listed.attempt, id, wanted ? "adopted" : added.orphaned ? "kept for now" : "stopped");
+    if (added.orphaned)
+        return;
     if (!wanted) {
         stopRun(session, listed.task, now);
         return;
@@ -382,7 +391,7 @@
     std::set<task_key> listed;
     for (const auto& current : answer.running)
         listed.insert(current.task);
-    std::vector<std::pair<task_key, run>> missing;
+    std::vector<std::pair<task_key, worker_run>> missing;
     for (const auto& [key, current] : session.runs()) {
         if (!listed.contains(key))
             missing.emplace_back(key, current);
@@ -399,7 +408,7 @@
     }
 }
 
-void cell_owner::data::checkProgress(worker_session& session, const task_key& key, run& current, time_point now)
+void cell_owner::data::checkProgress(worker_session& session, const task_key& key, worker_run& current, time_point now)
 {
     const std::chrono::duration<double, std::milli> expected
         = std::chrono::duration<double, std::milli>(current.estimate) * session.slowness() * stillEstimates;
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -45,6 +45,12 @@
 inline constexpr std::chrono::milliseconds flushRetry { 100 };
 /// Records after which a write is full; well under the platform's bound for one call.
 inline constexpr std::size_t maxFlushedRecords = 2000;
+/// Time in which the VMs that hold the callers of an earlier owner's jobs hand them in again; two beats and a call.
+inline constexpr std::chrono::milliseconds handInAgainLimit { 800 };
+/// Share of the objective that a job may wait for its first start; refusals after half of it are priced in full.
+inline constexpr double maxWaitShare = 0.45;
+/// How long the end of a job that is not stored is remembered, for repeated requests.
+inline constexpr std::chrono::milliseconds unstoredRetention { 5000 };
 /// Time after which a stop is repeated; several times `stopGrace` of the platform.
 inline constexpr std::chrono::milliseconds stopRepeat { 200 };
 /// A task without progress for this long, and beyond this multiple of its estimate, stands still.
--- a/cells/job_book.cpp
+++ b/cells/job_book.cpp
@@ -8,8 +8,8 @@
 bool open_job::stepIsReady(std::uint32_t step) const
 {
     const auto& after = accepted.work.steps[step].after;
-    return std::all_of(after.begin(), after.end(),
-        [this](std::uint32_t earlier) { return steps[earlier].done == steps[earlier].tasks.size(); });
+    return std::all_of(
+        after.begin(), after.end(), [this](std::uint32_t earlier) { return steps[earlier].done == steps[earlier].tasks.size(); });
 }
 
 std::size_t open_job::readyTasks() const
--- a/cells/job_book.h
+++ b/cells/job_book.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -16,6 +17,9 @@
 
 namespace coriandermount::cells {
 
+/// Called once with the final state, or with the reason why the job did not run.
+using job_completion = std::function<void(result<jobs::job_state>)>;
+
 enum class task_phase { waiting, placed, done };
 
 struct task_state {
@@ -54,6 +58,13 @@
     bool hasProgress = false;
     bool cancelRecorded = false;
 
+    // Jobs that are answered at their end.
+    std::vector<job_completion> waiters;
+    /// A start after this time is of no use: the job is refused.
+    time_point startBy;
+    /// The caller no longer waits.
+    time_point giveUpAt;
+
     bool stepIsReady(std::uint32_t step) const;
     /// Tasks that wait and whose step may run.
     std::size_t readyTasks() const;
@@ -85,6 +96,9 @@
     /// Accepted jobs of each queue of which no task has started.
     std::map<std::string, std::uint32_t> pendingByQueue() const;
 
+    /// Removes a job without a trace: its id may be used again.
+    void erase(const std::string& id) { m_open.erase(id); }
+
     void clear();
 
 private:
--- a/cells/ownership.cpp
+++ b/cells/ownership.cpp
@@ -11,12 +11,16 @@
     /// A store that answers long polls is heard of at least this often.
     constexpr std::chrono::milliseconds storeContactLimit { 3000 };
 
-    std::uint64_t rankHash(const vm_id& vm, std::uint64_t epoch) { return XXH3_64bits_withSeed(vm.value.data(), vm.value.size(), epoch); }
+    std::uint64_t rankHash(const vm_id& vm, std::uint64_t epoch)
+    {
+        return XXH3_64bits_withSeed(vm.value.data(), vm.value.size(), epoch);
+    }
 
 } // namespace
 
-ownership::ownership(vm_id self, std::uint64_t boot, ownership_settings settings, time_point now)
-    : m_self(std::move(self))
+ownership::ownership(cell_number cell, vm_id self, std::uint64_t boot, ownership_settings settings, time_point now)
+    : m_cell(cell)
+    , m_self(std::move(self))
     , m_boot(boot)
     , m_settings(settings)
     , m_startedAt(now)
@@ -48,41 +52,32 @@
         m_ownerRecordAt = now;
 }
 
-void ownership::onVm(const vm_registration& registration) { m_vms.insert_or_assign(registration.id, registration); }
-
-void ownership::onVmRemoved(const vm_id& id)
-{
-    m_vms.erase(id);
-    m_peers.erase(id);
-}
-
 void ownership::onBeat(const beat& current, time_point now)
 {
     if (current.sender == m_self)
         return;
-    m_peers.insert_or_assign(current.sender, peer { current, now });
-    m_highestEpoch = std::max(m_highestEpoch, current.epoch);
-    if (m_owner && current.ownedEpoch == m_owner->epoch)
-        m_ownerSeen = now;
+    peer heard { current.draining, current.storeReachable, std::nullopt, now };
+    for (const auto& view : current.cells) {
+        if (view.cell != m_cell)
+            continue;
+        heard.view = view;
+        m_highestEpoch = std::max(m_highestEpoch, view.epoch);
+        if (m_owner && view.owned && view.epoch == m_owner->epoch)
+            m_ownerSeen = now;
+    }
+    m_peers.insert_or_assign(current.sender, heard);
 }
 
 bool ownership::isOwner() const
 {
-    return m_owner && !m_owner->released && m_owner->owner == m_self && m_owner->boot == m_boot && m_owner->epoch >= m_highestEpoch;
+    return m_owner && !m_owner->released && m_owner->owner == m_self && m_owner->boot == m_boot
+        && m_owner->epoch >= m_highestEpoch;
 }
 
 std::uint64_t ownership::epoch() const { return m_owner ? m_owner->epoch : 0; }
 
 bool ownership::storeReachable(time_point now) const { return now - m_storeContact < storeContactLimit; }
 
-std::string ownership::ownerAddress() const
-{
-    if (!m_owner || m_owner->released)
-        return {};
-    const auto found = m_vms.find(m_owner->owner);
-    return found == m_vms.end() ? std::string() : found->second.address;
-}
-
 bool ownership::mostVmsInReach(time_point now) const
 {
     std::size_t members = 1;
@@ -99,9 +94,9 @@
     std::size_t missing = 1;
     std::size_t hearing = 0;
     for (const auto& [id, current] : m_peers) {
-        if (now - current.at >= m_settings.reachLimit || current.last.epoch != m_owner->epoch)
+        if (now - current.at >= m_settings.reachLimit || !current.view || current.view->epoch != m_owner->epoch)
             continue;
-        const bool hears = current.last.ownerSilence && *current.last.ownerSilence < m_settings.suspectAfter;
+        const bool hears = current.view->ownerSilence && *current.view->ownerSilence < m_settings.suspectAfter;
         (hears ? hearing : missing) += 1;
     }
     return missing > hearing;
@@ -125,7 +120,8 @@
     const std::uint64_t own = rankHash(m_self, epoch());
     std::size_t rank = 0;
     for (const auto& [id, current] : m_peers) {
-        const bool eligible = now - current.at < m_settings.reachLimit && !current.last.draining && current.last.storeReachable;
+        const bool eligible
+            = now - current.at < m_settings.reachLimit && !current.draining && current.storeReachable && current.view;
         rank += eligible && rankHash(id, epoch()) < own ? 1 : 0;
     }
     return rank;
@@ -150,18 +146,16 @@
     return due ? ownership_advice::claim : ownership_advice::none;
 }
 
-beat ownership::ownBeat(time_point now) const
+cell_view ownership::view(time_point now) const
 {
-    beat current;
-    current.sender = m_self;
-    current.boot = m_boot;
+    cell_view current;
+    current.cell = m_cell;
     current.epoch = m_highestEpoch;
-    current.ownedEpoch = isOwner() ? m_owner->epoch : 0;
-    if (m_owner && (isOwner() || m_ownerSeen > m_startedAt))
-        current.ownerSilence = isOwner() ? std::chrono::milliseconds(0)
-                                         : std::chrono::duration_cast<std::chrono::milliseconds>(now - m_ownerSeen);
-    current.draining = m_draining;
-    current.storeReachable = storeReachable(now);
+    current.owned = isOwner();
+    if (current.owned)
+        current.ownerSilence = std::chrono::milliseconds(0);
+    else if (m_owner && m_ownerSeen > m_startedAt)
+        current.ownerSilence = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_ownerSeen);
     return current;
 }
 
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -32,15 +32,6 @@
     std::chrono::milliseconds startDelay { 400 };
 };
 
-/// An entry VM as it registered itself.
-struct vm_registration {
-    vm_id id;
-    std::uint64_t boot = 0;
-    /// `a.b.c.d:port` for beats and calls.
-    std::string address;
-    failure_domain_id failureDomain;
-};
-
 /// The owner of a cell, as stored.
 struct owner_record {
     std::uint64_t epoch = 0;
@@ -56,13 +47,11 @@
 /// Pure state: fed with records and beats, asked for advice. Not safe for use from several threads.
 class ownership {
 public:
-    ownership(vm_id self, std::uint64_t boot, ownership_settings settings, time_point now);
+    ownership(cell_number cell, vm_id self, std::uint64_t boot, ownership_settings settings, time_point now);
 
     void onOwner(const owner_record& record, time_point now);
     /// The owner of `epoch` has written a sign of life.
     void onOwnerAlive(std::uint64_t epoch, time_point now);
-    void onVm(const vm_registration& registration);
-    void onVmRemoved(const vm_id& id);
     void onStoreContact(time_point now) { m_storeContact = now; }
     void onBeat(const beat& current, time_point now);
     /// A record of this VM as the owner was stored; it was sent at `sentAt`.
@@ -74,23 +63,25 @@
     bool isOwner() const;
     std::uint64_t epoch() const;
     const std::optional<owner_record>& owner() const { return m_owner; }
-    const std::map<vm_id, vm_registration>& vms() const { return m_vms; }
     bool storeReachable(time_point now) const;
-    /// Address of the current owner; empty when there is none.
-    std::string ownerAddress() const;
-    beat ownBeat(time_point now) const;
+    cell_view view(time_point now) const;
 
 private:
     struct peer {
-        beat last;
+        bool draining = false;
+        bool storeReachable = false;
+        /// What it knows of this cell; nothing when it belongs to another one.
+        std::optional<cell_view> view;
         time_point at;
     };
 
     bool ownerSuspected(time_point now) const;
+    std::uint64_t knownEpoch() const { return m_owner ? m_owner->epoch : 0; }
     bool mostVmsInReach(time_point now) const;
     bool mostMissOwner(time_point now) const;
     std::size_t ownRank(time_point now) const;
 
+    cell_number m_cell;
     vm_id m_self;
     std::uint64_t m_boot;
     ownership_settings m_settings;
@@ -98,7 +89,6 @@
     std::optional<owner_record> m_owner;
     time_point m_ownerSeen;
     time_point m_ownerRecordAt;
-    std::map<vm_id, vm_registration> m_vms;
     std::map<vm_id, peer> m_peers;
     std::uint64_t m_highestEpoch = 0;
     time_point m_storeContact;
--- a/cells/ownership_codec.cpp
+++ b/cells/ownership_codec.cpp
@@ -46,16 +46,4 @@
     return unpack(value, [](const json& epoch) { return epoch.get<std::uint64_t>(); });
 }
 
-std::string encodeVm(const vm_registration& registration)
-{
-    return pack(json::array({ registration.id.value, registration.boot, registration.address, registration.failureDomain.value }));
-}
-
-result<vm_registration> decodeVm(const std::string& value)
-{
-    return unpack(value, [](const json& fields) {
-        return vm_registration { { fields.at(0) }, fields.at(1), fields.at(2), { fields.at(3) } };
-    });
-}
-
 } // namespace coriandermount::cells
--- a/cells/ownership_codec.h
+++ b/cells/ownership_codec.h
@@ -12,8 +12,6 @@
 inline constexpr std::string_view ownerRecordKey = "owner";
 /// Key of the owner's sign of life.
 inline constexpr std::string_view aliveRecordKey = "alive";
-/// Start of the keys of VMs.
-inline constexpr std::string_view vmRecordPrefix = "vm.";
 
 std::string encodeOwnerRecord(const owner_record& record);
 result<owner_record> decodeOwnerRecord(const std::string& value);
@@ -21,7 +19,4 @@
 std::string encodeAlive(std::uint64_t epoch);
 result<std::uint64_t> decodeAlive(const std::string& value);
 
-std::string encodeVm(const vm_registration& registration);
-result<vm_registration> decodeVm(const std::string& value);
-
 } // namespace coriandermount::cells
--- a/cells/worker_link.h
+++ b/cells/worker_link.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "core/error.h"
 #include "core/types.h"
 #include "jobs/job.h"
-#include "core/error.h"
 
 namespace coriandermount::cells {
 
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -44,25 +44,25 @@
     return *m_clockAt + std::chrono::ceil<std::chrono::milliseconds>(stretched);
 }
 
-void worker_session::addRun(const task_key& task, const run& added)
+void worker_session::addRun(const task_key& task, const worker_run& added)
 {
     removeRun(task);
     m_runs.emplace(task, added);
     m_used += added.need;
 }
 
-std::optional<run> worker_session::removeRun(const task_key& task)
+std::optional<worker_run> worker_session::removeRun(const task_key& task)
 {
     const auto found = m_runs.find(task);
     if (found == m_runs.end())
         return std::nullopt;
-    run removed = found->second;
+    worker_run removed = found->second;
     m_used -= removed.need;
     m_runs.erase(found);
     return removed;
 }
 
-run* worker_session::find(const task_key& task)
+worker_run* worker_session::find(const task_key& task)
 {
     const auto found = m_runs.find(task);
     return found == m_runs.end() ? nullptr : &found->second;
@@ -77,8 +77,8 @@
 
 std::uint32_t worker_session::runsOfStep(const std::string& jobId, std::uint32_t step) const
 {
-    return static_cast<std::uint32_t>(std::count_if(m_runs.begin(), m_runs.end(),
-        [&](const auto& entry) { return entry.first.jobId == jobId && entry.first.step == step; }));
+    return static_cast<std::uint32_t>(std::count_if(
+        m_runs.begin(), m_runs.end(), [&](const auto& entry) { return entry.first.jobId == jobId && entry.first.step == step; }));
 }
 
 bool worker_session::hasLabel(const std::string& label) const
@@ -92,7 +92,7 @@
     return listed && !gone && !m_registration.draining && failedHolds == 0 && now >= m_avoidUntil;
 }
 
-void worker_session::noteEnd(run_end how, const run& ended, time_point now)
+void worker_session::noteEnd(run_end how, const worker_run& ended, time_point now)
 {
     if (how == run_end::failed) {
         if (++m_failures >= failuresUntilQuarantine)
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -19,7 +19,7 @@
 };
 
 /// One start of one task on one worker.
-struct run {
+struct worker_run {
     std::uint64_t attempt = 0;
     run_state state = run_state::starting;
     jobs::resources need;
@@ -34,6 +34,8 @@
     int percent = 0;
     time_point progressAt;
     std::optional<time_point> stopSentAt;
+    /// Started by an earlier owner for a job that is not known here yet.
+    bool orphaned = false;
 };
 
 /// State of one life of one worker. Not safe for use from several threads.
@@ -55,11 +57,11 @@
     /// Earliest time at which every lease that was handed out has ended on the worker's clock.
     time_point leasesEnded(time_point now) const;
 
-    void addRun(const task_key& task, const run& added);
-    std::optional<run> removeRun(const task_key& task);
-    run* find(const task_key& task);
-    std::map<task_key, run>& runs() { return m_runs; }
-    const std::map<task_key, run>& runs() const { return m_runs; }
+    void addRun(const task_key& task, const worker_run& added);
+    std::optional<worker_run> removeRun(const task_key& task);
+    worker_run* find(const task_key& task);
+    std::map<task_key, worker_run>& runs() { return m_runs; }
+    const std::map<task_key, worker_run>& runs() const { return m_runs; }
 
     jobs::resources free() const;
     /// Runs of one step on this worker.
@@ -70,7 +72,7 @@
     bool takesStarts(time_point now) const;
 
     /// Learns from an end: failures in a row lead to quarantine, run times to the measured speed.
-    void noteEnd(run_end how, const run& ended, time_point now);
+    void noteEnd(run_end how, const worker_run& ended, time_point now);
     void avoidUntil(time_point until) { m_avoidUntil = std::max(m_avoidUntil, until); }
     /// Run time as a multiple of the estimate, averaged.
     double slowness() const { return m_slowness; }
@@ -91,7 +93,7 @@
 
 private:
     worker_registration m_registration;
-    std::map<task_key, run> m_runs;
+    std::map<task_key, worker_run> m_runs;
     jobs::resources m_used;
     worker_time m_clock { 0 };
     std::optional<time_point> m_clockAt;
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -66,6 +66,8 @@
     /// Handed to the workers as it is.
     std::string payload;
     std::vector<step> steps;
+    /// The job is not stored; its caller waits for the end.
+    bool answeredAtEnd = false;
 };
 
 /// States that a caller can be told.
@@ -98,4 +100,10 @@
     const queue_rules* named(const std::string& name) const;
 };
 
+/// Sum of the estimates along the longest chain of steps.
+std::chrono::milliseconds longestChain(const job& work);
+
+/// Time from its arrival within which a job should be completed.
+std::chrono::milliseconds objectiveOf(const job& work, const queue_rules& rules);
+
 } // namespace coriandermount::jobs
--- a/jobs/job_intake.cpp
+++ b/jobs/job_intake.cpp
@@ -54,9 +54,8 @@
     append_request request;
     request.stream = stream;
     request.records.push_back(current->content);
-    store.append(std::move(request), [self = shared_from_this(), current](const result<std::uint64_t>& answer) {
-        self->onAnswer(current, answer);
-    });
+    store.append(std::move(request),
+        [self = shared_from_this(), current](const result<std::uint64_t>& answer) { self->onAnswer(current, answer); });
 }
 
 void job_intake::data::onAnswer(const pending_pointer& current, const result<std::uint64_t>& answer)
@@ -66,7 +65,8 @@
         lastStored.store(now.time_since_epoch().count(), std::memory_order_relaxed);
         writeLog(log_level::info, "intake", "a record is stored",
             { { "key", current->content.key }, { "offset", fmt::to_string(*answer) },
-                { "took_ms", fmt::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - current->since).count()) } });
+                { "took_ms",
+                    fmt::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - current->since).count()) } });
         current->done({});
         return;
     }
@@ -99,39 +99,8 @@
 
 job_intake::~job_intake() = default;
 
-std::chrono::milliseconds longestChain(const job& work)
+void job_intake::store(const accepted_job& accepted, completion done)
 {
-    std::vector<std::chrono::milliseconds> ends;
-    std::chrono::milliseconds longest { 0 };
-    for (const auto& current : work.steps) {
-        std::chrono::milliseconds start { 0 };
-        for (const std::uint32_t earlier : current.after)
-            start = std::max(start, ends[earlier]);
-        ends.push_back(start + current.estimate);
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
-}
-
-void job_intake::submit(
-    job work, const queue_rules& rules, const std::vector<std::chrono::milliseconds>& waitByPriority, completion done)
-{
-    const auto chain = longestChain(work);
-    const auto objective
-        = std::chrono::duration_cast<std::chrono::milliseconds>(chain * std::max(rules.slackFactor, 1.0)) + rules.targetLatency;
-    if (!waitByPriority.empty()) {
-        const auto wait = waitByPriority[std::min<std::size_t>(rules.priority, waitByPriority.size() - 1)];
-        if (wait > objective - chain) {
-            writeLog(log_level::info, "intake", "a job is refused",
-                { { "job", work.id }, { "queue", rules.name }, { "reason", "overloaded" },
-                    { "expected_wait_ms", fmt::to_string(wait.count()) }, { "slack_ms", fmt::to_string((objective - chain).count()) } });
-            done(tl::unexpected(error { error_kind::overloaded,
-                fmt::format("the expected wait of {} ms is above the slack of {} ms", wait.count(), (objective - chain).count()),
-                std::max(wait, m_data->settings.comeBackAfter) }));
-            return;
-        }
-    }
-    accepted_job accepted { std::move(work), rules.service, rules.priority, rules.maxAttempts, objective, m_data->clock.wallNow() };
     auto current = std::make_shared<pending_append>();
     current->content = { acceptedKey(accepted.work.id), encodeAccepted(accepted), 0 };
     current->done = std::move(done);
@@ -154,8 +123,8 @@
     {
         const auto now = m_data->clock.now();
         const std::scoped_lock lock(m_data->mutex);
-        const auto first = std::stable_partition(
-            m_data->waiting.begin(), m_data->waiting.end(), [now](const pending_pointer& current) { return current->retryAt > now; });
+        const auto first = std::stable_partition(m_data->waiting.begin(), m_data->waiting.end(),
+            [now](const pending_pointer& current) { return current->retryAt > now; });
         due.assign(first, m_data->waiting.end());
         m_data->waiting.erase(first, m_data->waiting.end());
     }
--- a/jobs/job_intake.h
+++ b/jobs/job_intake.h
@@ -10,6 +10,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "jobs/job.h"
+#include "jobs/record_codec.h"
 #include "jobs/record_store.h"
 
 namespace coriandermount::jobs {
@@ -37,9 +38,9 @@
 
     using completion = std::function<void(result<void>)>;
 
-    /// Stores a job. `waitByPriority` is the load of the cell; completes with `overloaded` when the job can't be in time,
-    /// with `log_unavailable` or `log_full` when it was not stored, and with `log_answer_lost` when it may have been.
-    void submit(job work, const queue_rules& rules, const std::vector<std::chrono::milliseconds>& waitByPriority, completion done);
+    /// Stores a job. Completes with `log_unavailable` or `log_full` when it was not stored, and with `log_answer_lost` when
+    /// it may have been.
+    void store(const accepted_job& accepted, completion done);
 
     /// Stores that a job is cancelled.
     void cancel(const std::string& jobId, completion done);
@@ -55,7 +56,4 @@
     std::shared_ptr<data> m_data;
 };
 
-/// Sum of the estimates along the longest chain of steps.
-std::chrono::milliseconds longestChain(const job& work);
-
 } // namespace coriandermount::jobs
--- a/jobs/job_service.h
+++ b/jobs/job_service.h
@@ -1,9 +1,10 @@
 /// What callers can ask of any entry VM.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
-#include <memory>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "core/error.h"
@@ -19,7 +20,11 @@
     /// Returns the configuration in force; version 0 before the first one.
     virtual std::shared_ptr<const queue_table> queues() const = 0;
 
-    virtual void submit(job work, const queue_rules& rules, std::function<void(result<void>)> done) = 0;
+    /// Completes once the job is stored, with `queued`; a job that is answered at its end completes with its final state.
+    /// `timeLeft` is how long the caller waits.
+    virtual void submit(
+        job work, const queue_rules& rules, std::chrono::milliseconds timeLeft, std::function<void(result<job_state>)> done)
+        = 0;
     virtual void cancel(const std::string& jobId, std::function<void(result<void>)> done) = 0;
     /// Fails with `job_unknown`, or with `owner_unknown` while nobody can be asked.
     virtual void state(const std::string& jobId, std::function<void(result<job_state>)> done) = 0;
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -15,17 +15,12 @@
     constexpr char finishedMark = 'f';
     constexpr char ownerMark = 'o';
 
-    std::string pack(const json& value)
-    {
-        std::string packed;
-        json::to_msgpack(value, packed);
-        return packed;
-    }
+    std::string pack(const json& value) { return value.dump(); }
 
     template <class Decode> auto unpack(const std::string& value, Decode decode) -> result<decltype(decode(json()))>
     {
         try {
-            return decode(json::from_msgpack(value));
+            return decode(json::parse(value));
         } catch (const json::exception& problem) {
             return fail(error_kind::malformed_request, fmt::format("a stored record can't be read: {}", problem.what()));
         }
@@ -50,6 +45,30 @@
         return current;
     }
 
+    json packAccepted(const accepted_job& accepted)
+    {
+        json steps = json::array();
+        for (const auto& current : accepted.work.steps)
+            steps.push_back(packStep(current));
+        return json::array({ accepted.work.id, accepted.work.queue, accepted.work.payload, std::move(steps),
+            accepted.service.value, accepted.priority, accepted.maxAttempts, accepted.objective.count(),
+            accepted.acceptedAt.time_since_epoch().count(), accepted.work.answeredAtEnd });
+    }
+
+    accepted_job unpackAccepted(const json& fields)
+    {
+        accepted_job accepted;
+        accepted.work = { fields.at(0), fields.at(1), fields.at(2), {}, fields.at(9) };
+        for (const auto& current : fields.at(3))
+            accepted.work.steps.push_back(unpackStep(current));
+        accepted.service.value = fields.at(4);
+        accepted.priority = fields.at(5);
+        accepted.maxAttempts = fields.at(6);
+        accepted.objective = std::chrono::milliseconds(fields.at(7).get<std::int64_t>());
+        accepted.acceptedAt = wall_time(std::chrono::milliseconds(fields.at(8).get<std::int64_t>()));
+        return accepted;
+    }
+
 } // namespace
 
 record_kind kindOf(const std::string& key)
@@ -86,28 +105,20 @@
     return unpack(value, [](const json& epoch) { return epoch.get<std::uint64_t>(); });
 }
 
-std::string encodeAccepted(const accepted_job& accepted)
+std::string encodeAccepted(const accepted_job& accepted) { return pack(packAccepted(accepted)); }
+
+result<accepted_job> decodeAccepted(const std::string& value) { return unpack(value, &unpackAccepted); }
+
+std::string encodeRunRequest(const run_request& request)
 {
-    json steps = json::array();
-    for (const auto& current : accepted.work.steps)
-        steps.push_back(packStep(current));
-    return pack(json::array({ accepted.work.id, accepted.work.queue, accepted.work.payload, std::move(steps), accepted.service.value,
-        accepted.priority, accepted.maxAttempts, accepted.objective.count(), accepted.acceptedAt.time_since_epoch().count() }));
+    return pack(json::array({ packAccepted(request.accepted), request.again, request.timeLeft.count() }));
 }
 
-result<accepted_job> decodeAccepted(const std::string& value)
+result<run_request> decodeRunRequest(const std::string& value)
 {
     return unpack(value, [](const json& fields) {
-        accepted_job accepted;
-        accepted.work = { fields.at(0), fields.at(1), fields.at(2), {} };
-        for (const auto& current : fields.at(3))
-            accepted.work.steps.push_back(unpackStep(current));
-        accepted.service.value = fields.at(4);
-        accepted.priority = fields.at(5);
-        accepted.maxAttempts = fields.at(6);
-        accepted.objective = std::chrono::milliseconds(fields.at(7).get<std::int64_t>());
-        accepted.acceptedAt = wall_time(std::chrono::milliseconds(fields.at(8).get<std::int64_t>()));
-        return accepted;
+        return run_request { unpackAccepted(fields.at(0)), fields.at(1),
+            std::chrono::milliseconds(fields.at(2).get<std::int64_t>()) };
     });
 }
 
--- a/jobs/record_codec.h
+++ b/jobs/record_codec.h
@@ -30,6 +30,15 @@
     std::vector<std::uint64_t> failedAttempts;
 };
 
+/// Asks the owner of a cell to run a job and to answer at its end.
+struct run_request {
+    accepted_job accepted;
+    /// The job was sent to an earlier owner, which may have started it.
+    bool again = false;
+    /// How long the caller still waits.
+    std::chrono::milliseconds timeLeft { 0 };
+};
+
 struct finished_job {
     std::string id;
     job_state state = job_state::completed;
@@ -58,6 +67,9 @@
 /// Fails with `malformed_request`.
 result<accepted_job> decodeAccepted(const std::string& value);
 
+std::string encodeRunRequest(const run_request& request);
+result<run_request> decodeRunRequest(const std::string& value);
+
 std::string encodeProgress(const std::vector<task_outcome>& outcomes);
 result<std::vector<task_outcome>> decodeProgress(const std::string& value);
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -1,13 +1,17 @@
 #include "main/entry_node.h"
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 #include <thread>
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include "cells/cell_member.h"
 #include "cells/cell_owner.h"
+#include "cells/job_router.h"
+#include "cells/vm_directory.h"
 #include "core/log.h"
 #include "core/rcu.h"
 #include "jobs/job_intake.h"
@@ -40,6 +44,8 @@
     constexpr std::chrono::milliseconds shutdownPoll { 50 };
 
     constexpr const char* stateMethod = "job.state";
+    constexpr const char* runMethod = "job.run";
+    constexpr const char* vmTopic = "keyed.vms";
     constexpr const char* cellTopic = "keyed.cells";
     constexpr const char* jobTopic = "keyed.jobs";
 
@@ -86,6 +92,13 @@
         return limits;
     }
 
+    cells::cell_number cellOf(const platform::boot_settings& settings)
+    {
+        const auto& domains = settings.failureDomains;
+        return static_cast<cells::cell_number>(
+            std::find(domains.begin(), domains.end(), settings.failureDomain.value) - domains.begin());
+    }
+
     std::uint64_t bootNumber(const clock_source& clock)
     {
         return static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
@@ -93,21 +106,27 @@
 
 } // namespace
 
-struct entry_node::data final : jobs::job_service, cells::beat_link {
+struct entry_node::data final : jobs::job_service, cells::beat_link, cells::owner_link {
     platform::boot_settings settings;
     boot_clock_source clock;
+    /// Cell of the own failure domain, and number of cells.
+    cells::cell_number cell;
+    cells::cell_number cells;
+    std::uint64_t boot;
     net::http_client client;
     platform::store_client store;
     platform::worker_client workerLink;
     rcu_cell<jobs::queue_table> table;
     platform::config_follower configuration;
-    jobs::job_intake intake;
+    std::vector<std::unique_ptr<jobs::job_intake>> intakes;
     cells::cell_owner owner;
     platform::worker_registry workers;
     cells::cell_member member;
+    cells::vm_directory directory;
     net::datagram_socket beats;
     peers::http_peer_link peerLink;
     peers::http_peer_service peerService;
+    cells::job_router router;
     net::http_server front;
     net::http_server readiness;
     std::atomic<bool> draining { false };
@@ -117,79 +136,158 @@
     explicit data(const platform::boot_settings& values);
 
     cells::vm_registration registration() const;
+    cells::beat ownBeat() const;
+    std::optional<cells::run_target> runTarget() const;
+    cells::cell_number homeOf(const std::string& jobId) const;
+    void addPeerMethods();
+    void onDatagram(const std::string& datagram);
     void run();
 
     std::shared_ptr<const jobs::queue_table> queues() const override { return table.read(); }
-    void submit(jobs::job work, const jobs::queue_rules& rules, std::function<void(result<void>)> done) override;
+    void submit(jobs::job work, const jobs::queue_rules& rules, std::chrono::milliseconds timeLeft,
+        std::function<void(result<jobs::job_state>)> done) override;
     void cancel(const std::string& jobId, std::function<void(result<void>)> done) override;
     void state(const std::string& jobId, std::function<void(result<jobs::job_state>)> done) override;
     std::uint32_t pending(const std::string& queue) const override;
     bool isReady() const override;
     bool isDraining() const override { return draining.load(std::memory_order_relaxed); }
     void send(const std::string& address, const std::string& datagram) override { beats.send(address, datagram); }
+    void run(const std::string& address, const jobs::run_request& request, cells::job_completion done) override;
 };
 
 entry_node::data::data(const platform::boot_settings& values)
     : settings(values)
+    , cell(cellOf(values))
+    , cells(static_cast<cells::cell_number>(values.failureDomains.size()))
+    , boot(bootNumber(clock))
     , client(clientOptions(values))
     , store(client, values.storeAddress)
     , workerLink(client)
     , configuration(store, clock, table)
-    , intake(store, clock, { jobTopic, 0 })
-    , owner(store, workerLink, clock, { jobTopic, 0 }, cellSettings(values))
-    , workers(store, clock, owner)
-    , member(store, *this, clock, owner, workers, { cellTopic, 0 }, registration())
-    , beats(values.address, values.firstPeerPort, [this](const std::string& datagram) { member.onDatagram(datagram); })
+    , owner(store, workerLink, clock, { jobTopic, cell }, cellSettings(values))
+    , workers(store, clock, owner, values.failureDomain)
+    , member(store, clock, owner, workers, { cellTopic, cell }, cell, values.vm, boot)
+    , directory(store, *this, clock, { vmTopic, 0 }, registration(), [this] { return ownBeat(); })
+    , beats(values.address, values.firstPeerPort, [this](const std::string& datagram) { onDatagram(datagram); })
     , peerLink(client)
     , peerService(listenerOptions(fmt::format("{}:{}", values.address, values.firstPeerPort)))
+    , router(clock, owner, *this, [this] { return runTarget(); })
     , front(listenerOptions(values.clientListener), platform::clientHandler(*this))
     , readiness(listenerOptions(values.readyListener), platform::readinessHandler(*this))
+{
+    for (cells::cell_number number = 0; number < cells; ++number)
+        intakes.push_back(std::make_unique<jobs::job_intake>(store, clock, jobs::record_stream { jobTopic, number }));
+    member.onChange([this] { directory.hurry(); });
+    addPeerMethods();
+}
+
+void entry_node::data::addPeerMethods()
 {
     peerService.addMethod(stateMethod, [this](const std::string& jobId, const peers::peer_service::reply_function& reply) {
         reply(encodeState(owner.state(jobId)));
     });
+    peerService.addMethod(runMethod, [this](const std::string& message, const peers::peer_service::reply_function& reply) {
+        auto request = jobs::decodeRunRequest(message);
+        if (request)
+            owner.run(std::move(*request), [reply](const result<jobs::job_state>& state) { reply(encodeState(state)); });
+        else
+            reply(encodeState(tl::unexpected(request.error())));
+    });
 }
 
 cells::vm_registration entry_node::data::registration() const
 {
-    return { settings.vm, bootNumber(clock), fmt::format("{}:{}", settings.address, settings.firstPeerPort), settings.failureDomain };
+    return { settings.vm, boot, fmt::format("{}:{}", settings.address, settings.firstPeerPort), settings.failureDomain };
+}
+
+cells::beat entry_node::data::ownBeat() const
+{
+    return { settings.vm, boot, isDraining(), member.storeReachable(), { member.view() } };
+}
+
+void entry_node::data::onDatagram(const std::string& datagram)
+{
+    const auto current = cells::decodeBeat(datagram);
+    if (!current)
+        return;
+    directory.onBeat(*current);
+    member.onBeat(*current);
+}
+
+std::optional<cells::run_target> entry_node::data::runTarget() const
+{
+    if (member.isOwner())
+        return cells::run_target { true, {}, member.view().epoch };
+    const auto heard = directory.owner(cell);
+    if (!heard)
+        return std::nullopt;
+    return cells::run_target { false, heard->address, heard->epoch };
+}
+
+cells::cell_number entry_node::data::homeOf(const std::string& jobId) const
+{
+    return static_cast<cells::cell_number>(XXH3_64bits(jobId.data(), jobId.size()) % cells);
 }
 
 void entry_node::data::run()
 {
     while (!stopping.load()) {
         const bool owns = owner.isServing();
-        const auto now = clock.now();
-        configuration.tick(now);
-        intake.tick();
+        configuration.tick(clock.now());
+        for (const auto& intake : intakes)
+            intake->tick();
         member.tick();
+        directory.tick();
         owner.tick();
-        std::this_thread::sleep_for(owns ? tickInterval : idleTickInterval);
+        router.tick();
+        std::this_thread::sleep_for(owns || router.waiting() > 0 ? tickInterval : idleTickInterval);
+    }
+}
+
+void entry_node::data::submit(jobs::job work, const jobs::queue_rules& rules, std::chrono::milliseconds timeLeft,
+    std::function<void(result<jobs::job_state>)> done)
+{
+    const bool answeredAtEnd = work.answeredAtEnd;
+    const auto objective = jobs::objectiveOf(work, rules);
+    jobs::accepted_job accepted { std::move(work), rules.service, rules.priority, rules.maxAttempts, objective, clock.wallNow() };
+    if (answeredAtEnd) {
+        router.run(std::move(accepted), clock.now() + timeLeft, std::move(done));
+        return;
     }
+    intakes[homeOf(accepted.work.id)]->store(accepted, [done = std::move(done)](const result<void>& stored) {
+        done(stored ? result<jobs::job_state>(jobs::job_state::queued) : tl::unexpected(stored.error()));
+    });
 }
 
-void entry_node::data::submit(jobs::job work, const jobs::queue_rules& rules, std::function<void(result<void>)> done)
+void entry_node::data::run(const std::string& address, const jobs::run_request& request, cells::job_completion done)
 {
-    intake.submit(std::move(work), rules, member.load().waitByPriority, std::move(done));
+    const auto timeout = std::max(request.timeLeft, std::chrono::milliseconds(1));
+    peerLink.call(address, runMethod, jobs::encodeRunRequest(request), timeout, [done = std::move(done)](const auto& reply) {
+        if (reply)
+            done(decodeState(*reply));
+        else
+            done(fail(error_kind::owner_unknown, reply.error().message));
+    });
 }
 
 void entry_node::data::cancel(const std::string& jobId, std::function<void(result<void>)> done)
 {
-    intake.cancel(jobId, std::move(done));
+    intakes[homeOf(jobId)]->cancel(jobId, std::move(done));
 }
 
 void entry_node::data::state(const std::string& jobId, std::function<void(result<jobs::job_state>)> done)
 {
-    if (member.isOwner()) {
+    const auto home = homeOf(jobId);
+    if (home == cell && member.isOwner()) {
         done(owner.state(jobId));
         return;
     }
-    const std::string address = member.ownerAddress();
-    if (address.empty()) {
-        done(fail(error_kind::owner_unknown, "the cell has no owner"));
+    const auto heard = directory.owner(home);
+    if (!heard) {
+        done(fail(error_kind::owner_unknown, fmt::format("cell {} has no owner in reach", home)));
         return;
     }
-    peerLink.call(address, stateMethod, jobId, stateTimeout, [done = std::move(done)](const auto& reply) {
+    peerLink.call(heard->address, stateMethod, jobId, stateTimeout, [done = std::move(done)](const auto& reply) {
         if (reply)
             done(decodeState(*reply));
         else
@@ -199,14 +297,19 @@
 
 std::uint32_t entry_node::data::pending(const std::string& queue) const
 {
-    const auto load = member.load();
-    const auto found = load.pendingByQueue.find(queue);
-    return found == load.pendingByQueue.end() ? 0 : found->second;
+    std::uint32_t sum = 0;
+    for (cells::cell_number number = 0; number < cells; ++number) {
+        const auto heard = directory.owner(number);
+        const auto load = heard ? heard->load : cells::cell_load {};
+        const auto found = load.pendingByQueue.find(queue);
+        sum += found == load.pendingByQueue.end() ? 0 : found->second;
+    }
+    return sum;
 }
 
 bool entry_node::data::isReady() const
 {
-    return !isDraining() && table.read()->version > 0 && member.ownerKnown() && member.storeReachable();
+    return !isDraining() && table.read()->version > 0 && member.storeReachable() && runTarget().has_value();
 }
 
 entry_node::entry_node(const platform::boot_settings& settings)
@@ -232,6 +335,7 @@
     if (auto started = m_data->readiness.start(); !started)
         return started;
     m_data->configuration.start();
+    m_data->directory.start();
     m_data->member.start();
     m_data->ticker = std::thread([this] { m_data->run(); });
     writeLog(log_level::info, "node", "started",
