cells: Lend jobs to cells with idle workers, and read workers at a pace

A new owner asks the other cells what they run for it before it starts anything.

Mended here: the answers are applied to waiting jobs, and runs that no job is known for are told to every cell that asks.

--- a/cells/beat.cpp
+++ b/cells/beat.cpp
@@ -20,12 +20,13 @@
             waits.push_back(wait.count());
         fields.push_back(std::move(waits));
         fields.push_back(view.load->pendingByQueue);
+        fields.push_back(view.load->idleCpu);
         return fields;
     }
 
     cell_view decodeView(const json& fields)
     {
-        constexpr std::size_t fieldsWithLoad = 6;
+        constexpr std::size_t fieldsWithLoad = 7;
         cell_view view;
         view.cell = fields.at(0);
         view.epoch = fields.at(1);
@@ -38,6 +39,7 @@
         for (const auto& wait : fields.at(4))
             view.load->waitByPriority.emplace_back(wait.get<std::int64_t>());
         view.load->pendingByQueue = fields.at(5).get<std::map<std::string, std::uint32_t>>();
+        view.load->idleCpu = fields.at(6).get<std::map<std::string, std::int64_t>>();
         return view;
     }
 
--- a/cells/beat.h
+++ b/cells/beat.h
@@ -13,9 +13,6 @@
 
 namespace coriandermount::cells {
 
-/// Number of a cell; the same on all VMs.
-using cell_number = std::uint32_t;
-
 /// What a VM knows of one cell.
 struct cell_view {
     cell_number cell = 0;
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -31,6 +31,8 @@
     failWaiters("the term has ended");
     endedRuns.clear();
     orphanEnds.clear();
+    lentBefore.clear();
+    lentKnown = false;
     ++termNumber;
     phase = owner_phase::idle;
     paused = false;
@@ -143,6 +145,29 @@
     m_data->locked([&] { m_data->paused = false; });
 }
 
+void cell_owner::lendTo(neighbor_cells& neighbors)
+{
+    m_data->locked([&] { m_data->neighbors = &neighbors; });
+}
+
+std::vector<std::string> cell_owner::jobsRunFor(cell_number home) const
+{
+    std::vector<std::string> ids;
+    const std::scoped_lock lock(m_data->mutex);
+    for (const auto& [id, job] : m_data->book.open()) {
+        if (job.lentBy == home)
+            ids.push_back(id);
+    }
+    // Nobody has handed these in again: any cell may have lent them.
+    for (const auto& [worker, session] : m_data->sessions) {
+        for (const auto& [key, current] : session.runs()) {
+            if (current.orphaned)
+                ids.push_back(key.jobId);
+        }
+    }
+    return ids;
+}
+
 void cell_owner::onSuperseded(std::function<void()> lost)
 {
     m_data->locked([&] { m_data->superseded = std::move(lost); });
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -30,12 +30,15 @@
 struct cell_load {
     /// Expected time from acceptance to the first start by priority; the last entry holds for all lower priorities.
     std::vector<std::chrono::milliseconds> waitByPriority;
+    /// Room for further tasks of the usual size, by service, in thousandths of a core.
+    std::map<std::string, std::int64_t> idleCpu;
     /// Accepted jobs of each queue of which no task has started.
     std::map<std::string, std::uint32_t> pendingByQueue;
 };
 
 /// Figures for metrics and logs.
 struct cell_figures {
+    std::uint64_t lentJobs = 0;
     std::uint64_t starts = 0;
     std::uint64_t completedJobs = 0;
     std::uint64_t failedJobs = 0;
@@ -44,6 +47,8 @@
     std::array<std::uint64_t, orderFailures> startFailures {};
 };
 
+class neighbor_cells;
+
 /// Every method may be called from any thread.
 class cell_owner {
 public:
@@ -63,6 +68,12 @@
     void pause();
     void resume();
 
+    /// Cells that may run jobs for this one; none by default. Outlives the owner.
+    void lendTo(neighbor_cells& neighbors);
+
+    /// Jobs that this cell runs for another one.
+    std::vector<std::string> jobsRunFor(cell_number home) const;
+
     /// Calls `lost` when the store or a worker has seen a higher epoch.
     void onSuperseded(std::function<void()> lost);
 
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -8,6 +8,7 @@
 
 #include "cells/cell_owner.h"
 #include "cells/job_book.h"
+#include "cells/neighbor_cells.h"
 #include "cells/worker_session.h"
 #include "core/log.h"
 #include "jobs/record_tail.h"
@@ -37,6 +38,12 @@
     /// Calls that are made once the mutex is released.
     std::vector<std::function<void()>> outbox;
     std::function<void()> superseded;
+    neighbor_cells* neighbors = nullptr;
+    /// Jobs that other cells run for this one since an earlier term.
+    lent_jobs lentBefore;
+    bool lentKnown = false;
+    /// Average need of the tasks that were started.
+    double usualCpu = 1000.0;
 
     owner_phase phase = owner_phase::idle;
     bool paused = false;
@@ -134,6 +141,13 @@
     void run(jobs::run_request request, job_completion done);
     void addRun(jobs::run_request request, job_completion done, time_point now);
     void attachOrphans(open_job& job);
+    /// Hands a job to another cell when that one has idle workers and this one has none; returns whether it did.
+    bool lend(open_job& job, time_point now);
+    void lendTo(cell_number cell, open_job& job, time_point now);
+    void onLentAnswer(const std::string& id, const result<jobs::job_state>& result);
+    void askLentJobs();
+    void onLentJobs(const lent_jobs& lent, time_point now);
+    std::int64_t idleCpu(const service_id& service, time_point now) const;
     void answer(open_job& job, const result<jobs::job_state>& result);
     void checkRuns(time_point now);
     void failWaiters(std::string_view reason);
@@ -145,6 +159,8 @@
     void failTask(open_job& job, const task_key& key, const worker_id& by, std::uint64_t attempt);
     void endJob(open_job& job, jobs::job_state state);
     void schedule(time_point now);
+    /// An earlier run of the task has not ended yet.
+    bool runsSomewhere(const task_key& key) const;
     bool scheduleJob(open_job& job, time_point now);
     worker_session* chooseWorker(const open_job& job, std::uint32_t step, const task_state& task, time_point now);
     bool mayStart(const open_job& job, time_point now);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -129,7 +129,12 @@
     return settled;
 }
 
-bool cell_owner::data::mayStart(const open_job& job, time_point now) { return job.offset > markOffset || isSettled(now); }
+bool cell_owner::data::mayStart(const open_job& job, time_point now)
+{ // Until the other cells have answered, any job may be one that they run.
+    if (!lentKnown && now < takenOverAt + lentAnswerLimit)
+        return false;
+    return job.offset > markOffset || isSettled(now);
+}
 
 void cell_owner::data::schedule(time_point now)
 {
@@ -155,6 +160,11 @@
     }
 }
 
+bool cell_owner::data::runsSomewhere(const task_key& key) const
+{
+    return std::any_of(sessions.begin(), sessions.end(), [&key](const auto& entry) { return entry.second.runs().contains(key); });
+}
+
 bool cell_owner::data::scheduleJob(open_job& job, time_point now)
 {
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
@@ -163,11 +173,12 @@
             continue;
         while (!waiting.empty()) {
             const std::uint32_t index = waiting.back();
-            worker_session* session = chooseWorker(job, step, job.steps[step].tasks[index], now);
+            const task_key key { job.accepted.work.id, 0, step, index };
+            worker_session* session = runsSomewhere(key) ? nullptr : chooseWorker(job, step, job.steps[step].tasks[index], now);
             if (!session)
                 return false;
             waiting.pop_back();
-            start(job, { job.accepted.work.id, 0, step, index }, *session, now);
+            start(job, key, *session, now);
         }
     }
     return true;
@@ -224,6 +235,10 @@
     }
     for (const double work : waiting)
         load.waitByPriority.emplace_back(static_cast<std::int64_t>(capacity > 0 ? work / capacity : 0));
+    for (const auto& [id, session] : sessions)
+        load.idleCpu.emplace(session.registration().service.value, 0);
+    for (auto& [service, idle] : load.idleCpu)
+        idle = load.waitByPriority.back().count() > 0 ? 0 : idleCpu({ service }, now);
     load.pendingByQueue = book.pendingByQueue();
     return load;
 }
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -57,9 +57,109 @@
     job->waiters.push_back(std::move(done));
     job->startBy = now + wait;
     job->giveUpAt = now + request.timeLeft;
+    job->lentBy = request.lentBy;
     if (request.again)
         attachOrphans(*job);
-    enqueue(*job);
+    if (!lend(*job, now))
+        enqueue(*job);
+}
+
+std::int64_t cell_owner::data::idleCpu(const service_id& service, time_point now) const
+{
+    const auto usual = std::max(static_cast<std::int64_t>(usualCpu), std::int64_t { 1 });
+    std::int64_t idle = 0;
+    for (const auto& [id, session] : sessions) {
+        if (session.registration().service == service && session.takesStarts(now))
+            idle += session.free().cpuMillis / usual * usual;
+    }
+    return idle;
+}
+
+bool cell_owner::data::lend(open_job& job, time_point now)
+{
+    if (!neighbors || job.lentBy || job.started || job.ended)
+        return false;
+    if (const auto before = lentBefore.find(job.accepted.work.id); before != lentBefore.end()) {
+        lendTo(before->second, job, now);
+        return true;
+    }
+    std::int64_t need = 0;
+    for (const auto& step : job.accepted.work.steps)
+        need = std::max(need, step.need.cpuMillis * step.taskCount);
+    if (job.offset != newestOffset || !lentKnown || need <= idleCpu(job.accepted.service, now))
+        return false;
+    const auto cell = neighbors->claimRoom(job.accepted.service, need);
+    if (!cell)
+        return false;
+    lendTo(*cell, job, now);
+    return true;
+}
+
+void cell_owner::data::lendTo(cell_number cell, open_job& job, time_point now)
+{
+    job.lent = true;
+    job.started = true;
+    ++figures.lentJobs;
+    jobs::run_request request { job.accepted, job.offset != newestOffset,
+        std::chrono::duration_cast<std::chrono::milliseconds>(job.giveUpAt - now), std::nullopt };
+    writeLog(log_level::info, "cell", "a job is lent", { { "job", job.accepted.work.id }, { "cell", fmt::to_string(cell) } });
+    outbox.emplace_back([self = shared_from_this(), cell, request = std::move(request), number = termNumber] {
+        self->neighbors->run(cell, request, [self, number, id = request.accepted.work.id](const result<jobs::job_state>& result) {
+            self->locked([&] {
+                if (number == self->termNumber)
+                    self->onLentAnswer(id, result);
+            });
+        });
+    });
+}
+
+void cell_owner::data::onLentAnswer(const std::string& id, const result<jobs::job_state>& result)
+{
+    open_job* job = book.find(id);
+    if (!job || job->ended)
+        return;
+    if (result) {
+        endJob(*job, *result);
+        return;
+    }
+    if (rowOf(result.error().kind).result == outcome::not_run) {
+        job->lent = false;
+        job->started = false;
+        enqueue(*job);
+        schedule(clock.now());
+        return;
+    }
+    answer(*job, result);
+    endJob(*job, jobs::job_state::cancelled);
+}
+
+void cell_owner::data::onLentJobs(const lent_jobs& lent, time_point now)
+{
+    lentBefore = lent;
+    lentKnown = true;
+    for (const auto& [id, cell] : lent) {
+        open_job* job = book.find(id);
+        if (job && !job->started && !job->ended && !job->lentBy)
+            lendTo(cell, *job, now);
+    }
+    schedule(now);
+}
+
+void cell_owner::data::askLentJobs()
+{
+    if (!neighbors) {
+        lentKnown = true;
+        return;
+    }
+    outbox.emplace_back([self = shared_from_this(), number = termNumber] {
+        self->neighbors->askLentJobs([self, number](const lent_jobs& lent) {
+            self->locked([&] {
+                if (number != self->termNumber)
+                    return;
+                self->onLentJobs(lent, self->clock.now());
+            });
+        });
+    });
 }
 
 void cell_owner::data::attachOrphans(open_job& job)
@@ -101,7 +201,7 @@
     for (auto& [id, job] : book.open()) {
         if (!job.accepted.work.answeredAtEnd || job.ended)
             continue;
-        if (!job.started && now > job.startBy) {
+        if (!job.started && now > job.startBy && mayStart(job, now)) {
             writeLog(log_level::info, "cell", "a job is refused",
                 { { "job", id }, { "reason", "no room in time" },
                     { "waited_ms",
@@ -127,6 +227,8 @@
     endedRuns.clear();
     if (now > takenOverAt + previousOwnerLimit)
         orphanEnds.clear();
+    if (now > takenOverAt + unstoredRetention)
+        lentBefore.clear();
     book.expire(now - settings.finishedRetention);
 }
 
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -10,6 +10,8 @@
 
     /// Attempts of one epoch; those of the next epoch are all higher.
     constexpr std::uint64_t attemptsPerEpoch = 100000;
+    /// Weight of the newest task in the average need.
+    constexpr double usualCpuWeight = 0.02;
 
     void logOrder(
         std::string_view message, const task_key& key, std::uint64_t attempt, const worker_id& worker, std::string_view outcome)
@@ -73,6 +75,7 @@
     task.runsOn = worker.id;
     job.started = true;
     ++figures.starts;
+    usualCpu += usualCpuWeight * (static_cast<double>(step.need.cpuMillis) - usualCpu);
 
     worker_run added;
     added.attempt = task.attempt;
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -47,6 +47,8 @@
 inline constexpr std::size_t maxFlushedRecords = 2000;
 /// Time in which the VMs that hold the callers of an earlier owner's jobs hand them in again; two beats and a call.
 inline constexpr std::chrono::milliseconds handInAgainLimit { 800 };
+/// Time for the other cells to tell which jobs they run for a cell whose owner is new; some round trips.
+inline constexpr std::chrono::milliseconds lentAnswerLimit { 300 };
 /// Share of the objective that a job may wait for its first start; refusals after half of it are priced in full.
 inline constexpr double maxWaitShare = 0.45;
 /// How long the end of a job that is not stored is remembered, for repeated requests.
--- a/cells/job_book.h
+++ b/cells/job_book.h
@@ -62,6 +62,10 @@
     std::vector<job_completion> waiters;
     /// A start after this time is of no use: the job is refused.
     time_point startBy;
+    /// Cell that the job belongs to, when this one runs it for another.
+    std::optional<cell_number> lentBy;
+    /// Another cell runs the job.
+    bool lent = false;
     /// The caller no longer waits.
     time_point giveUpAt;
 
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -38,15 +38,17 @@
     cell_owner& owner;
     owner_link& link;
     target_source target;
+    std::optional<cell_number> lentBy;
     mutable std::mutex mutex;
     std::uint64_t lastNumber = 0;
     std::map<std::uint64_t, waiting_run> runs;
 
-    data(const clock_source& time, cell_owner& local, owner_link& remote, target_source source)
+    data(const clock_source& time, cell_owner& local, owner_link& remote, target_source source, std::optional<cell_number> home)
         : clock(time)
         , owner(local)
         , link(remote)
         , target(std::move(source))
+        , lentBy(home)
     {
     }
 
@@ -74,6 +76,7 @@
             return;
         request.accepted = current.accepted;
         request.again = current.mayHaveRun;
+        request.lentBy = lentBy;
         request.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(current.deadline - now);
         current.askedEpoch = where->epoch;
         current.inFlight = true;
@@ -160,14 +163,15 @@
                    : fail(error_kind::no_worker, "the cell has had no owner for too long"));
 }
 
-job_router::job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target)
-    : m_data(std::make_shared<data>(clock, owner, link, std::move(target)))
+job_router::job_router(
+    const clock_source& clock, cell_owner& owner, owner_link& link, target_source target, std::optional<cell_number> lentBy)
+    : m_data(std::make_shared<data>(clock, owner, link, std::move(target), lentBy))
 {
 }
 
 job_router::~job_router() = default;
 
-void job_router::run(jobs::accepted_job accepted, time_point deadline, job_completion done)
+void job_router::run(jobs::accepted_job accepted, time_point deadline, job_completion done, bool again)
 {
     std::uint64_t number = 0;
     {
@@ -178,6 +182,7 @@
         added.since = m_data->clock.now();
         added.deadline = deadline;
         added.done = std::move(done);
+        added.mayHaveRun = again;
     }
     m_data->ask(number);
 }
@@ -191,6 +196,18 @@
         m_data->expire(number);
 }
 
+void job_router::stop()
+{
+    std::vector<std::uint64_t> numbers;
+    {
+        const std::scoped_lock lock(m_data->mutex);
+        for (const auto& [number, current] : m_data->runs)
+            numbers.push_back(number);
+    }
+    for (const std::uint64_t number : numbers)
+        m_data->expire(number);
+}
+
 std::size_t job_router::waiting() const
 {
     const std::scoped_lock lock(m_data->mutex);
--- a/cells/job_router.h
+++ b/cells/job_router.h
@@ -29,6 +29,10 @@
 
     /// Asks the owner at `address` to run a job; completes with `owner_unknown` when nothing is known of its fate.
     virtual void run(const std::string& address, const jobs::run_request& request, job_completion done) = 0;
+
+    /// Asks the owner at `address` which jobs it runs for cell `home`; completes with an empty list when it does not answer.
+    virtual void askLentJobs(const std::string& address, cell_number home, std::function<void(std::vector<std::string>)> done)
+        = 0;
 };
 
 /// Every method may be called from any thread.
@@ -37,7 +41,9 @@
     using target_source = std::function<std::optional<run_target>()>;
 
     /// All arguments outlive the router.
-    job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target);
+    /// `lentBy` is the cell in whose name jobs are run elsewhere; nothing when the jobs belong to the asked cell.
+    job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target,
+        std::optional<cell_number> lentBy = std::nullopt);
     ~job_router();
 
     job_router(const job_router&) = delete;
@@ -45,11 +51,15 @@
 
     /// Runs a job that is not stored. `done` is called once, at `deadline` at the latest: with the final state, with an error
     /// that tells that it has not run, or with `owner_unknown`.
-    void run(jobs::accepted_job accepted, time_point deadline, job_completion done);
+    /// `again` tells that an owner may have started the job before.
+    void run(jobs::accepted_job accepted, time_point deadline, job_completion done, bool again = false);
 
     /// Hands jobs to a new owner, and answers those whose time is up. Called every few tens of milliseconds.
     void tick();
 
+    /// Answers all jobs that still wait, with what is known of them.
+    void stop();
+
     std::size_t waiting() const;
 
 private:
--- /dev/null
+++ b/cells/neighbor_cells.h
@@ -0,0 +1,35 @@
+/// Other cells that may run jobs for this one.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "cells/beat.h"
+#include "cells/job_book.h"
+#include "jobs/record_codec.h"
+
+namespace coriandermount::cells {
+
+/// Jobs that other cells run for this one, and where.
+using lent_jobs = std::map<std::string, cell_number>;
+
+/// Completions are called once, from any thread.
+class neighbor_cells {
+public:
+    virtual ~neighbor_cells() = default;
+
+    /// Returns a cell that has idle workers for `cpuMillis` of one service, and takes that room off until the cell is heard
+    /// again.
+    virtual std::optional<cell_number> claimRoom(const service_id& service, std::int64_t cpuMillis) = 0;
+
+    /// Runs a job in another cell; completes as `job_router::run` does.
+    virtual void run(cell_number cell, jobs::run_request request, job_completion done) = 0;
+
+    /// Asks all other cells which jobs they run for this one; those that can't be reached are left out.
+    virtual void askLentJobs(std::function<void(lent_jobs)> done) = 0;
+};
+
+} // namespace coriandermount::cells
--- a/cells/vm_directory.cpp
+++ b/cells/vm_directory.cpp
@@ -209,7 +209,7 @@
     const auto vm = m_data->vms.find(found->second.vm);
     if (vm == m_data->vms.end())
         return std::nullopt;
-    return heard_owner { found->second.vm, vm->second.address, found->second.epoch, found->second.load };
+    return heard_owner { found->second.vm, vm->second.address, found->second.epoch, found->second.load, found->second.at };
 }
 
 std::string vm_directory::address(const vm_id& vm) const
--- a/cells/vm_directory.h
+++ b/cells/vm_directory.h
@@ -34,6 +34,7 @@
     std::string address;
     std::uint64_t epoch = 0;
     cell_load load;
+    time_point heardAt;
 };
 
 /// Every method may be called from any thread.
--- a/cells/worker_link.h
+++ b/cells/worker_link.h
@@ -14,6 +14,9 @@
 
 namespace coriandermount::cells {
 
+/// Number of a cell; the same on all VMs.
+using cell_number = std::uint32_t;
+
 /// Names one task for as long as its job lives.
 struct task_key {
     std::string jobId;
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -111,14 +111,18 @@
 
 std::string encodeRunRequest(const run_request& request)
 {
-    return pack(json::array({ packAccepted(request.accepted), request.again, request.timeLeft.count() }));
+    return pack(json::array({ packAccepted(request.accepted), request.again, request.timeLeft.count(),
+        request.lentBy ? json(*request.lentBy) : json() }));
 }
 
 result<run_request> decodeRunRequest(const std::string& value)
 {
     return unpack(value, [](const json& fields) {
-        return run_request { unpackAccepted(fields.at(0)), fields.at(1),
-            std::chrono::milliseconds(fields.at(2).get<std::int64_t>()) };
+        run_request request { unpackAccepted(fields.at(0)), fields.at(1),
+            std::chrono::milliseconds(fields.at(2).get<std::int64_t>()), std::nullopt };
+        if (!fields.at(3).is_null())
+            request.lentBy = fields.at(3).get<std::uint32_t>();
+        return request;
     });
 }
 
--- a/jobs/record_codec.h
+++ b/jobs/record_codec.h
@@ -37,6 +37,8 @@
     bool again = false;
     /// How long the caller still waits.
     std::chrono::milliseconds timeLeft { 0 };
+    /// Cell that lends the job; nothing when its own cell is asked.
+    std::optional<std::uint32_t> lentBy;
 };
 
 struct finished_job {
--- a/jobs/record_tail.cpp
+++ b/jobs/record_tail.cpp
@@ -20,6 +20,7 @@
     const clock_source& clock;
     record_stream stream;
     record_listener& listener;
+    std::chrono::milliseconds pace;
 
     std::mutex mutex;
     bool running = false;
@@ -31,17 +32,20 @@
     std::chrono::milliseconds pause { firstPause };
     time_point retryAt {};
 
-    data(record_store& target, const clock_source& time, record_stream source, record_listener& receiver)
+    data(record_store& target, const clock_source& time, record_stream source, record_listener& receiver,
+        std::chrono::milliseconds interval)
         : store(target)
         , clock(time)
         , stream(std::move(source))
         , listener(receiver)
+        , pace(interval)
     {
     }
 
     void ask();
     void onSnapshot(result<record_batch> answer, time_point asked);
     void onRead(result<record_batch> answer, time_point asked);
+    void goOn();
     void retryLater(const error& problem);
     bool isCurrent(std::uint64_t expected);
 };
@@ -64,10 +68,11 @@
         });
         return;
     }
-    store.read(stream, next, readWait, [self, asked, current](result<record_batch> answer) {
-        if (self->isCurrent(current))
-            self->onRead(std::move(answer), asked);
-    });
+    store.read(stream, next, pace.count() > 0 ? std::chrono::milliseconds(0) : readWait,
+        [self, asked, current](result<record_batch> answer) {
+            if (self->isCurrent(current))
+                self->onRead(std::move(answer), asked);
+        });
 }
 
 void record_tail::data::onSnapshot(result<record_batch> answer, time_point asked)
@@ -81,7 +86,7 @@
     pause = firstPause;
     listener.onSnapshot(answer->records);
     listener.onContact(asked);
-    ask();
+    goOn();
 }
 
 void record_tail::data::onRead(result<record_batch> answer, time_point asked)
@@ -97,7 +102,18 @@
         listener.onRecord(current);
     }
     listener.onContact(asked);
-    ask();
+    goOn();
+}
+
+void record_tail::data::goOn()
+{
+    if (pace.count() == 0) {
+        ask();
+        return;
+    }
+    const std::scoped_lock lock(mutex);
+    waiting = true;
+    retryAt = clock.now() + pace;
 }
 
 void record_tail::data::retryLater(const error& problem)
@@ -109,8 +125,9 @@
     pause = std::min(pause * 2, longestPause);
 }
 
-record_tail::record_tail(record_store& store, const clock_source& clock, record_stream stream, record_listener& listener)
-    : m_data(std::make_shared<data>(store, clock, std::move(stream), listener))
+record_tail::record_tail(record_store& store, const clock_source& clock, record_stream stream, record_listener& listener,
+    std::chrono::milliseconds pace)
+    : m_data(std::make_shared<data>(store, clock, std::move(stream), listener, pace))
 {
 }
 
--- a/jobs/record_tail.h
+++ b/jobs/record_tail.h
@@ -26,7 +26,9 @@
 class record_tail {
 public:
     /// Store and clock outlive the tail; `listener` outlives it or is told nothing after `stop`.
-    record_tail(record_store& store, const clock_source& clock, record_stream stream, record_listener& listener);
+    /// Reads are at least `pace` apart; a paced tail does not wait for records at the store.
+    record_tail(record_store& store, const clock_source& clock, record_stream stream, record_listener& listener,
+        std::chrono::milliseconds pace = std::chrono::milliseconds(0));
     ~record_tail();
 
     record_tail(const record_tail&) = delete;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <charconv>
+#include <sstream>
 #include <thread>
 
 #include <fmt/format.h>
@@ -10,6 +11,7 @@
 
 #include "cells/cell_member.h"
 #include "cells/cell_owner.h"
+#include "cells/fleet_neighbors.h"
 #include "cells/job_router.h"
 #include "cells/vm_directory.h"
 #include "core/log.h"
@@ -40,11 +42,12 @@
     /// Time in which the balancer notices that this VM is not ready: two looks, one a second.
     constexpr std::chrono::milliseconds balancerDelay { 2600 };
     /// Left of the grace period when the last requests are cut short.
-    constexpr std::chrono::milliseconds shutdownReserve { 1200 };
+    constexpr std::chrono::milliseconds shutdownReserve { 600 };
     constexpr std::chrono::milliseconds shutdownPoll { 50 };
 
     constexpr const char* stateMethod = "job.state";
     constexpr const char* runMethod = "job.run";
+    constexpr const char* lentMethod = "cell.lent";
     constexpr const char* vmTopic = "keyed.vms";
     constexpr const char* cellTopic = "keyed.cells";
     constexpr const char* jobTopic = "keyed.jobs";
@@ -127,6 +130,7 @@
     peers::http_peer_link peerLink;
     peers::http_peer_service peerService;
     cells::job_router router;
+    cells::fleet_neighbors neighbors;
     net::http_server front;
     net::http_server readiness;
     std::atomic<bool> draining { false };
@@ -140,6 +144,7 @@
     std::optional<cells::run_target> runTarget() const;
     cells::cell_number homeOf(const std::string& jobId) const;
     void addPeerMethods();
+    void addLentMethod();
     void onDatagram(const std::string& datagram);
     void run();
 
@@ -153,6 +158,8 @@
     bool isDraining() const override { return draining.load(std::memory_order_relaxed); }
     void send(const std::string& address, const std::string& datagram) override { beats.send(address, datagram); }
     void run(const std::string& address, const jobs::run_request& request, cells::job_completion done) override;
+    void askLentJobs(
+        const std::string& address, cells::cell_number home, std::function<void(std::vector<std::string>)> done) override;
 };
 
 entry_node::data::data(const platform::boot_settings& values)
@@ -172,12 +179,14 @@
     , peerLink(client)
     , peerService(listenerOptions(fmt::format("{}:{}", values.address, values.firstPeerPort)))
     , router(clock, owner, *this, [this] { return runTarget(); })
+    , neighbors(clock, owner, *this, directory, cell, cells)
     , front(listenerOptions(values.clientListener), platform::clientHandler(*this))
     , readiness(listenerOptions(values.readyListener), platform::readinessHandler(*this))
 {
     for (cells::cell_number number = 0; number < cells; ++number)
         intakes.push_back(std::make_unique<jobs::job_intake>(store, clock, jobs::record_stream { jobTopic, number }));
     member.onChange([this] { directory.hurry(); });
+    owner.lendTo(neighbors);
     addPeerMethods();
 }
 
@@ -193,6 +202,16 @@
         else
             reply(encodeState(tl::unexpected(request.error())));
     });
+    addLentMethod();
+}
+
+void entry_node::data::addLentMethod()
+{
+    peerService.addMethod(lentMethod, [this](const std::string& message, const peers::peer_service::reply_function& reply) {
+        cells::cell_number home = 0;
+        std::from_chars(message.data(), message.data() + message.size(), home);
+        reply(fmt::format("{}", fmt::join(owner.jobsRunFor(home), " ")));
+    });
 }
 
 cells::vm_registration entry_node::data::registration() const
@@ -240,6 +259,7 @@
         directory.tick();
         owner.tick();
         router.tick();
+        neighbors.tick();
         std::this_thread::sleep_for(owns || router.waiting() > 0 ? tickInterval : idleTickInterval);
     }
 }
@@ -270,6 +290,18 @@
     });
 }
 
+void entry_node::data::askLentJobs(
+    const std::string& address, cells::cell_number home, std::function<void(std::vector<std::string>)> done)
+{
+    peerLink.call(address, lentMethod, fmt::to_string(home), cells::lentAnswerLimit, [done = std::move(done)](const auto& reply) {
+        std::vector<std::string> ids;
+        std::istringstream text(reply ? *reply : std::string());
+        for (std::string id; text >> id;)
+            ids.push_back(id);
+        done(std::move(ids));
+    });
+}
+
 void entry_node::data::cancel(const std::string& jobId, std::function<void(result<void>)> done)
 {
     intakes[homeOf(jobId)]->cancel(jobId, std::move(done));
@@ -354,6 +386,7 @@
     auto elapsed = [began] { return std::chrono::steady_clock::now() - began; };
     while (elapsed() < limit && (elapsed() < balancerDelay || m_data->front.pendingRequests() > 0))
         std::this_thread::sleep_for(shutdownPoll);
+    m_data->router.stop();
     m_data->front.stop();
     writeLog(log_level::info, "node", "stopped");
 }
