cells: Suspect an owner after four beats, and give up starts that can't happen any more

Cause: two tests of tests/cells failed: after the death of an owner its runs lapsed before the takeover (detection took 0.85 s), and a job on a worker that answers orders late was never answered, since looks at the worker moved the time after which an unanswered start was given up.

Tests: tests/cells with a fleet in virtual time (VMs, store and workers with their faults).

--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -83,11 +83,11 @@
     added.estimate = step.estimate;
     added.sentAt = now;
     added.progressAt = now;
-    session.addRun(key, added);
-    session.nextHold = std::min(session.nextHold, now);
-
     start_order order { key, task.attempt, job.accepted.work.payload, session.extendLease(settings.maxLease, now), term.epoch,
         task.checkpoint };
+    added.startableUntil = session.leasesEnded(now);
+    session.addRun(key, added);
+    session.nextHold = std::min(session.nextHold, now);
     outbox.emplace_back([self = shared_from_this(), worker, order = std::move(order), number = termNumber] {
         self->link.start(
             worker, order, [self, number, id = worker.id, key = order.task, attempt = order.attempt](const auto& answer) {
@@ -401,7 +401,7 @@
     }
     for (const auto& [key, current] : missing) {
         const bool answered = current.answeredAt && *current.answeredAt < sentAt;
-        if (answered || (current.uncertain && session.leasesEnded(now) < sentAt)) {
+        if (answered || (current.uncertain && current.startableUntil + startMargin < sentAt)) {
             ++figures.lostRuns;
             session.removeRun(key);
             requeue(key, session.registration().id, current.attempt);
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -53,6 +53,8 @@
 inline constexpr double maxWaitShare = 0.45;
 /// How long the end of a job that is not stored is remembered, for repeated requests.
 inline constexpr std::chrono::milliseconds unstoredRetention { 5000 };
+/// Added to the time in which a start without an answer may still be carried out; covers the reading of clocks.
+inline constexpr std::chrono::milliseconds startMargin { 500 };
 /// Time after which a stop is repeated; several times `stopGrace` of the platform.
 inline constexpr std::chrono::milliseconds stopRepeat { 200 };
 /// A task without progress for this long, and beyond this multiple of its estimate, stands still.
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -14,8 +14,8 @@
 namespace coriandermount::cells {
 
 struct ownership_settings {
-    /// Silence after which the owner is suspected: six beats of it.
-    std::chrono::milliseconds suspectAfter { 600 };
+    /// Silence after which the owner is suspected: four beats of it.
+    std::chrono::milliseconds suspectAfter { 400 };
     /// Age of the owner's last record after which a VM without contact to the others may claim.
     std::chrono::milliseconds recordAgeLimit { 2500 };
     /// Time between the owner's records.
@@ -23,7 +23,7 @@
     /// How long an owner goes on without having verified its ownership when most VMs are out of reach.
     std::chrono::milliseconds unverifiedLimit { 2000 };
     /// Head start of a better placed candidate.
-    std::chrono::milliseconds rankDelay { 250 };
+    std::chrono::milliseconds rankDelay { 150 };
     /// A VM is in reach while its last beat is younger.
     std::chrono::milliseconds reachLimit { 700 };
     /// A VM counts as part of the fleet while its last beat is younger.
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -29,6 +29,8 @@
     std::optional<time_point> confirmedAt;
     /// When the last order about this run was answered: looks sent later show the run unless it is over.
     std::optional<time_point> answeredAt;
+    /// When the end of the lease that the start carried has passed on the worker's clock for sure.
+    time_point startableUntil;
     /// No answer came: the start may still be executed until the end of its lease.
     bool uncertain = false;
     int percent = 0;
--- /dev/null
+++ b/tests/fakes/cell_fleet.cpp
@@ -0,0 +1,312 @@
+#include "tests/fakes/cell_fleet.h"
+
+#include <fmt/format.h>
+
+namespace coriandermount::fakes {
+
+using namespace cells;
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 10 };
+    constexpr std::chrono::milliseconds tripTime { 1 };
+    constexpr std::chrono::milliseconds callTimeout { 1500 };
+    constexpr std::int64_t workerCpu = 16000;
+    constexpr std::int64_t taskCpu = 7000;
+
+    unsigned domainOf(const std::string& vm) { return static_cast<unsigned>(std::stoul(vm.substr(2, vm.find('-') - 2))); }
+
+} // namespace
+
+struct cell_fleet::vm final : jobs::record_store,
+                              worker_link,
+                              beat_link,
+                              owner_link,
+                              worker_directory,
+                              std::enable_shared_from_this<cell_fleet::vm> {
+    cell_fleet& fleet;
+    std::string name;
+    cell_number cell;
+    std::uint64_t boot;
+    bool alive = true;
+    bool directoryStarted = false;
+    cell_owner owner;
+    cell_member member;
+    vm_directory directory;
+    job_router router;
+    fleet_neighbors neighbors;
+    jobs::job_intake intake;
+
+    vm(cell_fleet& parent, std::string vmName, std::uint64_t bootNumber)
+        : fleet(parent)
+        , name(std::move(vmName))
+        , cell(domainOf(name))
+        , boot(bootNumber)
+        , owner(*this, *this, parent.loop, { "jobs", cell }, {})
+        , member(*this, parent.loop, owner, *this, { "cells", cell }, cell, { name }, boot)
+        , directory(*this, *this, parent.loop, { "vms", 0 }, { { name }, boot, name, { std::to_string(cell) } },
+              [this] {
+                  return beat { { name }, boot, member.isDraining(), member.storeReachable(), { member.view() } };
+              })
+        , router(parent.loop, owner, *this, [this] { return target(); })
+        , neighbors(parent.loop, owner, *this, directory, cell, parent.m_domains)
+        , intake(*this, parent.loop, { "jobs", cell })
+    {
+        owner.lendTo(neighbors);
+    }
+
+    std::optional<run_target> target() const
+    {
+        if (member.isOwner())
+            return run_target { true, {}, member.view().epoch };
+        const auto heard = directory.owner(cell);
+        return heard ? std::optional(run_target { false, heard->address, heard->epoch }) : std::nullopt;
+    }
+
+    void tick()
+    {
+        member.tick();
+        directory.tick();
+        owner.tick();
+        router.tick();
+        neighbors.tick();
+        intake.tick();
+    }
+
+    /// Hands an answer to this life of the VM only.
+    template <class Answer> std::function<void(Answer)> guarded(std::function<void(Answer)> done)
+    {
+        return [weak = weak_from_this(), done = std::move(done)](Answer answer) {
+            const auto self = weak.lock();
+            if (self && self->alive)
+                done(std::move(answer));
+        };
+    }
+
+    store_fault storeFault() const
+    {
+        const auto found = fleet.m_storeFaults.find(name);
+        return found == fleet.m_storeFaults.end() ? store_fault::none : found->second;
+    }
+
+    void append(jobs::append_request request, append_completion done) override
+    {
+        fleet.records.append(request, storeFault(), guarded<result<std::uint64_t>>(std::move(done)));
+    }
+    void read(
+        const jobs::record_stream& stream, std::uint64_t from, std::chrono::milliseconds wait, read_completion done) override
+    {
+        fleet.records.read(stream, from, wait, storeFault(), guarded<result<jobs::record_batch>>(std::move(done)));
+    }
+    void readNewest(const jobs::record_stream& stream, read_completion done) override
+    {
+        fleet.records.readNewest(stream, storeFault(), guarded<result<jobs::record_batch>>(std::move(done)));
+    }
+
+    void start(const worker_registration& worker, const start_order& order, completion<order_answer> done) override
+    {
+        fleet.workers.start(worker.id, order, guarded<tl::expected<order_answer, order_failure>>(std::move(done)));
+    }
+    void stop(const worker_registration& worker, const stop_order& order, completion<order_answer> done) override
+    {
+        fleet.workers.stop(worker.id, order, guarded<tl::expected<order_answer, order_failure>>(std::move(done)));
+    }
+    void hold(const worker_registration& worker, const hold_order& order, completion<hold_answer> done) override
+    {
+        fleet.workers.hold(worker.id, order, guarded<tl::expected<hold_answer, order_failure>>(std::move(done)));
+    }
+
+    void send(const std::string& address, const std::string& datagram) override
+    {
+        fleet.loop.after(tripTime, [&fleet = fleet, from = name, address, datagram] {
+            vm* target = fleet.reachable(from, address);
+            const auto current = decodeBeat(datagram);
+            if (!target || !current)
+                return;
+            target->directory.onBeat(*current);
+            target->member.onBeat(*current);
+        });
+    }
+
+    void run(const std::string& address, const jobs::run_request& request, job_completion done) override
+    {
+        auto answered = std::make_shared<bool>(false);
+        auto once = [answered, done = guarded<result<jobs::job_state>>(std::move(done))](const result<jobs::job_state>& answer) {
+            if (!std::exchange(*answered, true))
+                done(answer);
+        };
+        fleet.loop.after(tripTime, [&fleet = fleet, from = name, address, request, once] {
+            vm* target = fleet.reachable(from, address);
+            if (!target)
+                return;
+            target->owner.run(request, [&fleet, from, address, once](const result<jobs::job_state>& answer) {
+                fleet.loop.after(tripTime, [&fleet, from, address, once, answer] {
+                    if (fleet.reachable(address, from))
+                        once(answer);
+                });
+            });
+        });
+        fleet.loop.after(std::max(request.timeLeft, callTimeout), [once] { once(fail(error_kind::owner_unknown, "no answer")); });
+    }
+
+    void askLentJobs(const std::string& address, cell_number home, std::function<void(std::vector<std::string>)> done) override
+    {
+        auto answered = std::make_shared<bool>(false);
+        auto once = [answered, done = guarded<std::vector<std::string>>(std::move(done))](const std::vector<std::string>& ids) {
+            if (!std::exchange(*answered, true))
+                done(ids);
+        };
+        fleet.loop.after(2 * tripTime, [&fleet = fleet, from = name, address, home, once] {
+            if (vm* target = fleet.reachable(from, address))
+                once(target->owner.jobsRunFor(home));
+        });
+        fleet.loop.after(lentAnswerLimit, [once] { once({}); });
+    }
+
+    void start() override
+    {
+        directoryStarted = true;
+        owner.setWorkers(fleet.workers.registrations(std::to_string(cell)));
+    }
+    void stop() override { directoryStarted = false; }
+    void tick(time_point) override
+    {
+        if (!directoryStarted)
+            return;
+        for (const auto& worker : fleet.workers.registrations(std::to_string(cell)))
+            owner.updateWorker(worker);
+    }
+};
+
+cell_fleet::cell_fleet(unsigned domains, unsigned vms, unsigned workersPerDomain)
+    : m_domains(domains)
+{
+    for (unsigned domain = 0; domain < domains; ++domain) {
+        for (unsigned number = 0; number < workersPerDomain; ++number)
+            workers.add(workerName(domain, number), std::to_string(domain), workerCpu);
+        for (unsigned number = 0; number < vms; ++number)
+            start(vmName(domain, number));
+    }
+}
+
+cell_fleet::~cell_fleet()
+{
+    for (auto& [name, current] : m_vms)
+        current->alive = false;
+}
+
+std::string cell_fleet::vmName(unsigned domain, unsigned number) { return fmt::format("vm{}-{}", domain, number); }
+
+std::string cell_fleet::workerName(unsigned domain, unsigned number) { return fmt::format("worker{}-{}", domain, number); }
+
+void cell_fleet::start(const std::string& vm)
+{
+    if (m_vms.contains(vm))
+        return;
+    auto started = std::make_shared<cell_fleet::vm>(*this, vm, ++m_lastBoot);
+    m_vms.emplace(vm, started);
+    started->directory.start();
+    started->member.start();
+    schedule(vm);
+}
+
+void cell_fleet::schedule(const std::string& name)
+{
+    loop.after(tickInterval, [this, name, boot = m_vms.at(name)->boot] {
+        const auto found = m_vms.find(name);
+        if (found == m_vms.end() || found->second->boot != boot)
+            return;
+        found->second->tick();
+        schedule(name);
+    });
+}
+
+void cell_fleet::kill(const std::string& vm)
+{
+    const auto found = m_vms.find(vm);
+    if (found == m_vms.end())
+        return;
+    found->second->alive = false;
+    // The end of its parts calls nobody: what it would send is lost.
+    const auto ended = found->second;
+    m_vms.erase(found);
+}
+
+void cell_fleet::drain(const std::string& vm)
+{
+    if (isAlive(vm))
+        m_vms.at(vm)->member.drain();
+}
+
+cell_fleet::vm* cell_fleet::reachable(const std::string& from, const std::string& to)
+{
+    const auto found = m_vms.find(to);
+    if (found == m_vms.end() || !m_vms.contains(from) || m_cut.contains(from) || m_cut.contains(to))
+        return nullptr;
+    return found->second.get();
+}
+
+std::string cell_fleet::owner(unsigned domain) const
+{
+    for (const auto& [name, current] : m_vms) {
+        if (current->cell == domain && current->owner.isServing() && current->member.isOwner())
+            return name;
+    }
+    return {};
+}
+
+jobs::accepted_job cell_fleet::makeJob(
+    const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration, bool answeredAtEnd)
+{
+    jobs::accepted_job accepted;
+    accepted.work.id = jobId;
+    accepted.work.queue = "queue";
+    accepted.work.payload = std::to_string(duration.count());
+    accepted.work.answeredAtEnd = answeredAtEnd;
+    jobs::step only;
+    only.taskCount = tasks;
+    only.need = { taskCpu, 64, 0 };
+    only.estimate = duration;
+    accepted.work.steps.push_back(only);
+    accepted.service.value = "service";
+    accepted.maxAttempts = 3;
+    accepted.objective = duration * 2 + std::chrono::milliseconds(2000);
+    accepted.acceptedAt = loop.wallNow();
+    return accepted;
+}
+
+void cell_fleet::run(const std::string& vm, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration,
+    std::chrono::milliseconds timeLeft)
+{
+    if (!isAlive(vm))
+        return;
+    m_vms.at(vm)->router.run(
+        makeJob(jobId, tasks, duration, true), loop.now() + timeLeft, [this, jobId](const result<jobs::job_state>& answer) {
+            answers.push_back({ jobId, answer, loop.now() });
+        });
+}
+
+void cell_fleet::store(const std::string& vm, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration)
+{
+    m_vms.at(vm)->intake.store(makeJob(jobId, tasks, duration, false), [this, jobId](const result<void>& answer) {
+        if (answer)
+            stored.push_back(jobId);
+    });
+}
+
+void cell_fleet::cancel(const std::string& vm, const std::string& jobId)
+{
+    m_vms.at(vm)->intake.cancel(jobId, [](const result<void>&) {});
+}
+
+result<jobs::job_state> cell_fleet::state(unsigned domain, const std::string& jobId) const
+{
+    const std::string name = owner(domain);
+    if (name.empty())
+        return fail(error_kind::owner_unknown, "no owner");
+    return m_vms.at(name)->owner.state(jobId);
+}
+
+cell_figures cell_fleet::figures(const std::string& vm) const { return m_vms.at(vm)->owner.figures(); }
+
+} // namespace coriandermount::fakes
--- /dev/null
+++ b/tests/fakes/memory_record_store.cpp
@@ -0,0 +1,122 @@
+#include "tests/fakes/memory_record_store.h"
+
+namespace coriandermount::fakes {
+
+namespace {
+
+    constexpr std::chrono::milliseconds answerTime { 4 };
+    constexpr std::chrono::milliseconds callTimeout { 1000 };
+    constexpr std::chrono::milliseconds readPoll { 1 };
+
+    template <class Done> void answerFault(virtual_loop& loop, store_fault fault, const Done& done)
+    {
+        if (fault == store_fault::refuses)
+            loop.after(answerTime, [done] { done(fail(error_kind::log_unavailable, "refused")); });
+        else
+            loop.after(callTimeout, [done] { done(fail(error_kind::log_answer_lost, "no answer")); });
+    }
+
+} // namespace
+
+result<std::uint64_t> memory_record_store::apply(const jobs::append_request& request)
+{
+    stream_state& state = stateOf(request.stream);
+    if (request.from) {
+        auto& writer = state.writers[request.from->name];
+        if (request.from->epoch < writer.epoch)
+            return fail(error_kind::log_epoch_fenced, "fenced");
+        if (request.from->epoch == writer.epoch) {
+            if (const auto known = writer.offsets.find(request.from->sequence); known != writer.offsets.end())
+                return known->second;
+        }
+    }
+    if (request.expectedEnd && *request.expectedEnd != state.records.size())
+        return fail(error_kind::log_position_taken, "position");
+    const std::uint64_t first = state.records.size();
+    for (auto current : request.records) {
+        current.offset = state.records.size();
+        state.records.push_back(std::move(current));
+    }
+    if (request.from) {
+        auto& writer = state.writers[request.from->name];
+        if (request.from->epoch > writer.epoch)
+            writer = { request.from->epoch, {} };
+        writer.offsets[request.from->sequence] = first;
+    }
+    return first;
+}
+
+void memory_record_store::append(
+    const jobs::append_request& request, store_fault fault, const jobs::record_store::append_completion& done)
+{
+    if (fault == store_fault::refuses || fault == store_fault::silent) {
+        answerFault(m_loop, fault, done);
+        return;
+    }
+    m_loop.after(answerTime, [this, request, fault, done] {
+        const auto answer = apply(request);
+        if (fault == store_fault::loses_answers)
+            answerFault(m_loop, fault, done);
+        else
+            done(answer);
+    });
+}
+
+void memory_record_store::answerRead(
+    const jobs::record_stream& stream, std::uint64_t from, time_point until, const jobs::record_store::read_completion& done)
+{
+    const stream_state& state = stateOf(stream);
+    if (from < state.firstKept) {
+        done(fail(error_kind::log_records_expired, "expired"));
+        return;
+    }
+    if (from >= state.records.size() && m_loop.now() < until) {
+        m_loop.after(readPoll, [this, stream, from, until, done] { answerRead(stream, from, until, done); });
+        return;
+    }
+    jobs::record_batch batch;
+    batch.end = state.records.size();
+    for (std::uint64_t offset = from; offset < batch.end; ++offset)
+        batch.records.push_back(state.records[offset]);
+    done(std::move(batch));
+}
+
+void memory_record_store::read(const jobs::record_stream& stream, std::uint64_t from, std::chrono::milliseconds wait,
+    store_fault fault, const jobs::record_store::read_completion& done)
+{
+    if (fault == store_fault::refuses || fault == store_fault::silent) {
+        answerFault(m_loop, fault, done);
+        return;
+    }
+    m_loop.after(answerTime, [this, stream, from, wait, done] { answerRead(stream, from, m_loop.now() + wait, done); });
+}
+
+void memory_record_store::readNewest(
+    const jobs::record_stream& stream, store_fault fault, const jobs::record_store::read_completion& done)
+{
+    if (fault == store_fault::refuses || fault == store_fault::silent) {
+        answerFault(m_loop, fault, done);
+        return;
+    }
+    m_loop.after(answerTime, [this, stream, done] {
+        std::map<std::string, jobs::record> newest;
+        const stream_state& state = stateOf(stream);
+        for (const auto& current : state.records)
+            newest[current.key] = current;
+        jobs::record_batch batch;
+        batch.end = state.records.size();
+        for (auto& [key, current] : newest) {
+            if (current.value)
+                batch.records.push_back(current);
+        }
+        done(std::move(batch));
+    });
+}
+
+void memory_record_store::compact()
+{
+    for (auto& [name, state] : m_streams)
+        state.firstKept = state.records.size();
+}
+
+} // namespace coriandermount::fakes
