cells: Take a job that is lent again out of the queue

Change: lending takes the job out of the queue. Tests: the fleet in virtual time answers questions between cells after 60 ms, so that jobs are handed in before; at_most_once/when_the_owner_dies and the property failed first.

--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -28,7 +28,7 @@
 
 void cell_owner::data::enqueue(const open_job& job)
 {
-    if (!job.ended && job.readyTasks() > 0)
+    if (!job.ended && !job.lent && job.readyTasks() > 0)
         ready.emplace(job.accepted.priority, job.objective, job.accepted.work.id);
 }
 
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -11,6 +11,8 @@
     constexpr std::chrono::milliseconds tickInterval { 10 };
     constexpr std::chrono::milliseconds tripTime { 1 };
     constexpr std::chrono::milliseconds callTimeout { 1500 };
+    /// Longer than jobs take to be handed in again.
+    constexpr std::chrono::milliseconds lentAnswerTime { 60 };
     constexpr std::int64_t workerCpu = 16000;
     constexpr std::int64_t taskCpu = 7000;
 
@@ -156,7 +158,7 @@
             if (!std::exchange(*answered, true))
                 done(ids);
         };
-        fleet.loop.after(2 * tripTime, [&fleet = fleet, from = name, address, home, once] {
+        fleet.loop.after(lentAnswerTime, [&fleet = fleet, from = name, address, home, once] {
             if (vm* target = fleet.reachable(from, address))
                 once(target->owner.jobsRunFor(home));
         });
