cells: Repeat a start without an answer under the same attempt

Cause: a start without an answer cost 0.4 s and a stop before its task could go elsewhere, and tasks came back to a worker that answers late; runs found after a takeover had no need or estimate and were stopped as standing still.

Change: starts have 120 ms and are repeated twice under the same attempt, which the worker carries out once at most; then the next start prefers another worker, and the pause of the silent one doubles.

--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -172,6 +172,8 @@
     void removeWorker(const worker_id& id);
     void dropRuns(worker_session& session);
     void start(open_job& job, const task_key& key, worker_session& session, time_point now);
+    void sendStart(open_job& job, const task_key& key, worker_session& session, time_point now);
+    bool repeatStart(worker_session& session, const task_key& key, const worker_run& current, time_point now);
     void onStart(
         const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer);
     void onStartRefused(worker_session& session, const task_key& key, worker_run& current, order_failure failure, time_point now);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -175,10 +175,12 @@
         }
     }
     for (auto& [worker, session] : sessions) {
+        std::vector<task_key> found;
         for (auto& [key, current] : session.runs()) {
             if (key.jobId != id || !current.orphaned || !job.contains(key) || job.task(key).phase != task_phase::waiting)
                 continue;
             current.orphaned = false;
+            found.emplace_back(key);
             task_state& task = job.task(key);
             std::erase(job.steps[key.step].waiting, key.index);
             task.phase = task_phase::placed;
@@ -186,6 +188,12 @@
             task.attempt = std::max(task.attempt, current.attempt);
             job.started = true;
         }
+        for (const auto& key : found) {
+            worker_run known = *session.find(key);
+            known.need = job.accepted.work.steps[key.step].need;
+            known.estimate = job.accepted.work.steps[key.step].estimate;
+            session.addRun(key, known);
+        }
     }
 }
 
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -83,11 +83,19 @@
     added.estimate = step.estimate;
     added.sentAt = now;
     added.progressAt = now;
-    start_order order { key, task.attempt, job.accepted.work.payload, session.extendLease(settings.maxLease, now), term.epoch,
-        task.checkpoint };
-    added.startableUntil = session.leasesEnded(now);
     session.addRun(key, added);
     session.nextHold = std::min(session.nextHold, now);
+    sendStart(job, key, session, now);
+}
+
+void cell_owner::data::sendStart(open_job& job, const task_key& key, worker_session& session, time_point now)
+{
+    const worker_registration& worker = session.registration();
+    worker_run& current = *session.find(key);
+    start_order order { key, current.attempt, job.accepted.work.payload, session.extendLease(settings.maxLease, now), term.epoch,
+        job.task(key).checkpoint };
+    current.startableUntil = session.leasesEnded(now);
+    ++current.tries;
     outbox.emplace_back([self = shared_from_this(), worker, order = std::move(order), number = termNumber] {
         self->link.start(
             worker, order, [self, number, id = worker.id, key = order.task, attempt = order.attempt](const auto& answer) {
@@ -117,6 +125,7 @@
         return;
     }
     session.noteClock(answer->clock, now);
+    session.noteAnswered();
     current->answeredAt = now;
     if (!current->confirmedAt)
         current->confirmedAt = now;
@@ -135,8 +144,12 @@
         loseTerm("a worker has seen a higher token");
         return;
     case order_failure::no_answer:
+        if (repeatStart(session, key, current, now))
+            return;
         current.uncertain = true;
-        session.avoidUntil(now + refusalPause);
+        if (open_job* job = book.find(key.jobId); job && job->contains(key))
+            job->task(key).failedOn = id;
+        session.noteUnanswered(now);
         session.nextHold = std::min(session.nextHold, now);
         return;
     case order_failure::no_room:
@@ -154,6 +167,16 @@
     requeue(key, id, attempt);
 }
 
+bool cell_owner::data::repeatStart(worker_session& session, const task_key& key, const worker_run& current, time_point now)
+{
+    open_job* job = book.find(key.jobId);
+    if (!job || job->ended || current.state != run_state::starting || current.tries >= maxStartTries)
+        return false;
+    // The attempt stays the same: the worker carries out one of both at most.
+    sendStart(*job, key, session, now);
+    return true;
+}
+
 void cell_owner::data::stopRun(worker_session& session, const task_key& key, time_point now)
 {
     worker_run* current = session.find(key);
@@ -335,6 +358,7 @@
     if (!current->confirmedAt)
         current->confirmedAt = now;
     current->uncertain = false;
+    current->answeredAt = current->answeredAt.value_or(now);
     if (listed.percent != current->percent) {
         current->percent = listed.percent;
         current->progressAt = now;
@@ -415,7 +439,7 @@
 {
     const std::chrono::duration<double, std::milli> expected
         = std::chrono::duration<double, std::milli>(current.estimate) * session.slowness() * stillEstimates;
-    if (now - current.progressAt < stillTime || now - *current.confirmedAt < expected)
+    if (current.orphaned || now - current.progressAt < stillTime || now - *current.confirmedAt < expected)
         return;
     logOrder("a run stands still", key, current.attempt, session.registration().id, "stopped");
     session.avoidUntil(now + quarantine);
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -55,6 +55,8 @@
 inline constexpr std::chrono::milliseconds unstoredRetention { 5000 };
 /// Added to the time in which a start without an answer may still be carried out; covers the reading of clocks.
 inline constexpr std::chrono::milliseconds startMargin { 500 };
+/// Times that one start is sent to the same worker; a worker that lost two answers may be in trouble.
+inline constexpr int maxStartTries = 3;
 /// Time after which a stop is repeated; several times `stopGrace` of the platform.
 inline constexpr std::chrono::milliseconds stopRepeat { 200 };
 /// A task without progress for this long, and beyond this multiple of its estimate, stands still.
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -92,6 +92,12 @@
     return listed && !gone && !m_registration.draining && failedHolds == 0 && now >= m_avoidUntil;
 }
 
+void worker_session::noteUnanswered(time_point now)
+{
+    constexpr int mostDoublings = 6;
+    avoidUntil(now + roomPause * (1 << std::min(m_unanswered++, mostDoublings)));
+}
+
 void worker_session::noteEnd(run_end how, const worker_run& ended, time_point now)
 {
     if (how == run_end::failed) {
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -31,6 +31,8 @@
     std::optional<time_point> answeredAt;
     /// When the end of the lease that the start carried has passed on the worker's clock for sure.
     time_point startableUntil;
+    /// Times that the start was sent.
+    int tries = 0;
     /// No answer came: the start may still be executed until the end of its lease.
     bool uncertain = false;
     int percent = 0;
@@ -75,6 +77,9 @@
 
     /// Learns from an end: failures in a row lead to quarantine, run times to the measured speed.
     void noteEnd(run_end how, const worker_run& ended, time_point now);
+    /// Pauses starts for a while that doubles with each start in a row that is not answered.
+    void noteUnanswered(time_point now);
+    void noteAnswered() { m_unanswered = 0; }
     void avoidUntil(time_point until) { m_avoidUntil = std::max(m_avoidUntil, until); }
     /// Run time as a multiple of the estimate, averaged.
     double slowness() const { return m_slowness; }
@@ -102,6 +107,7 @@
     worker_time m_leaseEnd { 0 };
     time_point m_avoidUntil;
     int m_failures = 0;
+    int m_unanswered = 0;
     double m_slowness = 1.0;
 };
 
--- a/tests/fakes/virtual_workers.cpp
+++ b/tests/fakes/virtual_workers.cpp
@@ -11,7 +11,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds tripTime { 1 };
-    constexpr std::chrono::milliseconds orderTimeout { 400 };
+    constexpr std::chrono::milliseconds orderTimeout { 120 };
     constexpr std::chrono::milliseconds maxLease { 1000 };
     constexpr std::chrono::milliseconds holdPoll { 5 };
     constexpr std::chrono::milliseconds leasePoll { 50 };
@@ -61,6 +61,12 @@
     return listed;
 }
 
+int virtual_workers::percentOf(const seen_run& run, bool hangs) const
+{
+    constexpr std::chrono::milliseconds perPercent { 20 };
+    return hangs ? 0 : static_cast<int>((m_loop.now() - run.start) / perPercent) % 100;
+}
+
 worker_time virtual_workers::clockOf(const worker& current) const
 {
     return std::chrono::duration_cast<worker_time>(m_loop.now() - current.bornAt);
@@ -205,7 +211,7 @@
         }
         hold_answer answer { clockOf(current), current.registration.bornAt, {}, current.ended };
         for (const auto& [task, run] : current.running)
-            answer.running.push_back({ task, run.attempt, {}, 1 });
+            answer.running.push_back({ task, run.attempt, {}, percentOf(m_runs[run.index], current.faults.hangs) });
         m_loop.after(tripTime, [done, answer] { done(answer); });
     });
 }
--- a/tests/fakes/virtual_workers.h
+++ b/tests/fakes/virtual_workers.h
@@ -76,6 +76,7 @@
         std::uint64_t lastEnd = 0;
     };
 
+    int percentOf(const seen_run& run, bool hangs) const;
     cells::worker_time clockOf(const worker& current) const;
     tl::expected<cells::order_answer, cells::order_failure> carryOut(worker& current, const cells::start_order& order);
     void finish(worker& current, const cells::task_key& task, cells::run_end how);
