--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -107,12 +107,14 @@
     if (job.accepted.work.answeredAtEnd && !job.waiters.empty())
         answer(job, state);
     const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - job.arrivedAt);
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(job.firstStart.value_or(now) - job.arrivedAt);
     writeLog(log_level::info, "cell", "a job has ended",
         { { "job", job.accepted.work.id }, { "queue", job.accepted.work.queue },
             { "state",
                 state == jobs::job_state::completed    ? "completed"
                     : state == jobs::job_state::failed ? "failed"
                                                        : "cancelled" },
+            { "epoch", fmt::to_string(term.epoch) }, { "waited_ms", fmt::to_string(waited.count()) },
             { "took_ms", fmt::to_string(took.count()) }, { "objective_ms", fmt::to_string(job.accepted.objective.count()) } });
 }
 
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -50,6 +50,7 @@
             return;
         const auto now = clock.now();
         std::vector<const jobs::record*> ordered;
+        ordered.reserve(records.size());
         for (const auto& current : records)
             ordered.push_back(&current);
         std::stable_sort(
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -74,6 +74,7 @@
     task.phase = task_phase::placed;
     task.runsOn = worker.id;
     job.started = true;
+    job.firstStart = job.firstStart.value_or(now);
     ++figures.starts;
     usualCpu += usualCpuWeight * (static_cast<double>(step.need.cpuMillis) - usualCpu);
 
--- a/cells/job_book.h
+++ b/cells/job_book.h
@@ -49,6 +49,7 @@
     std::vector<step_state> steps;
     std::uint32_t stepsDone = 0;
     bool started = false;
+    std::optional<time_point> firstStart;
     /// Has ends that are not durable yet.
     bool dirty = false;
     /// Set once the job is over; the record of it may still have to be written.
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -3,11 +3,12 @@
 #include <array>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace coriandermount {
 
@@ -17,6 +18,16 @@
 
     constexpr std::array<std::string_view, 4> levelNames { "debug", "info", "warning", "error" };
 
+    std::atomic<int> logDescriptor { STDERR_FILENO };
+    std::atomic<std::uint64_t> droppedLines { 0 };
+
+    /// A pipe that polls as writable takes a line of less than PIPE_BUF bytes without blocking.
+    bool canWrite(int descriptor)
+    {
+        pollfd wanted { descriptor, POLLOUT, 0 };
+        return poll(&wanted, 1, 0) > 0 && (wanted.revents & POLLOUT) != 0;
+    }
+
     std::string jsonText(std::string_view text)
     {
         return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -24,6 +35,10 @@
 
 } // namespace
 
+void setLogDescriptor(int descriptor) { logDescriptor.store(descriptor, std::memory_order_relaxed); }
+
+std::uint64_t droppedLogLines() { return droppedLines.load(std::memory_order_relaxed); }
+
 void setLogLevel(log_level lowest) { lowestLevel.store(lowest, std::memory_order_relaxed); }
 
 void writeLog(log_level level, std::string_view component, std::string_view message,
@@ -38,7 +53,9 @@
     for (const auto& [name, value] : fields)
         line += fmt::format(",{}:{}", jsonText(name), jsonText(value));
     line += "}\n";
-    fmt::print(stderr, "{}", line);
+    const int descriptor = logDescriptor.load(std::memory_order_relaxed);
+    if (!canWrite(descriptor) || write(descriptor, line.data(), line.size()) < 0)
+        droppedLines.fetch_add(1, std::memory_order_relaxed);
 }
 
 } // namespace coriandermount
--- a/core/log.h
+++ b/core/log.h
@@ -1,6 +1,7 @@
-/// Log lines as JSON on standard error.
+/// Log lines as JSON, on standard error unless told otherwise.
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -13,6 +14,12 @@
 /// Sets the lowest level that is written; process-wide.
 void setLogLevel(log_level lowest);
 
+/// Sends lines to `descriptor`; a line that can't be written at once is dropped and counted.
+void setLogDescriptor(int descriptor);
+
+/// Lines that were dropped since the start.
+std::uint64_t droppedLogLines();
+
 /// Writes one JSON line with time, level, component, message and `fields`.
 void writeLog(log_level level, std::string_view component, std::string_view message,
     std::initializer_list<std::pair<std::string_view, std::string>> fields = {});
--- a/jobs/job_service.h
+++ b/jobs/job_service.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/error.h"
@@ -31,6 +32,9 @@
     /// Accepted jobs of a queue of which no task has started.
     virtual std::uint32_t pending(const std::string& queue) const = 0;
 
+    /// Notes an answer to a caller; `problem` is nothing for a success.
+    virtual void noteAnswer(std::optional<error_kind> problem, std::chrono::microseconds took) = 0;
+
     virtual bool isReady() const = 0;
     virtual bool isDraining() const = 0;
 };
--- a/main/coriandermount_entry_program.cpp
+++ b/main/coriandermount_entry_program.cpp
@@ -3,6 +3,7 @@
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include "core/log.h"
 #include "main/entry_node.h"
@@ -24,6 +25,7 @@
         fmt::print("{}", options.help());
         return EXIT_SUCCESS;
     }
+    setLogDescriptor(STDOUT_FILENO);
     const auto settings = platform::loadBootSettings();
     if (!settings) {
         writeLog(log_level::error, "node", "can't read the settings", { { "detail", settings.error().detail } });
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -18,6 +18,7 @@
 #include "core/rcu.h"
 #include "jobs/job_intake.h"
 #include "jobs/job_service.h"
+#include "metrics/entry_metrics.h"
 #include "net/datagram_socket.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -45,6 +46,9 @@
     constexpr std::chrono::milliseconds shutdownReserve { 600 };
     constexpr std::chrono::milliseconds shutdownPoll { 50 };
 
+    /// Port of the metrics, as deploy/system.toml tells the platform.
+    constexpr std::uint16_t metricsPort = 9464;
+
     constexpr const char* stateMethod = "job.state";
     constexpr const char* runMethod = "job.run";
     constexpr const char* lentMethod = "cell.lent";
@@ -133,6 +137,8 @@
     cells::fleet_neighbors neighbors;
     net::http_server front;
     net::http_server readiness;
+    metrics::entry_metrics metrics;
+    net::http_server metricsServer;
     std::atomic<bool> draining { false };
     std::atomic<bool> stopping { false };
     std::thread ticker;
@@ -154,6 +160,11 @@
     void cancel(const std::string& jobId, std::function<void(result<void>)> done) override;
     void state(const std::string& jobId, std::function<void(result<jobs::job_state>)> done) override;
     std::uint32_t pending(const std::string& queue) const override;
+    void noteAnswer(std::optional<error_kind> problem, std::chrono::microseconds took) override
+    {
+        metrics.noteAnswer(problem, took);
+    }
+    void showMetrics(const std::shared_ptr<net::responder>& responder) const;
     bool isReady() const override;
     bool isDraining() const override { return draining.load(std::memory_order_relaxed); }
     void send(const std::string& address, const std::string& datagram) override { beats.send(address, datagram); }
@@ -182,6 +193,8 @@
     , neighbors(clock, owner, *this, directory, cell, cells)
     , front(listenerOptions(values.clientListener), platform::clientHandler(*this))
     , readiness(listenerOptions(values.readyListener), platform::readinessHandler(*this))
+    , metricsServer(listenerOptions(fmt::format("{}:{}", values.address, metricsPort)),
+          [this](const net::http_request&, const std::shared_ptr<net::responder>& responder) { showMetrics(responder); })
 {
     for (cells::cell_number number = 0; number < cells; ++number)
         intakes.push_back(std::make_unique<jobs::job_intake>(store, clock, jobs::record_stream { jobTopic, number }));
@@ -339,6 +352,26 @@
     return sum;
 }
 
+void entry_node::data::showMetrics(const std::shared_ptr<net::responder>& responder) const
+{
+    const auto cellFigures = owner.figures();
+    const auto calls = store.counters();
+    std::vector<metrics::counted_figure> figures { { "task_starts_total", {}, cellFigures.starts },
+        { "jobs_lent_total", {}, cellFigures.lentJobs }, { "runs_lost_total", {}, cellFigures.lostRuns },
+        { "jobs_ended_total", "completed", cellFigures.completedJobs }, { "jobs_ended_total", "failed", cellFigures.failedJobs },
+        { "jobs_ended_total", "cancelled", cellFigures.cancelledJobs }, { "store_calls_total", "append", calls.appends },
+        { "store_calls_total", "read", calls.reads }, { "store_calls_total", "refused", calls.refused },
+        { "store_calls_total", "unanswered", calls.unanswered }, { "cell_owned", {}, member.isOwner() ? 1U : 0U },
+        { "log_lines_dropped_total", {}, droppedLogLines() } };
+    for (std::size_t failure = 0; failure < cells::orderFailures; ++failure)
+        figures.push_back({ "start_failures_total", cells::nameOf(static_cast<cells::order_failure>(failure)),
+            cellFigures.startFailures[failure] });
+    net::http_response answer;
+    answer.contentType = "text/plain; version=0.0.4";
+    answer.body = metrics.text(figures);
+    responder->reply(std::move(answer));
+}
+
 bool entry_node::data::isReady() const
 {
     return !isDraining() && table.read()->version > 0 && member.storeReachable() && runTarget().has_value();
@@ -366,6 +399,8 @@
         return started;
     if (auto started = m_data->readiness.start(); !started)
         return started;
+    if (auto started = m_data->metricsServer.start(); !started)
+        return started;
     m_data->configuration.start();
     m_data->directory.start();
     m_data->member.start();
--- /dev/null
+++ b/metrics/entry_metrics.cpp
@@ -0,0 +1,58 @@
+#include "metrics/entry_metrics.h"
+
+#include <fmt/format.h>
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace coriandermount::metrics {
+
+namespace {
+
+    /// Bounds in seconds: the usual targets lie between 60 ms and 1.5 s.
+    const prometheus::Histogram::BucketBoundaries answerBounds { 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0,
+        10.0 };
+
+} // namespace
+
+struct entry_metrics::data {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& answers = prometheus::BuildCounter()
+                                                           .Name("coriandermount_answers_total")
+                                                           .Help("Answers to callers by reason; ok for a success")
+                                                           .Register(registry);
+    prometheus::Histogram& times = prometheus::BuildHistogram()
+                                       .Name("coriandermount_answer_seconds")
+                                       .Help("Time from a request to its answer")
+                                       .Register(registry)
+                                       .Add({}, answerBounds);
+};
+
+entry_metrics::entry_metrics()
+    : m_data(std::make_unique<data>())
+{
+}
+
+entry_metrics::~entry_metrics() = default;
+
+void entry_metrics::noteAnswer(std::optional<error_kind> problem, std::chrono::microseconds took)
+{
+    const std::string reason(problem ? nameOf(*problem) : "ok");
+    m_data->answers.Add({ { "reason", reason } }).Increment();
+    m_data->times.Observe(std::chrono::duration<double>(took).count());
+}
+
+std::string entry_metrics::text(const std::vector<counted_figure>& figures) const
+{
+    std::string text = prometheus::TextSerializer().Serialize(m_data->registry.Collect());
+    for (const auto& current : figures) {
+        if (current.label.empty())
+            text += fmt::format("coriandermount_{} {}\n", current.family, current.value);
+        else
+            text += fmt::format("coriandermount_{}{{reason=\"{}\"}} {}\n", current.family, current.label, current.value);
+    }
+    return text;
+}
+
+} // namespace coriandermount::metrics
--- /dev/null
+++ b/tests/cells/ownership_test.cpp
@@ -0,0 +1,154 @@
+// Who may claim a cell, and when an owner pauses.
+#include <boost/test/unit_test.hpp>
+
+#include "cells/ownership.h"
+
+using namespace coriandermount;
+using namespace coriandermount::cells;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr cell_number cell = 0;
+const time_point start(1h);
+const vm_id self { "self" };
+const vm_id other { "other" };
+const vm_id third { "third" };
+
+beat beatOf(const vm_id& sender, std::uint64_t epoch, bool owns, std::optional<std::chrono::milliseconds> silence)
+{
+    return { sender, 1, false, true, { { cell, epoch, owns, silence, std::nullopt } } };
+}
+
+/// A VM that knows `other` as the owner and hears everyone until `now`.
+ownership follower(time_point now)
+{
+    ownership state(cell, self, 1, {}, start);
+    state.onOwner({ 1, other, 1, false }, now);
+    state.onOwnerAlive(1, now);
+    state.onStoreContact(now);
+    state.onBeat(beatOf(other, 1, true, 0ms), now);
+    state.onBeat(beatOf(third, 1, false, 10ms), now);
+    return state;
+}
+
+/// Advice after every rank has had its turn.
+ownership_advice lastAdvice(ownership& state, time_point now)
+{
+    state.advise(now);
+    return state.advise(now + 400ms);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_owner_of_a_cell)
+
+BOOST_AUTO_TEST_CASE(is_claimed_when_there_is_none)
+{
+    ownership state(cell, self, 1, {}, start);
+    state.onStoreContact(start + 1s);
+    BOOST_TEST((state.advise(start + 1s) == ownership_advice::claim));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_claimed_by_a_vm_that_the_store_does_not_answer)
+{
+    ownership state(cell, self, 1, {}, start);
+    BOOST_TEST((state.advise(start + 10s) == ownership_advice::none));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_claimed_by_a_vm_that_drains)
+{
+    ownership state(cell, self, 1, {}, start);
+    state.onStoreContact(start + 1s);
+    state.drain();
+    BOOST_TEST((state.advise(start + 1s) == ownership_advice::none));
+}
+
+BOOST_AUTO_TEST_CASE(stays_while_it_is_heard)
+{
+    auto state = follower(start + 5s);
+    BOOST_TEST((lastAdvice(state, start + 5s) == ownership_advice::none));
+}
+
+BOOST_AUTO_TEST_CASE(is_claimed_when_most_miss_it)
+{
+    auto state = follower(start + 5s);
+    state.onBeat(beatOf(third, 1, false, 700ms), start + 5700ms);
+    state.onStoreContact(start + 5700ms);
+    state.onBeat(beatOf(third, 1, false, 900ms), start + 6050ms);
+    BOOST_TEST((lastAdvice(state, start + 5700ms) == ownership_advice::claim));
+}
+
+BOOST_AUTO_TEST_CASE(stays_when_others_still_hear_it)
+{
+    auto state = follower(start + 5s);
+    const vm_id fourth { "fourth" };
+    for (const auto at : { start + 5700ms, start + 6050ms }) {
+        state.onBeat(beatOf(third, 1, false, 20ms), at);
+        state.onBeat(beatOf(fourth, 1, false, 20ms), at);
+    }
+    state.onStoreContact(start + 5700ms);
+    BOOST_TEST((lastAdvice(state, start + 5700ms) == ownership_advice::none));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_claimed_by_a_lonely_vm_while_its_records_are_young)
+{
+    auto state = follower(start + 5s);
+    state.onOwnerAlive(1, start + 7s);
+    state.onStoreContact(start + 8s);
+    BOOST_TEST((lastAdvice(state, start + 8s) == ownership_advice::none));
+}
+
+BOOST_AUTO_TEST_CASE(is_claimed_by_a_lonely_vm_once_its_records_are_old)
+{
+    auto state = follower(start + 5s);
+    state.onStoreContact(start + 8s);
+    BOOST_TEST((lastAdvice(state, start + 8s) == ownership_advice::claim));
+}
+
+BOOST_AUTO_TEST_SUITE(which_is_this_vm)
+
+BOOST_AUTO_TEST_CASE(pauses_alone_and_unverified_and_resumes_when_verified)
+{
+    auto state = follower(start + 5s);
+    state.onOwner({ 2, self, 1, false }, start + 5s);
+    state.onVerified(start + 5s);
+    BOOST_TEST(state.isOwner());
+    BOOST_TEST((state.advise(start + 6s) == ownership_advice::none));
+    BOOST_TEST((state.advise(start + 7500ms) == ownership_advice::pause));
+    BOOST_TEST((state.advise(start + 7600ms) == ownership_advice::none));
+    state.onVerified(start + 7700ms);
+    BOOST_TEST((state.advise(start + 7800ms) == ownership_advice::resume));
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_unverified_while_most_vms_are_heard)
+{
+    auto state = follower(start + 5s);
+    state.onOwner({ 2, self, 1, false }, start + 5s);
+    for (const auto at : { start + 9s }) {
+        state.onBeat(beatOf(other, 2, false, 10ms), at);
+        state.onBeat(beatOf(third, 2, false, 10ms), at);
+    }
+    BOOST_TEST((state.advise(start + 9s) == ownership_advice::none));
+}
+
+BOOST_AUTO_TEST_CASE(ends_when_a_higher_epoch_is_heard)
+{
+    auto state = follower(start + 5s);
+    state.onOwner({ 2, self, 1, false }, start + 5s);
+    state.onBeat(beatOf(third, 3, true, 0ms), start + 6s);
+    BOOST_TEST(!state.isOwner());
+}
+
+BOOST_AUTO_TEST_CASE(does_not_go_on_in_another_life)
+{
+    ownership state(cell, self, 2, {}, start);
+    state.onOwner({ 4, self, 1, false }, start);
+    state.onStoreContact(start + 1s);
+    BOOST_TEST(!state.isOwner());
+    BOOST_TEST((state.advise(start + 1s) == ownership_advice::claim));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,213 @@
+// What the platform says is read once, whole, and never trusted.
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include "platform/boot_settings.h"
+#include "platform/config_codec.h"
+#include "platform/job_codec.h"
+#include "platform/record_framing.h"
+#include "platform/worker_codec.h"
+
+using namespace coriandermount;
+using namespace coriandermount::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* jobId = "5c0e7a21d94b36f8";
+
+error_kind problemOf(const std::string& body)
+{
+    const auto work = decodeJob(jobId, "queue", body);
+    BOOST_REQUIRE(!work);
+    return work.error().kind;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_platforms_messages)
+
+BOOST_AUTO_TEST_SUITE(jobs)
+
+BOOST_AUTO_TEST_CASE(are_read_with_all_their_steps)
+{
+    const auto work = decodeJob(jobId, "queue",
+        R"({"spec":"x","best_effort":true,"new":1,"phases":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"affinity":"r1"},)"
+        R"({"count":2,"cpu":1,"after":[0]}]})");
+    BOOST_REQUIRE(work);
+    BOOST_TEST(work->answeredAtEnd);
+    BOOST_REQUIRE(work->steps.size() == 2);
+    BOOST_TEST(work->steps[0].taskCount == 4);
+    BOOST_TEST((work->steps[0].estimate == 900ms));
+    BOOST_TEST(work->steps[0].dataRack == "r1");
+    BOOST_TEST(work->steps[1].after == std::vector<std::uint32_t> { 0 }, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(that_make_no_sense_are_refused_with_the_reason)
+{
+    BOOST_TEST((problemOf("{") == error_kind::malformed_request));
+    BOOST_TEST((problemOf(R"({"phases":[]})") == error_kind::malformed_request));
+    BOOST_TEST((problemOf(R"({"phases":[{"count":0}]})") == error_kind::too_many_tasks));
+    BOOST_TEST((problemOf(R"({"phases":[{"count":1,"after":[0]}]})") == error_kind::malformed_request));
+    BOOST_TEST((problemOf(R"({"phases":[{"count":1,"cpu":-5}]})") == error_kind::malformed_request));
+    BOOST_TEST((problemOf(R"({"phases":[{"count":1,"cpu":"x"}]})") == error_kind::malformed_request));
+    BOOST_TEST(
+        (problemOf(R"({"spec":")" + std::string(5000, 'x') + R"(","phases":[{"count":1}]})") == error_kind::payload_too_large));
+    BOOST_TEST((problemOf(R"({"phases":[{"count":2,"gang":true}]})") == error_kind::job_kind_unsupported));
+    BOOST_TEST((problemOf(R"({"repeats":3,"phases":[{"count":2}]})") == error_kind::job_kind_unsupported));
+    BOOST_TEST(!decodeJob("5c0e7a21", "queue", R"({"phases":[{"count":1}]})"));
+    BOOST_TEST(!decodeJob("5c0e7a21d94b36fz", "queue", R"({"phases":[{"count":1}]})"));
+}
+
+BOOST_AUTO_TEST_CASE(that_may_have_run_are_never_answered_as_not_run)
+{
+    for (const auto& row : errorTable()) {
+        const int status = errorAnswer({ row.kind, {}, std::nullopt }).status;
+        if (row.result != outcome::not_run)
+            BOOST_TEST((status != 429 && status != 503), row.name);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(workers)
+
+BOOST_AUTO_TEST_CASE(are_read_when_they_say_everything)
+{
+    const auto worker = decodeRegistration("i-1",
+        R"({"service":"s","addr":"10.0.0.1:80","zone":"a","state":"ready","capacity":{"cpu":16000,"mem_mb":5},"labels":["k","r1"],"born":7})");
+    BOOST_REQUIRE(worker);
+    BOOST_TEST(worker->capacity.cpuMillis == 16000);
+    BOOST_TEST(worker->bornAt == 7);
+    BOOST_TEST(!worker->draining);
+}
+
+BOOST_AUTO_TEST_CASE(of_another_writer_are_no_workers)
+{
+    for (const char* value : { "", "{}", "[1]", "\xff\xfe", R"({"service":1,"addr":"a","zone":"a","state":"ready"})" })
+        BOOST_TEST(!decodeRegistration("i-1", value));
+}
+
+BOOST_AUTO_TEST_CASE(list_what_runs_and_what_has_ended)
+{
+    const auto answer = decodeHold(
+        R"({"clock_ms":5,"born":3,"running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"failed",""]]})");
+    BOOST_REQUIRE(answer);
+    BOOST_REQUIRE(answer->running.size() == 1);
+    BOOST_TEST(answer->running[0].task.index == 17);
+    BOOST_TEST(answer->running[0].checkpoint == "cp");
+    BOOST_TEST((answer->ended[0].how == cells::run_end::failed));
+    BOOST_TEST(answer->bornAt == 3);
+}
+
+BOOST_AUTO_TEST_CASE(refuse_for_reasons_that_are_told_apart)
+{
+    using enum cells::order_failure;
+    BOOST_TEST((decodeRefusal(409, R"({"reason":"fence"})") == fenced));
+    BOOST_TEST((decodeRefusal(409, R"({"reason":"old"})") == attempt_too_old));
+    BOOST_TEST((decodeRefusal(409, R"({"reason":"late"})") == too_late));
+    BOOST_TEST((decodeRefusal(409, R"({"reason":"room"})") == no_room));
+    BOOST_TEST((decodeRefusal(421, "") == other_instance));
+    BOOST_TEST((decodeRefusal(503, "") == refused));
+    BOOST_TEST((decodeRefusal(400, "") == malformed));
+    BOOST_TEST((decodeRefusal(500, "") == no_answer));
+}
+
+BOOST_AUTO_TEST_CASE(know_tasks_by_names_that_come_back_unchanged)
+{
+    BOOST_TEST(rc::check([](std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) {
+        const cells::task_key key { jobId, occurrence, step, index };
+        RC_ASSERT(parseTaskName(taskName(key)) == key);
+    }));
+    for (const char* name : { "", "a", "a.b", "1.2.3", "x.1.2.", "x.1.2.y" })
+        BOOST_TEST(!parseTaskName(name));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(records)
+
+BOOST_AUTO_TEST_CASE(come_back_as_they_were_written)
+{
+    BOOST_TEST(rc::check([](const std::vector<std::pair<std::string, std::string>>& pairs) {
+        std::vector<::coriandermount::jobs::record> records;
+        for (const auto& [key, value] : pairs)
+            records.push_back({ key.substr(0, 255), value.empty() ? std::nullopt : std::optional(value), 0 });
+        const std::string offsets = std::string(7, '\0') + '\x09' + std::string(8, '\0');
+        const auto batch = parseRecords(offsets + frameRecords(records), 0);
+        RC_ASSERT(batch.has_value());
+        RC_ASSERT(batch->end == 9U);
+        RC_ASSERT(batch->records.size() == records.size());
+        for (std::size_t i = 0; i < records.size(); ++i) {
+            RC_ASSERT(batch->records[i].key == records[i].key);
+            RC_ASSERT(batch->records[i].value == records[i].value);
+            RC_ASSERT(batch->records[i].offset == i);
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(that_are_cut_off_are_an_error)
+{
+    BOOST_TEST(!parseRecords("short", 0));
+    BOOST_TEST(!parseRecords(std::string(16, '\0')
+            + std::string("\0\0\0\x05"
+                          "ab",
+                6),
+        0));
+}
+
+BOOST_AUTO_TEST_CASE(in_base64_are_decoded)
+{
+    BOOST_TEST(*decodeBase64("aGVsbG8=") == "hello");
+    BOOST_TEST(*decodeBase64("") == "");
+    BOOST_TEST(!decodeBase64("a*b"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(configuration_and_settings)
+
+BOOST_AUTO_TEST_CASE(route_by_host_and_longest_prefix)
+{
+    const auto table = decodeConfiguration(
+        R"({"version":7,"routes":[{"name":"a","host":"h","path_prefix":"/x/","service":"s"},)"
+        R"({"name":"b","host":"h","path_prefix":"/x/y/","service":"s","priority":2,"max_attempts":3,"slack_factor":1.6,"target_latency_ms":60}]})");
+    BOOST_REQUIRE(table);
+    BOOST_TEST(table->route("h", "/x/y/z")->name == "b");
+    BOOST_TEST(table->route("h", "/x/z")->name == "a");
+    BOOST_TEST(!table->route("other", "/x/z"));
+    BOOST_TEST(table->named("b")->maxAttempts == 3);
+    BOOST_TEST(!decodeConfiguration("{}"));
+    BOOST_TEST(!decodeConfiguration(R"({"version":1,"routes":[{"name":5}]})"));
+}
+
+BOOST_AUTO_TEST_CASE(need_what_a_vm_cannot_do_without)
+{
+    const std::string text = R"(
+node_name = "edge-a-1"
+ip = "10.0.0.1"
+zone = "a"
+unknown = [1]
+port_range = [7720,7735]
+[zones]
+b = "r"
+a = "r"
+[listen]
+front = "10.0.0.1:80"
+ready = "10.0.0.1:81"
+[platform]
+addr = "10.0.0.2:1"
+[bounds]
+max_hold_ms = 900
+)";
+    const auto settings = parseBootSettings(text);
+    BOOST_REQUIRE(settings);
+    BOOST_TEST((settings->maxLease == 900ms));
+    BOOST_TEST((settings->failureDomains == std::vector<std::string> { "a", "b" }));
+    BOOST_TEST(!parseBootSettings("node_name = 5"));
+    BOOST_TEST(!parseBootSettings("not toml ["));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
