tests: Make the repeated record and the given-up job fail without their guards

Cause: with the guards removed one by one, two tests stayed green: the repeated record never fell between mark and replay, and no test handed a job in again whose run could not be stopped.

Change: the record is repeated at every third millisecond of 200; a job is given up on a worker that is cut off.

Not caught: a worker's refusal of the token (the store's fence and the beats end the term first).

--- a/tests/cells/at_most_once_test.cpp
+++ b/tests/cells/at_most_once_test.cpp
@@ -211,6 +211,20 @@
     expectNoViolation(fleet);
 }
 
+BOOST_AUTO_TEST_CASE(a_job_that_was_given_up_starts_again_only_after_its_runs)
+{
+    cell_fleet fleet(1, 2, 3);
+    fleet.runFor(2s);
+    fleet.run(fleet.owner(0), "a", 1, 2s, 300ms);
+    fleet.runFor(200ms);
+    fleet.workers.faults(fleet.workers.runs()[0].worker.value).cutOff = true;
+    fleet.runFor(150ms);
+    fleet.run(fleet.owner(0), "a", 1, 2s);
+    fleet.runFor(6s);
+    BOOST_TEST(fleet.answers.size() == 2);
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_does_not_fail_the_jobs)
 {
     cell_fleet fleet(1, 2, 4);
--- a/tests/cells/stored_jobs_test.cpp
+++ b/tests/cells/stored_jobs_test.cpp
@@ -80,7 +80,7 @@
 BOOST_AUTO_TEST_CASE(that_are_handed_in_again_after_a_takeover_wait_for_their_runs_to_be_found)
 {
     // Found by the bench: the repeated record lay behind the mark of the new owner, and the job was taken for a new one.
-    for (const auto pause : { 10ms, 15ms, 20ms, 25ms, 30ms, 40ms }) {
+    for (auto pause = 5ms; pause < 200ms; pause += 3ms) {
         cell_fleet fleet(1, 3, 3);
         fleet.runFor(2s);
         fleet.storeFor(0, "a", 1, 900ms);
