cells: Own a cell while stopping until another VM can take it

Change: a VM that stops releases its cell when another VM is ready to take it, and at its end at the latest; an owner that does not own the cell says so, and the job counts as not run; questions are answered 503, not 504. Test: at_most_once/when_the_owner_is_stopped.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -38,7 +38,7 @@
     time_point nextWrite;
     time_point nextRecord;
     std::uint64_t aliveSequence = 0;
-    bool releaseWanted = false;
+    bool releaseAnyway = false;
     /// The claim followed a release of the previous owner.
     bool claimedAfterRelease = false;
     bool draining = false;
@@ -236,7 +236,7 @@
     }
     if (advice == ownership_advice::claim)
         claim();
-    else if (releaseWanted && state.isOwner())
+    else if (state.isOwner() && (releaseAnyway || (draining && state.hasSuccessor(now))))
         release();
     else if (state.isOwner() && now >= nextRecord)
         writeAlive(now);
@@ -283,10 +283,14 @@
     m_data->locked([&] {
         m_data->state.drain();
         m_data->draining = true;
-        m_data->releaseWanted = true;
     });
 }
 
+void cell_member::release()
+{
+    m_data->locked([&] { m_data->releaseAnyway = true; });
+}
+
 bool cell_member::isOwner() const
 {
     const std::scoped_lock lock(m_data->mutex);
--- a/cells/cell_member.h
+++ b/cells/cell_member.h
@@ -38,8 +38,10 @@
     void tick();
     void onBeat(const beat& current);
 
-    /// Stops claiming, and hands the cell over if this VM owns it.
+    /// Stops claiming, and hands the cell over if this VM owns it, as soon as another VM can take it.
     void drain();
+    /// Gives the cell up even if nobody can take it now.
+    void release();
 
     /// Called when this VM begins or ends to own the cell.
     void onChange(std::function<void()> changed);
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -87,7 +87,8 @@
     /// Carries out what is due. Called every few tens of milliseconds.
     void tick();
 
-    /// Runs a job that is not stored. Completes with its final state, with `owner_unknown` when the term ends before, with
+    /// Runs a job that is not stored. Completes with its final state, with `claim_unavailable` when this VM does
+    /// not own the cell, with `owner_unknown` when the term ends before, with
     /// `overloaded` when no task could start in time, and with `deadline_passed_while_running`.
     void run(jobs::run_request request, job_completion done);
 
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -27,7 +27,8 @@
     const auto now = clock.now();
     const std::string& id = request.accepted.work.id;
     if (!givesOrders()) {
-        outbox.emplace_back([done = std::move(done)] { done(fail(error_kind::owner_unknown, "this VM does not own the cell")); });
+        outbox.emplace_back(
+            [done = std::move(done)] { done(fail(error_kind::claim_unavailable, "this VM does not own the cell")); });
         return;
     }
     if (book.isFinished(id)) {
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -28,6 +28,8 @@
         bool inFlight = false;
         /// An owner may have started it.
         bool mayHaveRun = false;
+        /// The same before the owner was asked that has not answered yet.
+        bool mightHaveRunBefore = false;
         time_point retryAt;
     };
 
@@ -80,6 +82,7 @@
         request.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(current.deadline - now);
         current.askedEpoch = where->epoch;
         current.inFlight = true;
+        current.mightHaveRunBefore = current.mayHaveRun;
         current.mayHaveRun = true;
     }
     auto done = [self = shared_from_this(), number, epoch = where->epoch](
@@ -92,7 +95,8 @@
 
 void job_router::data::onAnswer(std::uint64_t number, std::uint64_t epoch, const result<jobs::job_state>& answer)
 {
-    if (answer || answer.error().kind != error_kind::owner_unknown) {
+    const bool notTaken = !answer && answer.error().kind == error_kind::claim_unavailable;
+    if (answer || (!notTaken && answer.error().kind != error_kind::owner_unknown)) {
         finish(number, answer);
         return;
     }
@@ -101,6 +105,8 @@
     if (found == runs.end() || found->second.askedEpoch != epoch)
         return;
     found->second.inFlight = false;
+    if (notTaken)
+        found->second.mayHaveRun = found->second.mightHaveRunBefore;
     found->second.retryAt = clock.now() + retryPause;
 }
 
--- a/cells/ownership.cpp
+++ b/cells/ownership.cpp
@@ -116,6 +116,14 @@
         && mostMissOwner(now);
 }
 
+bool ownership::hasSuccessor(time_point now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [this, now](const auto& entry) {
+        const peer& current = entry.second;
+        return now - current.at < m_settings.reachLimit && !current.draining && current.storeReachable && current.view;
+    });
+}
+
 std::size_t ownership::ownRank(time_point now) const
 {
     const std::uint64_t own = rankHash(m_self, epoch());
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -58,6 +58,9 @@
     void onVerified(time_point sentAt) { m_verifiedAt = std::max(m_verifiedAt, sentAt); }
     void drain() { m_draining = true; }
 
+    /// Another VM of the cell could take over at once.
+    bool hasSuccessor(time_point now) const;
+
     ownership_advice advise(time_point now);
 
     bool isOwner() const;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -45,6 +45,8 @@
     /// Left of the grace period when the last requests are cut short.
     constexpr std::chrono::milliseconds shutdownReserve { 600 };
     constexpr std::chrono::milliseconds shutdownPoll { 50 };
+    /// Time to write that the cell has no owner; some answers of the store.
+    constexpr std::chrono::milliseconds releaseTime { 80 };
 
     /// Port of the metrics, as deploy/system.toml tells the platform.
     constexpr std::uint16_t metricsPort = 9464;
@@ -422,6 +424,8 @@
     auto elapsed = [began] { return std::chrono::steady_clock::now() - began; };
     while (elapsed() < limit && (elapsed() < balancerDelay || m_data->front.pendingRequests() > 0))
         std::this_thread::sleep_for(shutdownPoll);
+    m_data->member.release();
+    std::this_thread::sleep_for(releaseTime);
     m_data->router.stop();
     for (const auto& intake : m_data->intakes)
         intake->stop();
--- a/tests/cells/at_most_once_test.cpp
+++ b/tests/cells/at_most_once_test.cpp
@@ -140,6 +140,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_the_owner_is_stopped)
+
+BOOST_AUTO_TEST_CASE(it_owns_the_cell_until_another_vm_can)
+{
+    // Found by an incident: VMs stopped in turn left a cell without an owner for two seconds.
+    cell_fleet fleet(1, 2, 3);
+    fleet.runFor(2s);
+    const std::string owner = fleet.owner(0);
+    const std::string next = bystander(fleet, 0, 2);
+    fleet.drain(next);
+    fleet.runFor(300ms);
+    fleet.drain(owner);
+    fleet.runFor(300ms);
+    BOOST_TEST(fleet.owner(0) == owner);
+    fleet.kill(next);
+    fleet.start(next);
+    fleet.runFor(1500ms);
+    BOOST_TEST(fleet.owner(0) == next);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_the_owner_is_cut_off)
 
 BOOST_AUTO_TEST_CASE(it_gives_no_orders_once_another_vm_owns_the_cell)
