cells: Wait for the other cells before a job is started that may be lent

Test: lent_jobs_are_found_while_the_ other_cell_changes_its_owner_too fails without the wait; forgetting is not caught by a test of its own.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -10,7 +10,12 @@
 {
 }
 
-cell_owner::~cell_owner() { stepDown(); }
+cell_owner::~cell_owner()
+{
+    // The neighbors may have ended before.
+    m_data->locked([&] { m_data->neighbors = nullptr; });
+    stepDown();
+}
 
 void cell_owner::data::begin(const ownership_term& next)
 {
@@ -34,6 +39,9 @@
     orphanEnds.clear();
     lentBefore.clear();
     lentKnown = false;
+    lentComplete = false;
+    if (neighbors && phase != owner_phase::idle)
+        outbox.emplace_back([self = shared_from_this()] { self->neighbors->forgetLentJobs(); });
     ++termNumber;
     phase = owner_phase::idle;
     paused = false;
@@ -115,6 +123,8 @@
     holdWorkers(now);
     schedule(now);
     checkRuns(now);
+    if (lentKnown && !lentComplete && now >= nextLentQuestion)
+        askLentJobs();
     prepareFlush(now);
     sendFlush(now);
 }
@@ -151,10 +161,12 @@
     m_data->locked([&] { m_data->neighbors = &neighbors; });
 }
 
-std::vector<std::string> cell_owner::jobsRunFor(cell_number home) const
+std::optional<std::vector<std::string>> cell_owner::jobsRunFor(cell_number home) const
 {
     std::vector<std::string> ids;
     const std::scoped_lock lock(m_data->mutex);
+    if (!m_data->givesOrders() || !m_data->isSettled(m_data->clock.now()))
+        return std::nullopt;
     for (const auto& [id, job] : m_data->book.open()) {
         if (job.lentBy == home)
             ids.push_back(id);
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -70,11 +70,12 @@
     void pause();
     void resume();
 
-    /// Cells that may run jobs for this one; none by default. Outlives the owner.
+    /// Cells that may run jobs for this one; none by default. Not called any more once
+    /// the owner is destroyed.
     void lendTo(neighbor_cells& neighbors);
 
-    /// Jobs that this cell runs for another one.
-    std::vector<std::string> jobsRunFor(cell_number home) const;
+    /// Jobs that this cell runs for another one; nothing while it does not know all its runs.
+    std::optional<std::vector<std::string>> jobsRunFor(cell_number home) const;
 
     /// Calls `lost` when the store or a worker has seen a higher epoch.
     void onSuperseded(std::function<void()> lost);
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -42,6 +42,9 @@
     /// Jobs that other cells run for this one since an earlier term.
     lent_jobs lentBefore;
     bool lentKnown = false;
+    /// Every other cell that has an owner has told what it runs.
+    bool lentComplete = false;
+    time_point nextLentQuestion;
     /// Average need of the tasks that were started.
     double usualCpu = 1000.0;
 
@@ -148,7 +151,7 @@
     void lendTo(cell_number cell, open_job& job, time_point now);
     void onLentAnswer(const std::string& id, const result<jobs::job_state>& result);
     void askLentJobs();
-    void onLentJobs(const lent_jobs& lent, time_point now);
+    void onLentJobs(const lent_jobs& lent, bool complete, time_point now);
     std::int64_t idleCpu(const service_id& service, time_point now) const;
     void answer(open_job& job, const result<jobs::job_state>& result);
     void checkRuns(time_point now);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -135,7 +135,9 @@
 { // Until the other cells have answered, any job may be one that they run.
     if (!lentKnown && now < takenOverAt + lentAnswerLimit)
         return false;
-    return job.offset > markOffset || isSettled(now);
+    if (job.offset > markOffset)
+        return true;
+    return isSettled(now) && (lentComplete || now > takenOverAt + lentSearchLimit);
 }
 
 void cell_owner::data::schedule(time_point now)
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -135,10 +135,11 @@
     endJob(*job, jobs::job_state::cancelled);
 }
 
-void cell_owner::data::onLentJobs(const lent_jobs& lent, time_point now)
+void cell_owner::data::onLentJobs(const lent_jobs& lent, bool complete, time_point now)
 {
-    lentBefore = lent;
+    lentBefore.insert(lent.begin(), lent.end());
     lentKnown = true;
+    lentComplete = complete || now > takenOverAt + lentSearchLimit;
     for (const auto& [id, cell] : lent) {
         open_job* job = book.find(id);
         if (job && !job->started && !job->ended && !job->lentBy)
@@ -149,16 +150,18 @@
 
 void cell_owner::data::askLentJobs()
 {
+    nextLentQuestion = clock.now() + lentQuestionInterval;
     if (!neighbors) {
         lentKnown = true;
+        lentComplete = true;
         return;
     }
     outbox.emplace_back([self = shared_from_this(), number = termNumber] {
-        self->neighbors->askLentJobs([self, number](const lent_jobs& lent) {
+        self->neighbors->askLentJobs([self, number](const lent_jobs& lent, bool complete) {
             self->locked([&] {
                 if (number != self->termNumber)
                     return;
-                self->onLentJobs(lent, self->clock.now());
+                self->onLentJobs(lent, complete, self->clock.now());
             });
         });
     });
--- a/cells/fleet_neighbors.cpp
+++ b/cells/fleet_neighbors.cpp
@@ -14,18 +14,20 @@
         std::mutex mutex;
         std::size_t awaited = 0;
         lent_jobs lent;
-        std::function<void(lent_jobs)> done;
+        bool complete = true;
+        std::function<void(const lent_jobs&, bool)> done;
 
-        void add(cell_number cell, const std::vector<std::string>& ids)
+        void add(cell_number cell, const std::optional<std::vector<std::string>>& ids)
         {
             {
                 const std::scoped_lock lock(mutex);
-                for (const auto& id : ids)
+                complete = complete && ids.has_value();
+                for (const auto& id : ids.value_or(std::vector<std::string>()))
                     lent.emplace(id, cell);
                 if (--awaited > 0)
                     return;
             }
-            done(std::move(lent));
+            done(lent, complete);
         }
     };
 
@@ -78,7 +80,13 @@
     m_routers[cell]->run(std::move(request.accepted), deadline, std::move(done), request.again);
 }
 
-void fleet_neighbors::askLentJobs(std::function<void(lent_jobs)> done)
+void fleet_neighbors::forgetLentJobs()
+{
+    for (const auto& router : m_routers)
+        router->forget();
+}
+
+void fleet_neighbors::askLentJobs(std::function<void(const lent_jobs& lent, bool complete)> done)
 {
     std::vector<std::pair<cell_number, std::string>> targets;
     for (cell_number number = 0; number < m_claimed.size(); ++number) {
@@ -87,15 +95,15 @@
             targets.emplace_back(number, heard->address);
     }
     if (targets.empty()) {
-        done({});
+        done({}, true);
         return;
     }
     auto collector = std::make_shared<lent_collector>();
     collector->awaited = targets.size();
     collector->done = std::move(done);
     for (const auto& [cell, address] : targets) {
-        m_link.askLentJobs(
-            address, m_self, [collector, number = cell](const std::vector<std::string>& ids) { collector->add(number, ids); });
+        m_link.askLentJobs(address, m_self,
+            [collector, number = cell](const std::optional<std::vector<std::string>>& ids) { collector->add(number, ids); });
     }
 }
 
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -202,6 +202,12 @@
         m_data->expire(number);
 }
 
+void job_router::forget()
+{
+    const std::scoped_lock lock(m_data->mutex);
+    m_data->runs.clear();
+}
+
 void job_router::stop()
 {
     std::vector<std::uint64_t> numbers;
--- a/cells/job_router.h
+++ b/cells/job_router.h
@@ -30,8 +30,10 @@
     /// Asks the owner at `address` to run a job; completes with `owner_unknown` when nothing is known of its fate.
     virtual void run(const std::string& address, const jobs::run_request& request, job_completion done) = 0;
 
-    /// Asks the owner at `address` which jobs it runs for cell `home`; completes with an empty list when it does not answer.
-    virtual void askLentJobs(const std::string& address, cell_number home, std::function<void(std::vector<std::string>)> done)
+    /// Asks the owner at `address` which jobs it runs for cell `home`; completes with nothing when it does not
+    /// answer or does not know all its runs.
+    virtual void askLentJobs(
+        const std::string& address, cell_number home, std::function<void(std::optional<std::vector<std::string>>)> done)
         = 0;
 };
 
@@ -57,6 +59,9 @@
     /// Hands jobs to a new owner, and answers those whose time is up. Called every few tens of milliseconds.
     void tick();
 
+    /// Drops all jobs that still wait, without an answer.
+    void forget();
+
     /// Answers all jobs that still wait, with what is known of them.
     void stop();
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -54,6 +54,8 @@
     constexpr const char* stateMethod = "job.state";
     constexpr const char* runMethod = "job.run";
     constexpr const char* lentMethod = "cell.lent";
+    /// Answer of an owner that does not know all its runs.
+    constexpr const char* unknownRuns = "?";
     constexpr const char* vmTopic = "keyed.vms";
     constexpr const char* cellTopic = "keyed.cells";
     constexpr const char* jobTopic = "keyed.jobs";
@@ -171,8 +173,8 @@
     bool isDraining() const override { return draining.load(std::memory_order_relaxed); }
     void send(const std::string& address, const std::string& datagram) override { beats.send(address, datagram); }
     void run(const std::string& address, const jobs::run_request& request, cells::job_completion done) override;
-    void askLentJobs(
-        const std::string& address, cells::cell_number home, std::function<void(std::vector<std::string>)> done) override;
+    void askLentJobs(const std::string& address, cells::cell_number home,
+        std::function<void(std::optional<std::vector<std::string>>)> done) override;
 };
 
 entry_node::data::data(const platform::boot_settings& values)
@@ -225,7 +227,8 @@
     peerService.addMethod(lentMethod, [this](const std::string& message, const peers::peer_service::reply_function& reply) {
         cells::cell_number home = 0;
         std::from_chars(message.data(), message.data() + message.size(), home);
-        reply(fmt::format("{}", fmt::join(owner.jobsRunFor(home), " ")));
+        const auto ids = owner.jobsRunFor(home);
+        reply(ids ? fmt::format("{}", fmt::join(*ids, " ")) : std::string(unknownRuns));
     });
 }
 
@@ -306,11 +309,15 @@
 }
 
 void entry_node::data::askLentJobs(
-    const std::string& address, cells::cell_number home, std::function<void(std::vector<std::string>)> done)
+    const std::string& address, cells::cell_number home, std::function<void(std::optional<std::vector<std::string>>)> done)
 {
     peerLink.call(address, lentMethod, fmt::to_string(home), cells::lentAnswerLimit, [done = std::move(done)](const auto& reply) {
+        if (!reply || *reply == unknownRuns) {
+            done(std::nullopt);
+            return;
+        }
         std::vector<std::string> ids;
-        std::istringstream text(reply ? *reply : std::string());
+        std::istringstream text(*reply);
         for (std::string id; text >> id;)
             ids.push_back(id);
         done(std::move(ids));
--- a/tests/cells/at_most_once_test.cpp
+++ b/tests/cells/at_most_once_test.cpp
@@ -142,6 +142,30 @@
 
 BOOST_AUTO_TEST_SUITE(when_the_owner_is_stopped)
 
+BOOST_AUTO_TEST_CASE(lent_jobs_are_found_while_the_other_cell_changes_its_owner_too)
+{
+    // Found by hunts: the new home started what the new owner of the other cell had not found yet, and the earlier home went
+    // on handing it in.
+    for (auto pause = 0ms; pause < 120ms; pause += 6ms) {
+        cell_fleet fleet(2, 3, 3);
+        fleet.runFor(2s);
+        const std::string home = fleet.owner(0);
+        const std::string other = fleet.owner(1);
+        const std::string caller = bystander(fleet, 0, 3);
+        fleet.run(caller, "long", 6, 900ms);
+        fleet.runFor(300ms);
+        fleet.run(caller, "lent", 3, 800ms);
+        fleet.runFor(400ms);
+        BOOST_REQUIRE(fleet.figures(home).lentJobs == 1);
+        fleet.drain(other);
+        fleet.runFor(pause);
+        fleet.drain(home);
+        fleet.runFor(4s);
+        BOOST_TEST(fleet.answers.size() == 2);
+        expectNoViolation(fleet);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(it_owns_the_cell_until_another_vm_can)
 {
     // Found by an incident: VMs stopped in turn left a cell without an owner for two seconds.
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -151,10 +151,12 @@
         fleet.loop.after(std::max(request.timeLeft, callTimeout), [once] { once(fail(error_kind::owner_unknown, "no answer")); });
     }
 
-    void askLentJobs(const std::string& address, cell_number home, std::function<void(std::vector<std::string>)> done) override
+    void askLentJobs(
+        const std::string& address, cell_number home, std::function<void(std::optional<std::vector<std::string>>)> done) override
     {
         auto answered = std::make_shared<bool>(false);
-        auto once = [answered, done = guarded<std::vector<std::string>>(std::move(done))](const std::vector<std::string>& ids) {
+        auto once = [answered, done = guarded<std::optional<std::vector<std::string>>>(std::move(done))](
+                        const std::optional<std::vector<std::string>>& ids) {
             if (!std::exchange(*answered, true))
                 done(ids);
         };
@@ -162,7 +164,7 @@
             if (vm* target = fleet.reachable(from, address))
                 once(target->owner.jobsRunFor(home));
         });
-        fleet.loop.after(lentAnswerLimit, [once] { once({}); });
+        fleet.loop.after(lentAnswerLimit, [once] { once(std::nullopt); });
     }
 
     void start() override
