--- a/net/datagram_socket.cpp
+++ b/net/datagram_socket.cpp
@@ -1,7 +1,7 @@
 #include "net/datagram_socket.h"
 
-#include <atomic>
 #include <array>
+#include <atomic>
 #include <charconv>
 #include <thread>
 
