--- a/tests/cells/at_most_once_test.cpp
+++ b/tests/cells/at_most_once_test.cpp
@@ -29,7 +29,7 @@
 std::string bystander(const cell_fleet& fleet, unsigned domain, unsigned vms)
 {
     for (unsigned number = 0; number < vms; ++number) {
-        const std::string name = cell_fleet::vmName(domain, number);
+        std::string name = cell_fleet::vmName(domain, number);
         if (fleet.isAlive(name) && fleet.owner(domain) != name)
             return name;
     }
