--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -131,6 +131,7 @@
 {
     BOOST_TEST(rc::check([](const std::vector<std::pair<std::string, std::string>>& pairs) {
         std::vector<::coriandermount::jobs::record> records;
+        records.reserve(pairs.size());
         for (const auto& [key, value] : pairs)
             records.push_back({ key.substr(0, 255), value.empty() ? std::nullopt : std::optional(value), 0 });
         const std::string offsets = std::string(7, '\0') + '\x09' + std::string(8, '\0');
