cells: Give the cell to the VM with the most processor time

Change: beats carry the processor time of their sender; candidates stand in that order, then by hash; an owner hands over to a VM with twice its processor time that has been heard for 4 s. VMs of equal size behave as before.

--- a/cells/beat.cpp
+++ b/cells/beat.cpp
@@ -53,8 +53,9 @@
     for (const auto& view : current.cells)
         views.push_back(encodeView(view));
     std::string packed;
-    json::to_msgpack(
-        json::array({ current.sender.value, current.boot, current.draining, current.storeReachable, std::move(views) }), packed);
+    json::to_msgpack(json::array({ current.sender.value, current.boot, current.draining, current.storeReachable, std::move(views),
+                         current.processorMillis }),
+        packed);
     return packed;
 }
 
@@ -62,7 +63,7 @@
 {
     try {
         const json fields = json::from_msgpack(datagram);
-        beat current { { fields.at(0) }, fields.at(1), fields.at(2), fields.at(3), {} };
+        beat current { { fields.at(0) }, fields.at(1), fields.at(2), fields.at(3), {}, fields.at(5) };
         for (const auto& view : fields.at(4))
             current.cells.push_back(decodeView(view));
         return current;
--- a/cells/beat.h
+++ b/cells/beat.h
@@ -26,6 +26,15 @@
     std::optional<cell_load> load;
 };
 
+/// One life of an entry VM.
+struct vm_identity {
+    vm_id id;
+    /// Tells the lives of a VM apart.
+    std::uint64_t boot = 0;
+    /// Processor time that the VM may use, in thousandths of a core.
+    std::uint32_t processorMillis = 0;
+};
+
 struct beat {
     vm_id sender;
     /// Tells the lives of a VM apart.
@@ -34,6 +43,8 @@
     /// The store has answered the sender lately.
     bool storeReachable = false;
     std::vector<cell_view> cells;
+    /// Processor time that the sender may use, in thousandths of a core.
+    std::uint32_t processorMillis = 0;
 };
 
 std::string encode(const beat& current);
--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -23,8 +23,7 @@
     cell_owner& owner;
     worker_directory& workers;
     jobs::record_stream stream;
-    vm_id self;
-    std::uint64_t boot;
+    vm_identity self;
     ownership_settings settings;
     std::function<void()> changed;
 
@@ -44,16 +43,15 @@
     bool draining = false;
 
     data(jobs::record_store& target, const clock_source& time, cell_owner& controlled, worker_directory& directory,
-        jobs::record_stream source, cell_number cell, vm_id vm, std::uint64_t bootNumber, ownership_settings limits)
+        jobs::record_stream source, cell_number cell, vm_identity vm, ownership_settings limits)
         : store(target)
         , clock(time)
         , owner(controlled)
         , workers(directory)
         , stream(std::move(source))
         , self(std::move(vm))
-        , boot(bootNumber)
         , settings(limits)
-        , state(cell, self, boot, limits, time.now())
+        , state(cell, self, limits, time.now())
     {
     }
 
@@ -81,6 +79,8 @@
             changed();
     }
     void followOwnership();
+    /// The owner is to release the cell.
+    bool handsOver(time_point now);
     void writeDue(time_point now);
     void write(jobs::append_request request, std::function<void(const result<std::uint64_t>&)> done);
     void claim();
@@ -177,7 +177,7 @@
 
 void cell_member::data::claim()
 {
-    const owner_record record { state.epoch() + 1, self, boot, false };
+    const owner_record record { state.epoch() + 1, self.id, self.boot, false };
     claimedAfterRelease = state.owner() && state.owner()->released;
     jobs::append_request request;
     request.records.push_back({ std::string(ownerRecordKey), encodeOwnerRecord(record), 0 });
@@ -221,6 +221,16 @@
     write(std::move(request), [](const result<std::uint64_t>&) {});
 }
 
+bool cell_member::data::handsOver(time_point now)
+{
+    if (releaseAnyway || (draining && state.hasSuccessor(now)))
+        return true;
+    if (!state.hasStrongerSuccessor(now))
+        return false;
+    writeLog(log_level::info, "member", "hands the cell over to a stronger VM", { { "epoch", fmt::to_string(state.epoch()) } });
+    return true;
+}
+
 void cell_member::data::writeDue(time_point now)
 {
     if (writeInFlight || now < nextWrite)
@@ -236,7 +246,7 @@
     }
     if (advice == ownership_advice::claim)
         claim();
-    else if (state.isOwner() && (releaseAnyway || (draining && state.hasSuccessor(now))))
+    else if (state.isOwner() && handsOver(now))
         release();
     else if (state.isOwner() && now >= nextRecord)
         writeAlive(now);
@@ -253,8 +263,8 @@
 }
 
 cell_member::cell_member(jobs::record_store& store, const clock_source& clock, cell_owner& owner, worker_directory& workers,
-    jobs::record_stream stream, cell_number cell, vm_id self, std::uint64_t boot, ownership_settings settings)
-    : m_data(std::make_shared<data>(store, clock, owner, workers, std::move(stream), cell, std::move(self), boot, settings))
+    jobs::record_stream stream, cell_number cell, vm_identity self, ownership_settings settings)
+    : m_data(std::make_shared<data>(store, clock, owner, workers, std::move(stream), cell, std::move(self), settings))
 {
     m_data->tail = std::make_unique<jobs::record_tail>(store, clock, m_data->stream, *m_data);
 }
--- a/cells/cell_member.h
+++ b/cells/cell_member.h
@@ -26,7 +26,7 @@
 public:
     /// All arguments outlive the member.
     cell_member(jobs::record_store& store, const clock_source& clock, cell_owner& owner, worker_directory& workers,
-        jobs::record_stream stream, cell_number cell, vm_id self, std::uint64_t boot, ownership_settings settings = {});
+        jobs::record_stream stream, cell_number cell, vm_identity self, ownership_settings settings = {});
     ~cell_member();
 
     cell_member(const cell_member&) = delete;
--- a/cells/ownership.cpp
+++ b/cells/ownership.cpp
@@ -11,6 +11,9 @@
     /// A store that answers long polls is heard of at least this often.
     constexpr std::chrono::milliseconds storeContactLimit { 3000 };
 
+    /// Multiple of its own processor time from which an owner counts another VM as stronger: a handover costs a pause.
+    constexpr std::uint32_t strongerFactor = 2;
+
     std::uint64_t rankHash(const vm_id& vm, std::uint64_t epoch)
     {
         return XXH3_64bits_withSeed(vm.value.data(), vm.value.size(), epoch);
@@ -18,10 +21,9 @@
 
 } // namespace
 
-ownership::ownership(cell_number cell, vm_id self, std::uint64_t boot, ownership_settings settings, time_point now)
+ownership::ownership(cell_number cell, vm_identity self, ownership_settings settings, time_point now)
     : m_cell(cell)
     , m_self(std::move(self))
-    , m_boot(boot)
     , m_settings(settings)
     , m_startedAt(now)
     , m_ownerSeen(now)
@@ -54,9 +56,12 @@
 
 void ownership::onBeat(const beat& current, time_point now)
 {
-    if (current.sender == m_self)
+    if (current.sender == m_self.id)
         return;
-    peer heard { current.draining, current.storeReachable, std::nullopt, now };
+    const auto known = m_peers.find(current.sender);
+    const bool gap = known == m_peers.end() || now - known->second.at >= m_settings.reachLimit;
+    peer heard { current.draining, current.storeReachable, std::nullopt, current.processorMillis, now,
+        gap ? now : known->second.heardSince };
     for (const auto& view : current.cells) {
         if (view.cell != m_cell)
             continue;
@@ -70,7 +75,7 @@
 
 bool ownership::isOwner() const
 {
-    return m_owner && !m_owner->released && m_owner->owner == m_self && m_owner->boot == m_boot
+    return m_owner && !m_owner->released && m_owner->owner == m_self.id && m_owner->boot == m_self.boot
         && m_owner->epoch >= m_highestEpoch;
 }
 
@@ -107,7 +112,7 @@
 {
     if (!m_owner || m_owner->released)
         return true;
-    if (m_owner->owner == m_self && m_owner->boot != m_boot)
+    if (m_owner->owner == m_self.id && m_owner->boot != m_self.boot)
         return true;
     const bool contactSinceRecord = m_storeContact > m_ownerRecordAt + m_settings.recordAgeLimit;
     if (contactSinceRecord && now - m_ownerRecordAt > m_settings.recordAgeLimit)
@@ -116,22 +121,33 @@
         && mostMissOwner(now);
 }
 
+bool ownership::isCandidate(const peer& current, time_point now) const
+{
+    return now - current.at < m_settings.reachLimit && !current.draining && current.storeReachable && current.view;
+}
+
 bool ownership::hasSuccessor(time_point now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [this, now](const auto& entry) { return isCandidate(entry.second, now); });
+}
+
+bool ownership::hasStrongerSuccessor(time_point now) const
 {
     return std::any_of(m_peers.begin(), m_peers.end(), [this, now](const auto& entry) {
         const peer& current = entry.second;
-        return now - current.at < m_settings.reachLimit && !current.draining && current.storeReachable && current.view;
+        return isCandidate(current, now) && now - current.heardSince >= m_settings.strongerHeardFor
+            && current.processorMillis >= strongerFactor * std::max(m_self.processorMillis, 1U);
     });
 }
 
 std::size_t ownership::ownRank(time_point now) const
 {
-    const std::uint64_t own = rankHash(m_self, epoch());
+    const std::uint64_t own = rankHash(m_self.id, epoch());
     std::size_t rank = 0;
     for (const auto& [id, current] : m_peers) {
-        const bool eligible
-            = now - current.at < m_settings.reachLimit && !current.draining && current.storeReachable && current.view;
-        rank += eligible && rankHash(id, epoch()) < own ? 1 : 0;
+        const bool before = current.processorMillis != m_self.processorMillis ? current.processorMillis > m_self.processorMillis
+                                                                              : rankHash(id, epoch()) < own;
+        rank += isCandidate(current, now) && before ? 1 : 0;
     }
     return rank;
 }
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds memberLimit { 60000 };
     /// Time after its start before a VM claims, so that it hears of the others.
     std::chrono::milliseconds startDelay { 400 };
+    /// How long a stronger VM has to be heard without a gap before the owner hands the cell over to it.
+    std::chrono::milliseconds strongerHeardFor { 4000 };
 };
 
 /// The owner of a cell, as stored.
@@ -47,7 +49,7 @@
 /// Pure state: fed with records and beats, asked for advice. Not safe for use from several threads.
 class ownership {
 public:
-    ownership(cell_number cell, vm_id self, std::uint64_t boot, ownership_settings settings, time_point now);
+    ownership(cell_number cell, vm_identity self, ownership_settings settings, time_point now);
 
     void onOwner(const owner_record& record, time_point now);
     /// The owner of `epoch` has written a sign of life.
@@ -60,6 +62,8 @@
 
     /// Another VM of the cell could take over at once.
     bool hasSuccessor(time_point now) const;
+    /// A VM with far more processor time could take over, and has been heard for a while.
+    bool hasStrongerSuccessor(time_point now) const;
 
     ownership_advice advise(time_point now);
 
@@ -75,9 +79,13 @@
         bool storeReachable = false;
         /// What it knows of this cell; nothing when it belongs to another one.
         std::optional<cell_view> view;
+        std::uint32_t processorMillis = 0;
         time_point at;
+        /// Heard since then without a gap.
+        time_point heardSince;
     };
 
+    bool isCandidate(const peer& current, time_point now) const;
     bool ownerSuspected(time_point now) const;
     std::uint64_t knownEpoch() const { return m_owner ? m_owner->epoch : 0; }
     bool mostVmsInReach(time_point now) const;
@@ -85,8 +93,7 @@
     std::size_t ownRank(time_point now) const;
 
     cell_number m_cell;
-    vm_id m_self;
-    std::uint64_t m_boot;
+    vm_identity m_self;
     ownership_settings m_settings;
     time_point m_startedAt;
     std::optional<owner_record> m_owner;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -150,6 +150,7 @@
     explicit data(const platform::boot_settings& values);
 
     cells::vm_registration registration() const;
+    cells::vm_identity identity() const { return { settings.vm, boot, settings.processorMillis }; }
     cells::beat ownBeat() const;
     std::optional<cells::run_target> runTarget() const;
     cells::cell_number homeOf(const std::string& jobId) const;
@@ -188,7 +189,7 @@
     , configuration(store, clock, table)
     , owner(store, workerLink, clock, { jobTopic, cell }, cellSettings(values))
     , workers(store, clock, owner, values.failureDomain)
-    , member(store, clock, owner, workers, { cellTopic, cell }, cell, values.vm, boot)
+    , member(store, clock, owner, workers, { cellTopic, cell }, cell, identity())
     , directory(store, *this, clock, { vmTopic, 0 }, registration(), [this] { return ownBeat(); })
     , beats(values.address, values.firstPeerPort, [this](const std::string& datagram) { onDatagram(datagram); })
     , peerLink(client)
@@ -239,7 +240,7 @@
 
 cells::beat entry_node::data::ownBeat() const
 {
-    return { settings.vm, boot, isDraining(), member.storeReachable(), { member.view() } };
+    return { settings.vm, boot, isDraining(), member.storeReachable(), { member.view() }, settings.processorMillis };
 }
 
 void entry_node::data::onDatagram(const std::string& datagram)
--- a/tests/cells/ownership_test.cpp
+++ b/tests/cells/ownership_test.cpp
@@ -23,7 +23,7 @@
 /// A VM that knows `other` as the owner and hears everyone until `now`.
 ownership follower(time_point now)
 {
-    ownership state(cell, self, 1, {}, start);
+    ownership state(cell, { self, 1 }, {}, start);
     state.onOwner({ 1, other, 1, false }, now);
     state.onOwnerAlive(1, now);
     state.onStoreContact(now);
@@ -45,25 +45,53 @@
 
 BOOST_AUTO_TEST_CASE(is_claimed_when_there_is_none)
 {
-    ownership state(cell, self, 1, {}, start);
+    ownership state(cell, { self, 1 }, {}, start);
     state.onStoreContact(start + 1s);
     BOOST_TEST((state.advise(start + 1s) == ownership_advice::claim));
 }
 
 BOOST_AUTO_TEST_CASE(is_not_claimed_by_a_vm_that_the_store_does_not_answer)
 {
-    ownership state(cell, self, 1, {}, start);
+    ownership state(cell, { self, 1 }, {}, start);
     BOOST_TEST((state.advise(start + 10s) == ownership_advice::none));
 }
 
 BOOST_AUTO_TEST_CASE(is_not_claimed_by_a_vm_that_drains)
 {
-    ownership state(cell, self, 1, {}, start);
+    ownership state(cell, { self, 1 }, {}, start);
     state.onStoreContact(start + 1s);
     state.drain();
     BOOST_TEST((state.advise(start + 1s) == ownership_advice::none));
 }
 
+BOOST_AUTO_TEST_CASE(is_claimed_by_the_vm_with_the_most_processor_time_first)
+{
+    for (const std::uint32_t processorMillis : { 120U, 500U }) {
+        ownership state(cell, { self, 1, processorMillis }, {}, start);
+        state.onStoreContact(start + 1s);
+        beat weaker = beatOf(other, 0, false, std::nullopt);
+        weaker.processorMillis = 250;
+        state.onBeat(weaker, start + 1s);
+        const auto expected = processorMillis > weaker.processorMillis ? ownership_advice::claim : ownership_advice::none;
+        BOOST_TEST((state.advise(start + 1s) == expected));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_handed_over_to_a_stronger_vm_that_has_been_heard_for_a_while)
+{
+    for (const std::uint32_t processorMillis : { 120U, 500U }) {
+        ownership state(cell, { self, 1, processorMillis }, {}, start);
+        beat stronger = beatOf(other, 1, false, 10ms);
+        stronger.processorMillis = 500;
+        for (auto now = start; now < start + 5s; now += 200ms)
+            state.onBeat(stronger, now);
+        BOOST_TEST(state.hasStrongerSuccessor(start + 5s) == (processorMillis < stronger.processorMillis));
+        // It was silent for a second: it may not be well yet.
+        state.onBeat(stronger, start + 6s);
+        BOOST_TEST(!state.hasStrongerSuccessor(start + 6s));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(stays_while_it_is_heard)
 {
     auto state = follower(start + 5s);
@@ -142,7 +170,7 @@
 
 BOOST_AUTO_TEST_CASE(does_not_go_on_in_another_life)
 {
-    ownership state(cell, self, 2, {}, start);
+    ownership state(cell, { self, 2 }, {}, start);
     state.onOwner({ 4, self, 1, false }, start);
     state.onStoreContact(start + 1s);
     BOOST_TEST(!state.isOwner());
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -45,7 +45,7 @@
         , cell(domainOf(name))
         , boot(bootNumber)
         , owner(*this, *this, parent.loop, { "jobs", cell }, {})
-        , member(*this, parent.loop, owner, *this, { "cells", cell }, cell, { name }, boot)
+        , member(*this, parent.loop, owner, *this, { "cells", cell }, cell, { { name }, boot })
         , directory(*this, *this, parent.loop, { "vms", 0 }, { { name }, boot, name, { std::to_string(cell) } },
               [this] {
                   return beat { { name }, boot, member.isDraining(), member.storeReachable(), { member.view() } };
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -200,10 +200,14 @@
 addr = "10.0.0.2:1"
 [bounds]
 max_hold_ms = 900
+[limits]
+cpu_share = 0.12
+cores = 2
 )";
     const auto settings = parseBootSettings(text);
     BOOST_REQUIRE(settings);
     BOOST_TEST((settings->maxLease == 900ms));
+    BOOST_TEST(settings->processorMillis == 240U);
     BOOST_TEST((settings->failureDomains == std::vector<std::string> { "a", "b" }));
     BOOST_TEST(!parseBootSettings("node_name = 5"));
     BOOST_TEST(!parseBootSettings("not toml ["));
