--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -27,6 +27,12 @@
 /// Order in which jobs get room: by priority, then by objective.
 using queue_rank = std::tuple<std::uint32_t, time_point, std::string>;
 
+/// Tasks that run until their job is cancelled go before all others: they are owed room at any time.
+inline queue_rank rankOf(const open_job& job)
+{
+    return { job.isLongRunning() ? 0 : job.accepted.priority + 1, job.objective, job.accepted.work.id };
+}
+
 struct cell_owner::data : jobs::record_listener, std::enable_shared_from_this<cell_owner::data> {
     jobs::record_store& store;
     worker_link& link;
@@ -182,7 +188,15 @@
     /// An earlier run of the task has not ended yet.
     bool runsSomewhere(const task_key& key) const;
     bool scheduleJob(open_job& job, time_point now);
-    worker_session* chooseWorker(const open_job& job, std::uint32_t step, const task_state& task, time_point now);
+    /// Starts the waiting tasks of one step; returns whether all of them found room.
+    bool scheduleStep(open_job& job, std::uint32_t step, time_point now);
+    /// Starts all tasks of a gang or none. Stops members that are left when others have ended.
+    bool scheduleGang(open_job& job, std::uint32_t step, time_point now);
+    std::set<std::string> racks() const;
+    /// `rack` limits the choice to one rack; empty for any.
+    worker_session* chooseWorker(
+        const open_job& job, std::uint32_t step, const task_state& task, const std::string& rack, time_point now);
+    void noteCheckpoint(open_job& job, const task_key& key, const std::string& checkpoint);
     bool mayStart(const open_job& job, time_point now);
     bool isSettled(time_point now);
     bool recordsAreCurrent(time_point now) const;
@@ -210,6 +224,7 @@
     void onHoldFailed(worker_session& session, order_failure failure, time_point now);
     void applyHold(worker_session& session, time_point sentAt, const hold_answer& answer, time_point now);
     void applyEnd(worker_session& session, const ended_task& ended, time_point now);
+    void countEnd(open_job& job, const ended_task& ended, const worker_id& by);
     void applyRunning(worker_session& session, const running_task& listed, time_point now);
     void adopt(worker_session& session, const running_task& listed, time_point now);
     void dropUnlisted(worker_session& session, time_point sentAt, const hold_answer& answer, time_point now);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -12,6 +12,8 @@
     constexpr int maxBlockedJobs = 48;
     /// Weight of the room that a placement leaves over, against the measured speed of a worker.
     constexpr double leftoverWeight = 0.15;
+    /// Weight of each task of a long-running step that a worker runs already: the loss of one worker then costs few of them.
+    constexpr double spreadWeight = 1.0;
     /// How much longer a task takes away from its data, until the platform's factor is known to the cell.
     constexpr double remoteFactor = 3.0;
     /// Share of the workers' room that waiting work can count on.
@@ -29,7 +31,7 @@
 void cell_owner::data::enqueue(const open_job& job)
 {
     if (!job.ended && !job.lent && job.readyTasks() > 0)
-        ready.emplace(job.accepted.priority, job.objective, job.accepted.work.id);
+        ready.emplace(rankOf(job));
 }
 
 void cell_owner::data::requeue(const task_key& key, const worker_id& from, std::uint64_t attempt)
@@ -46,6 +48,15 @@
     enqueue(*job);
 }
 
+void cell_owner::data::noteCheckpoint(open_job& job, const task_key& key, const std::string& checkpoint)
+{
+    if (checkpoint.empty())
+        return;
+    job.task(key).checkpoint = checkpoint;
+    if (job.accepted.work.steps[key.step].gang)
+        job.steps[key.step].checkpoint = checkpoint;
+}
+
 void cell_owner::data::completeTask(open_job& job, const task_key& key, const worker_id& by)
 {
     task_state& task = job.task(key);
@@ -92,7 +103,7 @@
 {
     const auto now = clock.now();
     job.ended = state;
-    ready.erase({ job.accepted.priority, job.objective, job.accepted.work.id });
+    ready.erase(rankOf(job));
     figures.completedJobs += state == jobs::job_state::completed ? 1 : 0;
     figures.failedJobs += state == jobs::job_state::failed ? 1 : 0;
     figures.cancelledJobs += state == jobs::job_state::cancelled ? 1 : 0;
@@ -156,7 +167,7 @@
                 entry = ready.erase(entry);
                 continue;
             }
-            if ((now > job->objective) != late || !mayStart(*job, now)) {
+            if ((now > job->objective && !job->isLongRunning()) != late || !mayStart(*job, now)) {
                 ++entry;
                 continue;
             }
@@ -175,23 +186,31 @@
 bool cell_owner::data::scheduleJob(open_job& job, time_point now)
 {
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-        auto& waiting = job.steps[step].waiting;
-        if (waiting.empty() || !job.stepIsReady(step))
+        if (job.steps[step].waiting.empty() || !job.stepIsReady(step))
             continue;
-        while (!waiting.empty()) {
-            const std::uint32_t index = waiting.back();
-            const task_key key { job.accepted.work.id, 0, step, index };
-            worker_session* session = runsSomewhere(key) ? nullptr : chooseWorker(job, step, job.steps[step].tasks[index], now);
-            if (!session)
-                return false;
-            waiting.pop_back();
-            start(job, key, *session, now);
-        }
+        if (!(job.accepted.work.steps[step].gang ? scheduleGang(job, step, now) : scheduleStep(job, step, now)))
+            return false;
     }
     return true;
 }
 
-worker_session* cell_owner::data::chooseWorker(const open_job& job, std::uint32_t step, const task_state& task, time_point now)
+bool cell_owner::data::scheduleStep(open_job& job, std::uint32_t step, time_point now)
+{
+    auto& waiting = job.steps[step].waiting;
+    while (!waiting.empty()) {
+        const std::uint32_t index = waiting.back();
+        const task_key key { job.accepted.work.id, 0, step, index };
+        worker_session* session = runsSomewhere(key) ? nullptr : chooseWorker(job, step, job.steps[step].tasks[index], {}, now);
+        if (!session)
+            return false;
+        waiting.pop_back();
+        start(job, key, *session, now);
+    }
+    return true;
+}
+
+worker_session* cell_owner::data::chooseWorker(
+    const open_job& job, std::uint32_t step, const task_state& task, const std::string& rack, time_point now)
 {
     const jobs::step& wanted = job.accepted.work.steps[step];
     worker_session* best = nullptr;
@@ -202,6 +221,8 @@
             continue;
         if (!wanted.need.fitsInto(session.free()) || (!wanted.requiredLabel.empty() && !session.hasLabel(wanted.requiredLabel)))
             continue;
+        if (!rack.empty() && session.rack() != rack)
+            continue;
         if (wanted.maxPerWorker > 0 && session.runsOfStep(job.accepted.work.id, step) >= wanted.maxPerWorker)
             continue;
         const double room = static_cast<double>(std::max<std::int64_t>(registration.capacity.cpuMillis, 1));
@@ -211,6 +232,8 @@
             score *= remoteFactor;
         if (id == task.failedOn)
             score *= remoteFactor;
+        if (wanted.longRunning)
+            score += spreadWeight * session.runsOfStep(job.accepted.work.id, step);
         if (!best || score < bestScore) {
             best = &session;
             bestScore = score;
@@ -235,10 +258,11 @@
             capacity += static_cast<double>(session.registration().capacity.cpuMillis) / 1000.0 * usableShare;
     }
     std::array<double, reportedPriorities> waiting {};
-    for (const auto& [priority, objective, id] : ready) {
-        const open_job* job = book.find(id);
+    for (const auto& rank : ready) {
+        const open_job* job = book.find(std::get<std::string>(rank));
         if (!job || job->ended)
             continue;
+        const std::uint32_t priority = job->isLongRunning() ? 0 : job->accepted.priority;
         for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
             const double work
                 = coreMilliseconds(job->accepted.work.steps[step]) * static_cast<double>(job->steps[step].waiting.size());
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -110,7 +110,7 @@
 
 void cell_owner::data::lendTo(cell_number cell, open_job& job, time_point now)
 {
-    ready.erase({ job.accepted.priority, job.objective, job.accepted.work.id });
+    ready.erase(rankOf(job));
     job.lent = true;
     job.started = true;
     ++figures.lentJobs;
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -89,6 +89,7 @@
     added.attempt = task.attempt;
     added.need = step.need;
     added.estimate = step.estimate;
+    added.longRunning = step.longRunning;
     added.sentAt = now;
     added.progressAt = now;
     session.addRun(key, added);
@@ -101,7 +102,7 @@
     const worker_registration& worker = session.registration();
     worker_run& current = *session.find(key);
     start_order order { key, current.attempt, job.accepted.work.payload, session.extendLease(settings.maxLease, now), term.epoch,
-        job.task(key).checkpoint };
+        job.accepted.work.steps[key.step].gang ? job.steps[key.step].checkpoint : job.task(key).checkpoint };
     current.startableUntil = session.leasesEnded(now);
     ++current.tries;
     outbox.emplace_back([self = shared_from_this(), worker, order = std::move(order), number = termNumber] {
@@ -348,17 +349,30 @@
         return;
     task_state& task = job->task(ended.task);
     task.attempt = std::max(task.attempt, ended.attempt);
-    if (ended.how == run_end::done) {
-        completeTask(*job, ended.task, id);
-        return;
-    }
-    if (!ended.checkpoint.empty())
-        task.checkpoint = ended.checkpoint;
-    if (ended.how == run_end::failed)
-        failTask(*job, ended.task, id, ended.attempt);
+    noteCheckpoint(*job, ended.task, ended.checkpoint);
+    if (!job->accepted.work.steps[ended.task.step].longRunning)
+        countEnd(*job, ended, id);
     requeue(ended.task, id, ended.attempt);
 }
 
+void cell_owner::data::countEnd(open_job& job, const ended_task& ended, const worker_id& by)
+{
+    const bool gang = job.accepted.work.steps[ended.task.step].gang;
+    if (ended.how == run_end::done && !gang) {
+        completeTask(job, ended.task, by);
+    } else if (ended.how == run_end::done) {
+        // One member stands for all; the others end with it.
+        for (std::uint32_t index = 0; index < job.steps[ended.task.step].tasks.size() && !job.ended; ++index) {
+            const task_key member { ended.task.jobId, ended.task.occurrence, ended.task.step, index };
+            completeTask(job, member, job.task(member).runsOn);
+        }
+    } else if (ended.how == run_end::failed) {
+        // The failures of a gang are counted together, at its first member.
+        const task_key counted { ended.task.jobId, ended.task.occurrence, ended.task.step, gang ? 0 : ended.task.index };
+        failTask(job, counted, by, ended.attempt);
+    }
+}
+
 void cell_owner::data::applyRunning(worker_session& session, const running_task& listed, time_point now)
 {
     worker_run* current = session.find(listed.task);
@@ -387,8 +401,8 @@
         stopRun(session, listed.task, now);
         return;
     }
-    if (open_job* job = book.find(listed.task.jobId); job && job->contains(listed.task) && !listed.checkpoint.empty())
-        job->task(listed.task).checkpoint = listed.checkpoint;
+    if (open_job* job = book.find(listed.task.jobId); job && job->contains(listed.task))
+        noteCheckpoint(*job, listed.task, listed.checkpoint);
     checkProgress(session, listed.task, *current, now);
 }
 
@@ -410,6 +424,7 @@
     if (known) {
         added.need = job->accepted.work.steps[listed.task.step].need;
         added.estimate = job->accepted.work.steps[listed.task.step].estimate;
+        added.longRunning = job->accepted.work.steps[listed.task.step].longRunning;
     }
     session.addRun(listed.task, added);
     const bool wanted = known && !job->ended && job->task(listed.task).phase == task_phase::waiting;
@@ -454,7 +469,7 @@
 {
     const std::chrono::duration<double, std::milli> expected
         = std::chrono::duration<double, std::milli>(current.estimate) * session.slowness() * stillEstimates;
-    if (current.orphaned || now - current.progressAt < stillTime || now - *current.confirmedAt < expected)
+    if (current.orphaned || current.longRunning || now - current.progressAt < stillTime || now - *current.confirmedAt < expected)
         return;
     logOrder("a run stands still", key, current.attempt, session.registration().id, "stopped");
     session.avoidUntil(now + quarantine);
--- a/cells/job_book.h
+++ b/cells/job_book.h
@@ -37,6 +37,8 @@
     std::vector<task_state> tasks;
     std::vector<std::uint32_t> waiting;
     std::uint32_t done = 0;
+    /// Newest state that a member of a gang has saved: all members resume from one.
+    std::string checkpoint;
 };
 
 struct open_job {
@@ -73,6 +75,8 @@
     bool stepIsReady(std::uint32_t step) const;
     /// Tasks that wait and whose step may run.
     std::size_t readyTasks() const;
+    /// The tasks run until the job is cancelled.
+    bool isLongRunning() const { return accepted.work.steps.front().longRunning; }
     /// No task of it waits for a start.
     bool isPlaced() const;
     task_state& task(const task_key& key) { return steps[key.step].tasks[key.index]; }
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -111,6 +111,8 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+std::string worker_session::rack() const { return m_registration.labels.empty() ? std::string() : m_registration.labels.back(); }
+
 bool worker_session::takesStarts(time_point now) const
 {
     return listed && !gone && !m_registration.draining && failedHolds == 0 && now >= m_avoidUntil;
@@ -132,7 +134,7 @@
     if (how != run_end::done)
         return;
     m_failures = 0;
-    if (ended.estimate.count() <= 0 || !ended.confirmedAt)
+    if (ended.longRunning || ended.estimate.count() <= 0 || !ended.confirmedAt)
         return;
     const std::chrono::duration<double, std::milli> took = now - *ended.confirmedAt;
     const double observed = std::clamp(took.count() / static_cast<double>(ended.estimate.count()), leastSlowness, mostSlowness);
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -40,6 +40,8 @@
     std::optional<time_point> stopSentAt;
     /// A look at this life of the worker has shown it.
     bool listed = false;
+    /// Runs until its job is cancelled, without progress or end.
+    bool longRunning = false;
     /// Started by an earlier owner for a job that is not known here yet.
     bool orphaned = false;
 };
@@ -78,6 +80,8 @@
     /// Runs of one step on this worker.
     std::uint32_t runsOfStep(const std::string& jobId, std::uint32_t step) const;
     bool hasLabel(const std::string& label) const;
+    /// Label of the rack: the last one that the worker names; empty for none.
+    std::string rack() const;
 
     /// May get new tasks at `now`.
     bool takesStarts(time_point now) const;
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -55,6 +55,12 @@
     std::string dataRack;
     /// Most tasks of this step that one worker may run; 0 for no limit.
     std::uint32_t maxPerWorker = 0;
+    /// The tasks work only together: all of them start under one attempt, and one that ends ends them all.
+    bool gang = false;
+    /// The tasks of a gang are slow when they run on more than one rack.
+    bool tightlyCoupled = false;
+    /// The tasks run until the job is cancelled, and are started again however they end.
+    bool longRunning = false;
 };
 
 /// One submission.
@@ -88,6 +94,8 @@
     /// Allowed time as a multiple of the longest chain of work, and the constant part of it.
     double slackFactor = 1.0;
     std::chrono::milliseconds targetLatency { 0 };
+    /// Only workers that a policy service allows may run the tasks.
+    bool needsAdvice = false;
 };
 
 /// One version of the operators' configuration.
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -29,7 +29,8 @@
     json packStep(const step& current)
     {
         return json::array({ current.taskCount, current.need.cpuMillis, current.need.memoryMegabytes, current.need.accelerators,
-            current.estimate.count(), current.after, current.requiredLabel, current.dataRack, current.maxPerWorker });
+            current.estimate.count(), current.after, current.requiredLabel, current.dataRack, current.maxPerWorker, current.gang,
+            current.tightlyCoupled, current.longRunning });
     }
 
     step unpackStep(const json& value)
@@ -42,6 +43,9 @@
         current.requiredLabel = value.at(6);
         current.dataRack = value.at(7);
         current.maxPerWorker = value.at(8);
+        current.gang = value.at(9);
+        current.tightlyCoupled = value.at(10);
+        current.longRunning = value.at(11);
         return current;
     }
 
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -306,6 +306,18 @@
     });
 }
 
+void cell_fleet::store(
+    const std::string& vm, const std::string& jobId, const jobs::step& only, std::chrono::milliseconds duration)
+{
+    auto accepted = makeJob(jobId, only.taskCount, duration, false);
+    accepted.work.steps = { only };
+    accepted.work.steps[0].estimate = duration;
+    m_vms.at(vm)->intake.store(accepted, [this, jobId](const result<void>& answer) {
+        if (answer)
+            stored.push_back(jobId);
+    });
+}
+
 void cell_fleet::storeFor(unsigned domain, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration)
 {
     jobs::append_request request;
--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -55,6 +55,8 @@
         std::chrono::milliseconds timeLeft = std::chrono::milliseconds(10000));
     /// Stores a job at a VM. Returns whether the store has taken it, once time has passed.
     void store(const std::string& vm, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration);
+    /// The same with a step of one's own.
+    void store(const std::string& vm, const std::string& jobId, const jobs::step& only, std::chrono::milliseconds duration);
     /// A VM of another domain stores a job for the cell of `domain`.
     void storeFor(unsigned domain, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration);
     void cancel(const std::string& vm, const std::string& jobId);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -53,7 +53,9 @@
     BOOST_TEST((problemOf(R"({"phases":[{"count":1,"cpu":"x"}]})") == error_kind::malformed_request));
     BOOST_TEST(
         (problemOf(R"({"spec":")" + std::string(5000, 'x') + R"(","phases":[{"count":1}]})") == error_kind::payload_too_large));
-    BOOST_TEST((problemOf(R"({"phases":[{"count":2,"gang":true}]})") == error_kind::job_kind_unsupported));
+    BOOST_TEST((problemOf(R"({"phases":[{"count":2,"utilization":true}]})") == error_kind::job_kind_unsupported));
+    BOOST_TEST(
+        (problemOf(R"({"best_effort":true,"phases":[{"count":2,"long_running":true}]})") == error_kind::malformed_request));
     BOOST_TEST((problemOf(R"({"repeats":3,"phases":[{"count":2}]})") == error_kind::job_kind_unsupported));
     BOOST_TEST(!decodeJob("5c0e7a21", "queue", R"({"phases":[{"count":1}]})"));
     BOOST_TEST(!decodeJob("5c0e7a21d94b36fz", "queue", R"({"phases":[{"count":1}]})"));
