core: Bound log lines of each kind, tell lost and regained records once, and answer SIGHUP with a line

A kind of line is written 600 times a second at most, and how many were left out is told. SIGHUP reads the settings and tells whether they changed.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -70,7 +70,6 @@
     void onSnapshot(const std::vector<jobs::record>& records) override;
     void onRecord(const jobs::record& current) override;
     void onContact(time_point asked) override;
-    void onContactLost(const error& problem) override;
     void apply(const jobs::record& current);
     void tick(time_point now);
     void tellChange() const
@@ -110,11 +109,6 @@
     locked([&] { state.onStoreContact(asked); });
 }
 
-void cell_member::data::onContactLost(const error& problem)
-{
-    writeLog(log_level::warning, "member", "can't read the cell's records", { { "detail", problem.detail } });
-}
-
 void cell_member::data::apply(const jobs::record& current)
 {
     const auto now = clock.now();
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -92,11 +92,6 @@
     });
 }
 
-void cell_owner::data::onContactLost(const error& problem)
-{
-    writeLog(log_level::warning, "cell", "can't read its records", { { "detail", problem.detail } });
-}
-
 void cell_owner::data::replay(const jobs::record& current, time_point now)
 {
     const auto kind = jobs::kindOf(current.key);
--- a/cells/fleet_neighbors.cpp
+++ b/cells/fleet_neighbors.cpp
@@ -35,8 +35,7 @@
 
 fleet_neighbors::fleet_neighbors(const clock_source& clock, cell_owner& owner, owner_link& link, const vm_directory& directory,
     cell_number self, cell_number cells)
-    : m_clock(clock)
-    , m_link(link)
+    : m_link(link)
     , m_directory(directory)
     , m_self(self)
     , m_claimed(cells)
--- a/cells/fleet_neighbors.h
+++ b/cells/fleet_neighbors.h
@@ -32,7 +32,6 @@
         std::int64_t cpuMillis = 0;
     };
 
-    const clock_source& m_clock;
     owner_link& m_link;
     const vm_directory& m_directory;
     cell_number m_self;
--- a/cells/vm_directory.cpp
+++ b/cells/vm_directory.cpp
@@ -87,7 +87,6 @@
     void onSnapshot(const std::vector<jobs::record>& records) override;
     void onRecord(const jobs::record& current) override;
     void onContact(time_point) override { }
-    void onContactLost(const error& problem) override;
     void registerSelf(time_point now);
     void sendBeat(time_point now);
     void note(const beat& current);
@@ -120,11 +119,6 @@
                 { "processor_millis", fmt::to_string(registration->vm.processorMillis) } });
 }
 
-void vm_directory::data::onContactLost(const error& problem)
-{
-    writeLog(log_level::warning, "directory", "can't read the VMs", { { "detail", problem.detail } });
-}
-
 void vm_directory::data::registerSelf(time_point now)
 {
     {
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <mutex>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -10,6 +11,8 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include "core/log_budget.h"
+
 namespace coriandermount {
 
 namespace {
@@ -28,11 +31,36 @@
         return poll(&wanted, 1, 0) > 0 && (wanted.revents & POLLOUT) != 0;
     }
 
+    /// Lines of one kind in a second; above the jobs that an owner of 0.5 cores ends in that time.
+    constexpr std::uint64_t linesPerSecond = 600;
+
+    log_budget::verdict countLine(std::string_view component, std::string_view message)
+    {
+        static std::mutex mutex;
+        static log_budget budget(linesPerSecond);
+        const std::scoped_lock lock(mutex);
+        return budget.count(fmt::format("{}: {}", component, message), std::chrono::steady_clock::now());
+    }
+
     std::string jsonText(std::string_view text)
     {
         return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
 
+    void writeLine(log_level level, std::string_view component, std::string_view message, std::initializer_list<log_field> fields)
+    {
+        const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+        std::string line = fmt::format(R"({{"time":"{:%Y-%m-%dT%H:%M:}{:%S}Z","level":"{}","component":{},"message":{})",
+            fmt::gmtime(now), now.time_since_epoch() % std::chrono::minutes(1), levelNames[static_cast<std::size_t>(level)],
+            jsonText(component), jsonText(message));
+        for (const auto& [name, value] : fields)
+            line += fmt::format(",{}:{}", jsonText(name), jsonText(value));
+        line += "}\n";
+        const int descriptor = logDescriptor.load(std::memory_order_relaxed);
+        if (!canWrite(descriptor) || write(descriptor, line.data(), line.size()) < 0)
+            droppedLines.fetch_add(1, std::memory_order_relaxed);
+    }
+
 } // namespace
 
 void setLogDescriptor(int descriptor) { logDescriptor.store(descriptor, std::memory_order_relaxed); }
@@ -41,20 +69,17 @@
 
 void setLogLevel(log_level lowest) { lowestLevel.store(lowest, std::memory_order_relaxed); }
 
-void writeLog(log_level level, std::string_view component, std::string_view message,
-    std::initializer_list<std::pair<std::string_view, std::string>> fields)
+void writeLog(log_level level, std::string_view component, std::string_view message, std::initializer_list<log_field> fields)
 {
     if (level < lowestLevel.load(std::memory_order_relaxed))
         return;
-    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-    std::string line = fmt::format(R"({{"time":"{:%Y-%m-%dT%H:%M:}{:%S}Z","level":"{}","component":{},"message":{})",
-        fmt::gmtime(now), now.time_since_epoch() % std::chrono::minutes(1), levelNames[static_cast<std::size_t>(level)],
-        jsonText(component), jsonText(message));
-    for (const auto& [name, value] : fields)
-        line += fmt::format(",{}:{}", jsonText(name), jsonText(value));
-    line += "}\n";
-    const int descriptor = logDescriptor.load(std::memory_order_relaxed);
-    if (!canWrite(descriptor) || write(descriptor, line.data(), line.size()) < 0)
+    const auto verdict = countLine(component, message);
+    if (verdict.leftOut > 0)
+        writeLine(log_level::warning, "log", "lines were left out",
+            { { "kind", fmt::format("{}: {}", component, message) }, { "count", fmt::to_string(verdict.leftOut) } });
+    if (verdict.allowed)
+        writeLine(level, component, message, fields);
+    else
         droppedLines.fetch_add(1, std::memory_order_relaxed);
 }
 
--- a/core/log.h
+++ b/core/log.h
@@ -17,11 +17,14 @@
 /// Sends lines to `descriptor`; a line that can't be written at once is dropped and counted.
 void setLogDescriptor(int descriptor);
 
-/// Lines that were dropped since the start.
+/// Lines that were dropped or left out since the start.
 std::uint64_t droppedLogLines();
 
-/// Writes one JSON line with time, level, component, message and `fields`.
-void writeLog(log_level level, std::string_view component, std::string_view message,
-    std::initializer_list<std::pair<std::string_view, std::string>> fields = {});
+using log_field = std::pair<std::string_view, std::string>;
+
+/// Writes one JSON line with time, level, component, message and `fields`. Lines of one component and message are limited
+/// in each second; how many were left out is told with the next one.
+void writeLog(
+    log_level level, std::string_view component, std::string_view message, std::initializer_list<log_field> fields = {});
 
 } // namespace coriandermount
--- a/jobs/record_tail.cpp
+++ b/jobs/record_tail.cpp
@@ -2,6 +2,11 @@
 
 #include <algorithm>
 #include <mutex>
+#include <optional>
+
+#include <fmt/format.h>
+
+#include "core/log.h"
 
 namespace coriandermount::jobs {
 
@@ -31,6 +36,8 @@
     std::uint64_t next = 0;
     std::chrono::milliseconds pause { firstPause };
     time_point retryAt {};
+    /// Since then no call was answered.
+    std::optional<time_point> lostAt;
 
     data(record_store& target, const clock_source& time, record_stream source, record_listener& receiver,
         std::chrono::milliseconds interval)
@@ -47,6 +54,7 @@
     void onRead(result<record_batch> answer, time_point asked);
     void goOn();
     void retryLater(const error& problem);
+    void noteAnswer();
     bool isCurrent(std::uint64_t expected);
 };
 
@@ -81,6 +89,7 @@
         retryLater(answer.error());
         return;
     }
+    noteAnswer();
     needsSnapshot = false;
     next = answer->end;
     pause = firstPause;
@@ -96,6 +105,7 @@
         retryLater(answer.error());
         return;
     }
+    noteAnswer();
     pause = firstPause;
     for (const auto& current : answer->records) {
         next = current.offset + 1;
@@ -118,10 +128,27 @@
     retryAt = clock.now() + pace;
 }
 
+void record_tail::data::noteAnswer()
+{
+    const std::scoped_lock lock(mutex);
+    if (!lostAt)
+        return;
+    const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(clock.now() - *lostAt);
+    lostAt.reset();
+    writeLog(log_level::info, "store", "records are read again",
+        { { "topic", stream.topic }, { "partition", fmt::to_string(stream.partition) },
+            { "silence_ms", fmt::to_string(silence.count()) } });
+}
+
 void record_tail::data::retryLater(const error& problem)
 {
-    listener.onContactLost(problem);
     const std::scoped_lock lock(mutex);
+    if (!lostAt) {
+        lostAt = clock.now();
+        writeLog(log_level::warning, "store", "records can't be read",
+            { { "topic", stream.topic }, { "partition", fmt::to_string(stream.partition) }, { "from", fmt::to_string(next) },
+                { "detail", problem.detail } });
+    }
     waiting = true;
     retryAt = clock.now() + (problem.kind == error_kind::log_records_expired ? std::chrono::milliseconds(0) : pause);
     pause = std::min(pause * 2, longestPause);
--- a/jobs/record_tail.h
+++ b/jobs/record_tail.h
@@ -20,7 +20,6 @@
     virtual void onRecord(const record& current) = 0;
     /// The store answered: everything appended before `asked` has been handed over.
     virtual void onContact(time_point asked) = 0;
-    virtual void onContactLost(const error& problem) = 0;
 };
 
 class record_tail {
--- a/main/coriandermount_entry_program.cpp
+++ b/main/coriandermount_entry_program.cpp
@@ -16,6 +16,17 @@
 
 constexpr int exitSettings = 2;
 
+/// Addresses, failure domain and bounds of a VM stay for its whole life; a change is told and taken up by the next start.
+void reload(const platform::boot_settings& inForce)
+{
+    const auto settings = platform::loadBootSettings();
+    if (!settings)
+        writeLog(log_level::error, "node", "can't read the settings again", { { "detail", settings.error().detail } });
+    else
+        writeLog(log_level::info, "node", "reads the settings again",
+            { { "outcome", *settings == inForce ? "unchanged" : "changed, in force with the next start" } });
+}
+
 int run(int argc, char** argv)
 {
     cxxopts::Options options("coriandermount-entry", "Dispatches jobs of the users' platform from one entry VM.");
@@ -39,7 +50,7 @@
         writeLog(log_level::error, "node", "can't start", { { "detail", started.error().detail } });
         return exitSettings;
     }
-    waitForEndSignal();
+    waitForEndSignal([&settings] { reload(*settings); });
     node.shutDown();
     // Threads of libraries may wait for peers that never answer; nothing is left to be kept.
     std::_Exit(EXIT_SUCCESS);
--- a/main/signals.cpp
+++ b/main/signals.cpp
@@ -26,12 +26,14 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-void waitForEndSignal()
+void waitForEndSignal(const std::function<void()>& reload)
 {
     const sigset_t set = endSignals();
-    int received = SIGHUP;
-    while (received == SIGHUP)
-        sigwait(&set, &received);
+    int received = 0;
+    while (sigwait(&set, &received) == 0 && received == SIGHUP) {
+        if (reload)
+            reload();
+    }
 }
 
 } // namespace coriandermount
