cells: Keep the cell while the store is slow, and hand it over once it is quick

Cause: an owner that stops released its cell at once, however long the calls take in which nobody owns it. Ruled out: workers (no lost run in these seconds), the zone cut (begins later). Change: a stopping owner writes a record first and hands over only when that took 60 ms at most; it goes on with orders until then, to the end of its grace period. The same holds for a handover to a stronger VM. Test: when_the_owner_is_stopped/it_owns_the_cell_while_the_store_is_slow.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -14,6 +14,11 @@
 
     /// Pause before a failed write is repeated.
     constexpr std::chrono::milliseconds writeRetry { 200 };
+    /// Time of a write up to which the cell is handed over: a handover takes about six calls of the store, in which nobody
+    /// starts anything.
+    constexpr std::chrono::milliseconds quickWrite { 60 };
+    /// Time between the records of an owner that waits for the store to become quick.
+    constexpr std::chrono::milliseconds drainingRecordInterval { 250 };
 
 } // namespace
 
@@ -37,6 +42,10 @@
     time_point nextWrite;
     time_point nextRecord;
     std::uint64_t aliveSequence = 0;
+    /// The last record of this owner that was sent and stored, and how long that took.
+    time_point storedAt;
+    std::chrono::nanoseconds storedWithin { 0 };
+    time_point drainingSince;
     bool releaseAnyway = false;
     /// The claim followed a release of the previous owner.
     bool claimedAfterRelease = false;
@@ -196,7 +205,9 @@
         if (!answer || epoch != state.epoch())
             return;
         ++aliveSequence;
-        nextRecord = now + settings.recordInterval;
+        storedAt = now;
+        storedWithin = clock.now() - now;
+        nextRecord = now + (draining ? drainingRecordInterval : settings.recordInterval);
         state.onVerified(now);
     });
 }
@@ -217,9 +228,13 @@
 
 bool cell_member::data::handsOver(time_point now)
 {
-    if (releaseAnyway || (draining && state.hasSuccessor(now)))
+    if (releaseAnyway)
         return true;
-    if (!state.hasStrongerSuccessor(now))
+    if (storedWithin > quickWrite || storedAt < drainingSince)
+        return false;
+    if (draining && state.hasSuccessor(now))
+        return true;
+    if (draining || !state.hasStrongerSuccessor(now))
         return false;
     writeLog(log_level::info, "member", "hands the cell over to a stronger VM", { { "epoch", fmt::to_string(state.epoch()) } });
     return true;
@@ -292,6 +307,9 @@
     m_data->locked([&] {
         m_data->state.drain();
         m_data->draining = true;
+        m_data->drainingSince = m_data->clock.now();
+        // Its answer tells whether the store is quick.
+        m_data->nextRecord = m_data->drainingSince;
     });
 }
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -432,7 +432,7 @@
     m_data->member.drain();
     const auto limit = m_data->settings.shutdownGrace - shutdownReserve;
     auto elapsed = [began] { return std::chrono::steady_clock::now() - began; };
-    while (elapsed() < limit && (elapsed() < balancerDelay || m_data->front.pendingRequests() > 0))
+    while (elapsed() < limit && (elapsed() < balancerDelay || m_data->front.pendingRequests() > 0 || m_data->member.isOwner()))
         std::this_thread::sleep_for(shutdownPoll);
     m_data->member.release();
     std::this_thread::sleep_for(releaseTime);
--- a/tests/cells/at_most_once_test.cpp
+++ b/tests/cells/at_most_once_test.cpp
@@ -179,6 +179,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(it_owns_the_cell_while_the_store_is_slow)
+{
+    // Found by an incident: VMs stopped in turn while the store was slow left a cell without an owner for six seconds.
+    cell_fleet fleet(1, 2, 3);
+    fleet.runFor(2s);
+    const std::string owner = fleet.owner(0);
+    fleet.records.setAnswerTime(600ms);
+    fleet.drain(owner);
+    fleet.runFor(3s);
+    BOOST_TEST(fleet.owner(0) == owner);
+    fleet.records.setAnswerTime(4ms);
+    fleet.runFor(3s);
+    BOOST_TEST(!fleet.owner(0).empty());
+    BOOST_TEST(fleet.owner(0) != owner);
+}
+
 BOOST_AUTO_TEST_CASE(it_owns_the_cell_until_another_vm_can)
 {
     // Found by an incident: VMs stopped in turn left a cell without an owner for two seconds.
--- a/tests/fakes/memory_record_store.cpp
+++ b/tests/fakes/memory_record_store.cpp
@@ -4,11 +4,11 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds answerTime { 4 };
     constexpr std::chrono::milliseconds callTimeout { 1000 };
     constexpr std::chrono::milliseconds readPoll { 1 };
 
-    template <class Done> void answerFault(virtual_loop& loop, store_fault fault, const Done& done)
+    template <class Done>
+    void answerFault(virtual_loop& loop, store_fault fault, std::chrono::milliseconds answerTime, const Done& done)
     {
         if (fault == store_fault::refuses)
             loop.after(answerTime, [done] { done(fail(error_kind::log_unavailable, "refused")); });
@@ -50,13 +50,13 @@
     const jobs::append_request& request, store_fault fault, const jobs::record_store::append_completion& done)
 {
     if (fault == store_fault::refuses || fault == store_fault::silent) {
-        answerFault(m_loop, fault, done);
+        answerFault(m_loop, fault, m_answerTime, done);
         return;
     }
-    m_loop.after(answerTime, [this, request, fault, done] {
+    m_loop.after(m_answerTime, [this, request, fault, done] {
         const auto answer = apply(request);
         if (fault == store_fault::loses_answers)
-            answerFault(m_loop, fault, done);
+            answerFault(m_loop, fault, m_answerTime, done);
         else
             done(answer);
     });
@@ -85,20 +85,20 @@
     store_fault fault, const jobs::record_store::read_completion& done)
 {
     if (fault == store_fault::refuses || fault == store_fault::silent) {
-        answerFault(m_loop, fault, done);
+        answerFault(m_loop, fault, m_answerTime, done);
         return;
     }
-    m_loop.after(answerTime, [this, stream, from, wait, done] { answerRead(stream, from, m_loop.now() + wait, done); });
+    m_loop.after(m_answerTime, [this, stream, from, wait, done] { answerRead(stream, from, m_loop.now() + wait, done); });
 }
 
 void memory_record_store::readNewest(
     const jobs::record_stream& stream, store_fault fault, const jobs::record_store::read_completion& done)
 {
     if (fault == store_fault::refuses || fault == store_fault::silent) {
-        answerFault(m_loop, fault, done);
+        answerFault(m_loop, fault, m_answerTime, done);
         return;
     }
-    m_loop.after(answerTime, [this, stream, done] {
+    m_loop.after(m_answerTime, [this, stream, done] {
         std::map<std::string, jobs::record> newest;
         const stream_state& state = stateOf(stream);
         for (const auto& current : state.records)
--- a/tests/fakes/memory_record_store.h
+++ b/tests/fakes/memory_record_store.h
@@ -34,6 +34,9 @@
         const jobs::record_store::read_completion& done);
     void readNewest(const jobs::record_stream& stream, store_fault fault, const jobs::record_store::read_completion& done);
 
+    /// Time until the store answers, or does what it is asked.
+    void setAnswerTime(std::chrono::milliseconds time) { m_answerTime = time; }
+
     /// Drops all but the newest record of each key, as when the retention time runs out.
     void compact();
 
@@ -54,6 +57,7 @@
         const jobs::record_stream& stream, std::uint64_t from, time_point until, const jobs::record_store::read_completion& done);
 
     virtual_loop& m_loop;
+    std::chrono::milliseconds m_answerTime { 4 };
     std::map<std::pair<std::string, std::uint32_t>, stream_state> m_streams;
 };
 
