cells: Let only witnesses suspect an owner by its silence

They also claimed beside the witnesses when the owner's record was too old, since they rank nobody before them. Ruled out: the store (it refused other VMs at the first change), processor time of the first owner. Change: a VM knows whose beats it hears. Without those of the witnesses it claims by the age of the owner's record alone, after all witnesses had their turn. Fleets of up to 24 VMs are as before. Test: is_not_suspected_by_a_vm_that_hears_it_seldom_and_is_claimed_by_it_after_the_witnesses.

--- a/cells/beat_plan.cpp
+++ b/cells/beat_plan.cpp
@@ -10,9 +10,6 @@
 
     /// VMs up to which all hear each other; about 140 beats a second for each.
     constexpr std::size_t meshLimit = 24;
-    /// VMs of one failure domain that watch its owner in larger fleets: most of them may be lost at once.
-    constexpr std::size_t witnessCount = 8;
-
     std::uint64_t hashOf(const vm_id& vm) { return XXH3_64bits(vm.value.data(), vm.value.size()); }
 
     bool contains(const std::vector<vm_id>& list, const vm_id& vm)
@@ -40,6 +37,14 @@
 
 bool beat_plan::meshes() const { return m_registrations.size() <= meshLimit; }
 
+beat_scope beat_plan::scopeOf(const vm_id& vm) const
+{
+    if (meshes())
+        return beat_scope::fleet;
+    const auto found = m_registrations.find(vm);
+    return found != m_registrations.end() && isWitness(found->second) ? beat_scope::witnesses : beat_scope::owner;
+}
+
 void beat_plan::chooseWitnesses(const failure_domain_id& domain)
 {
     std::vector<const vm_registration*> candidates;
--- a/cells/beat_plan.h
+++ b/cells/beat_plan.h
@@ -17,8 +17,21 @@
     failure_domain_id failureDomain;
 };
 
+/// Whose beats a VM hears.
+enum class beat_scope {
+    /// Those of all VMs.
+    fleet,
+    /// Those of the witnesses of its failure domain and of the owner.
+    witnesses,
+    /// Those of the owner, and seldom.
+    owner,
+};
+
 using vm_registrations = std::map<vm_id, vm_registration>;
 
+/// VMs of one failure domain that watch its owner in larger fleets: most of them may be lost at once.
+inline constexpr std::size_t witnessCount = 8;
+
 /// Addresses by how often they are sent a beat.
 struct beat_targets {
     std::vector<std::string> often;
@@ -35,6 +48,7 @@
     const vm_registrations& registrations() const { return m_registrations; }
     /// Every VM hears every other one.
     bool meshes() const;
+    beat_scope scopeOf(const vm_id& vm) const;
 
     /// `owners` are the VMs that were lately heard as owners of a cell.
     beat_targets targets(const vm_id& self, bool owns, const std::vector<vm_id>& owners) const;
--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -297,9 +297,9 @@
     });
 }
 
-void cell_member::hearsFleet(bool all)
+void cell_member::hears(beat_scope scope)
 {
-    m_data->locked([&] { m_data->state.hearsFleet(all); });
+    m_data->locked([&] { m_data->state.hears(scope); });
 }
 
 void cell_member::drain()
--- a/cells/cell_member.h
+++ b/cells/cell_member.h
@@ -37,8 +37,8 @@
     /// Carries out what is due. Called every few tens of milliseconds.
     void tick();
     void onBeat(const beat& current);
-    /// Whether beats of VMs of other cells arrive as well.
-    void hearsFleet(bool all);
+    /// Whose beats this VM hears.
+    void hears(beat_scope scope);
 
     /// Stops claiming, and hands the cell over if this VM owns it, as soon as another VM can take it.
     void drain();
--- a/cells/ownership.cpp
+++ b/cells/ownership.cpp
@@ -88,7 +88,7 @@
     std::size_t members = 1;
     std::size_t inReach = 1;
     for (const auto& [id, current] : m_peers) {
-        if (!m_hearsFleet && !current.view)
+        if (m_scope != beat_scope::fleet && !current.view)
             continue;
         members += now - current.at < m_settings.memberLimit ? 1 : 0;
         inReach += now - current.at < m_settings.reachLimit ? 1 : 0;
@@ -132,6 +132,9 @@
     const bool contactSinceRecord = m_storeContact > m_ownerRecordAt + m_settings.recordAgeLimit;
     if (contactSinceRecord && now - m_ownerRecordAt > m_settings.recordAgeLimit)
         return true;
+    // Who hears the owner seldom can't tell its silence.
+    if (m_scope == beat_scope::owner)
+        return false;
     return now - m_ownerSeen > m_settings.suspectAfter && now - m_ownerRecordAt > m_settings.suspectAfter && mostVmsInReach(now)
         && mostMissOwner(now);
 }
@@ -158,7 +161,8 @@
 std::size_t ownership::ownRank(time_point now) const
 {
     const std::uint64_t own = rankHash(m_self.id, epoch());
-    std::size_t rank = 0;
+    // Those who do not watch the owner come after those who do.
+    std::size_t rank = m_scope == beat_scope::owner ? witnessCount : 0;
     for (const auto& [id, current] : m_peers) {
         const bool before = current.processorMillis != m_self.processorMillis ? current.processorMillis > m_self.processorMillis
                                                                               : rankHash(id, epoch()) < own;
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "cells/beat.h"
+#include "cells/beat_plan.h"
 #include "core/types.h"
 
 namespace coriandermount::cells {
@@ -59,8 +59,8 @@
     /// A record of this VM as the owner was stored; it was sent at `sentAt`.
     void onVerified(time_point sentAt) { m_verifiedAt = std::max(m_verifiedAt, sentAt); }
     void drain() { m_draining = true; }
-    /// Whether VMs of other cells are heard as well, and count when it comes to who is in reach; they do at first.
-    void hearsFleet(bool all) { m_hearsFleet = all; }
+    /// Whose beats this VM hears; those of the whole fleet at first.
+    void hears(beat_scope scope) { m_scope = scope; }
 
     /// Another VM of the cell could take over at once.
     bool hasSuccessor(time_point now) const;
@@ -108,7 +108,7 @@
     time_point m_storeContact;
     time_point m_verifiedAt;
     std::optional<time_point> m_suspectedSince;
-    bool m_hearsFleet = true;
+    beat_scope m_scope = beat_scope::fleet;
     bool m_paused = false;
     bool m_draining = false;
 };
--- a/cells/vm_directory.cpp
+++ b/cells/vm_directory.cpp
@@ -261,10 +261,10 @@
     return found == registrations.end() ? std::string() : found->second.address;
 }
 
-bool vm_directory::meshes() const
+beat_scope vm_directory::scope() const
 {
     const std::scoped_lock lock(m_data->mutex);
-    return m_data->plan.meshes();
+    return m_data->plan.scopeOf(m_data->self.vm.id);
 }
 
 } // namespace coriandermount::cells
--- a/cells/vm_directory.h
+++ b/cells/vm_directory.h
@@ -52,8 +52,8 @@
     /// Notes a beat of another VM.
     void onBeat(const beat& current);
 
-    /// Every VM of the fleet hears every other one.
-    bool meshes() const;
+    /// Whose beats this VM hears.
+    beat_scope scope() const;
 
     /// Returns the owner of a cell when it was heard lately.
     std::optional<heard_owner> owner(cell_number cell) const;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -274,7 +274,7 @@
         configuration.tick(clock.now());
         for (const auto& intake : intakes)
             intake->tick();
-        member.hearsFleet(directory.meshes());
+        member.hears(directory.scope());
         member.tick();
         directory.tick();
         owner.tick();
--- a/tests/cells/ownership_test.cpp
+++ b/tests/cells/ownership_test.cpp
@@ -92,6 +92,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(is_not_suspected_by_a_vm_that_hears_it_seldom_and_is_claimed_by_it_after_the_witnesses)
+{
+    ownership state(cell, { self, 1, 120 }, {}, start);
+    state.hears(beat_scope::owner);
+    state.onOwner({ 1, other, 1, false }, start + 5s);
+    state.onOwnerAlive(1, start + 5s);
+    state.onStoreContact(start + 5s);
+    state.onBeat(beatOf(other, 1, true, 0ms), start + 5s);
+    BOOST_TEST((state.advise(start + 5600ms) == ownership_advice::none));
+    BOOST_TEST((state.advise(start + 6500ms) == ownership_advice::none));
+    state.onStoreContact(start + 7600ms);
+    BOOST_TEST((state.advise(start + 7600ms) == ownership_advice::none));
+    BOOST_TEST((state.advise(start + 8700ms) == ownership_advice::none));
+    BOOST_TEST((state.advise(start + 8900ms) == ownership_advice::claim));
+}
+
 BOOST_AUTO_TEST_CASE(stays_while_it_is_heard)
 {
     auto state = follower(start + 5s);
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -67,7 +67,7 @@
 
     void tick()
     {
-        member.hearsFleet(directory.meshes());
+        member.hears(directory.scope());
         member.tick();
         directory.tick();
         owner.tick();
