cells: Wait for the leases of an earlier owner even when all listed workers have answered

Entries of workers that expire while the store is down are back seconds after its return; a successor that reads the list in between believed that all workers had answered. Ruled out: a request that claims not to be handed in again (the router keeps that mark), a worker that answers without its run. Change: jobs of an earlier owner start once all listed workers have answered and the longest lease has passed since the takeover. Left: an earlier owner that is cut off, and a worker that is not listed, within the 3.6 s of the full limit. Test, failing before: when_the_owner_is_stopped/a_run_on_a_worker_that_its_successor_does_not_see_listed_is_not_repeated.

--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -139,7 +139,8 @@
     const auto leaseLimit = std::chrono::milliseconds(
         static_cast<std::int64_t>(static_cast<double>(settings.maxLease.count()) / (1.0 - maxClockDrift)));
     const auto limit = leaseLimit + (term.previousOwnerStopped ? holdSlack : previousOwnerLimit);
-    settled = allListed || now >= takenOverAt + limit;
+    // Workers whose entries expired while the store was down are missing in the list for a while: their leases have to end.
+    settled = (allListed && now >= takenOverAt + leaseLimit) || now >= takenOverAt + limit;
     return settled;
 }
 
--- a/tests/cells/at_most_once_test.cpp
+++ b/tests/cells/at_most_once_test.cpp
@@ -173,6 +173,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_run_on_a_worker_that_its_successor_does_not_see_listed_is_not_repeated)
+{
+    // Found by a hunt: entries that expire while the store is down are back seconds after its return.
+    cell_fleet fleet(1, 2, 3);
+    fleet.runFor(2s);
+    const std::string owner = fleet.owner(0);
+    fleet.run(bystander(fleet, 0, 2), "a", 1, 900ms);
+    fleet.runFor(100ms);
+    fleet.hideWorker(fleet.workers.runs().front().worker.value);
+    fleet.drain(owner);
+    fleet.runFor(5s);
+    BOOST_TEST(fleet.owner(0) != owner);
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(it_owns_the_cell_while_the_store_is_slow)
 {
     // Found by an incident: VMs stopped in turn while the store was slow left a cell without an owner for six seconds.
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -178,14 +178,20 @@
     void start() override
     {
         directoryStarted = true;
-        owner.setWorkers(fleet.workers.registrations(std::to_string(cell)));
+        owner.setWorkers(listedWorkers());
+    }
+    std::vector<worker_registration> listedWorkers() const
+    {
+        auto listed = fleet.workers.registrations(std::to_string(cell));
+        std::erase_if(listed, [this](const auto& worker) { return fleet.m_hiddenWorkers.contains(worker.id.value); });
+        return listed;
     }
     void stop() override { directoryStarted = false; }
     void tick(time_point) override
     {
         if (!directoryStarted)
             return;
-        for (const auto& worker : fleet.workers.registrations(std::to_string(cell)))
+        for (const auto& worker : listedWorkers())
             owner.updateWorker(worker);
     }
 };
--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -42,6 +42,8 @@
     void drain(const std::string& vm);
     bool isAlive(const std::string& vm) const { return m_vms.contains(vm); }
     void setStoreFault(const std::string& vm, store_fault fault) { m_storeFaults[vm] = fault; }
+    /// The worker is not in the lists that owners read from now on, although it runs on.
+    void hideWorker(const std::string& worker) { m_hiddenWorkers.insert(worker); }
     /// Calls that this VM makes arrive so much later, and so do its answers to calls.
     void setCallDelay(const std::string& vm, std::chrono::milliseconds delay) { m_callDelays[vm] = delay; }
     /// Datagrams and calls between this VM and the others are lost.
@@ -88,6 +90,7 @@
     unsigned m_domains;
     /// Outlives the VMs, which answer calls as they end.
     std::map<std::string, std::chrono::milliseconds> m_callDelays;
+    std::set<std::string> m_hiddenWorkers;
     std::map<std::string, std::shared_ptr<vm>> m_vms;
     std::map<std::string, store_fault> m_storeFaults;
     std::set<std::string> m_cut;
