cells: Log what was decided about a failed start order, and why a run counts as ended

"start order failed" named neither the try nor whether the task was sent again, requeued or kept, and a run that a poll no longer listed was requeued without a line. Change: "start order failed" has the number of the try and the decision; "run lost" is written for every such run, with the proof that it has ended. No decision changes.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -4,6 +4,19 @@
 
 namespace coriandermount::cells {
 
+std::string_view nameOf(start_decision value)
+{
+    constexpr std::array<std::string_view, startDecisionCount> names { "sent_again", "requeued", "kept", "term_ended" };
+    return names[static_cast<std::size_t>(value)];
+}
+
+std::string_view nameOf(run_end_proof value)
+{
+    constexpr std::array<std::string_view, runEndProofCount> names { "not_listed", "order_expired", "leases_ended",
+        "worker_restarted" };
+    return names[static_cast<std::size_t>(value)];
+}
+
 cell_owner::cell_owner(
     jobs::record_store& store, worker_link& link, const clock_source& clock, jobs::record_stream stream, cell_settings settings)
     : m_data(std::make_shared<data>(store, link, clock, std::move(stream), settings))
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -1,6 +1,7 @@
 /// Runs the jobs of one cell on the workers of that cell while this VM owns the cell.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -39,6 +40,42 @@
     std::map<std::string, std::uint32_t> pendingByQueue;
 };
 
+/// What the owner did about a start order that failed.
+enum class start_decision {
+    /// The order was sent again to the same worker, under the same attempt.
+    sent_again,
+    /// The task was requeued, to be started on any worker.
+    requeued,
+    /// The run was kept until a poll, or the end of the lease, shows what became of it.
+    kept,
+    /// The ownership term ended, because a worker has seen a higher token.
+    term_ended,
+};
+
+/// Number of values of `start_decision`.
+inline constexpr std::size_t startDecisionCount = static_cast<std::size_t>(start_decision::term_ended) + 1;
+
+/// Returns the name of a value, as used in logs and metrics.
+std::string_view nameOf(start_decision value);
+
+/// How the owner knows that a run without a reported end does not run any more.
+enum class run_end_proof {
+    /// A poll that was sent after the last answered order about the run does not list it.
+    not_listed,
+    /// A poll that was sent after the last start order had expired on the worker's clock does not list it.
+    order_expired,
+    /// Every lease that the worker was granted has ended.
+    leases_ended,
+    /// The worker process has restarted.
+    worker_restarted,
+};
+
+/// Number of values of `run_end_proof`.
+inline constexpr std::size_t runEndProofCount = static_cast<std::size_t>(run_end_proof::worker_restarted) + 1;
+
+/// Returns the name of a value, as used in logs and metrics.
+std::string_view nameOf(run_end_proof value);
+
 /// Counters for metrics, counted since the owner object was created.
 struct cell_counters {
     std::uint64_t lentJobs = 0;
@@ -47,10 +84,12 @@
     std::uint64_t completedJobs = 0;
     std::uint64_t failedJobs = 0;
     std::uint64_t cancelledJobs = 0;
-    /// Runs that ended without a reported end, such as those of a worker that restarted.
-    std::uint64_t lostRuns = 0;
+    /// Runs that ended without a reported end, indexed by `run_end_proof`.
+    std::array<std::uint64_t, runEndProofCount> lostRuns {};
     /// Start orders that failed, indexed by `order_failure`.
     std::array<std::uint64_t, orderFailureCount> startFailures {};
+    /// Decisions about these orders, indexed by `start_decision`.
+    std::array<std::uint64_t, startDecisionCount> startDecisions {};
 };
 
 class neighbor_cells;
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -212,15 +212,20 @@
     // Workers: cell_owner_workers.cpp.
     void updateWorker(worker_registration registration, time_point now);
     void removeWorker(const worker_id& id);
+    /// Requeues the tasks of all runs of a worker that can no longer hold a lease.
     void dropRuns(worker_session& session);
-    /// Requeues a task whose run ended because its worker restarted or can no longer hold a lease.
-    void requeueLostRun(const worker_session& session, const task_key& key, const worker_run& lost);
+    /// Requeues a task whose run has ended, as `proof` shows, although its worker has not reported the end.
+    void requeueLostRun(const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof);
     void start(open_job& job, const task_key& key, worker_session& session, time_point now);
     void sendStart(open_job& job, const task_key& key, worker_session& session, time_point now);
     bool retryStart(worker_session& session, const task_key& key, const worker_run& current, time_point now);
     void onStart(
         const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer);
-    void onStartRefused(worker_session& session, const task_key& key, worker_run& current, order_failure failure, time_point now);
+    start_decision onStartRefused(
+        worker_session& session, const task_key& key, worker_run& current, order_failure failure, time_point now);
+    /// Logs and counts a failed try of a start order.
+    void reportFailedStart(
+        const worker_id& id, const task_key& key, const worker_run& failed, order_failure failure, start_decision decision);
     void stopRun(worker_session& session, const task_key& key, time_point now);
     void onStop(
         const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer);
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -45,7 +45,7 @@
     const auto ended = next.inheritUncertainRuns(session, settings.maxLease, now);
     session = std::move(next);
     for (const auto& [key, current] : ended)
-        requeueLostRun(session, key, current);
+        requeueLostRun(session, key, current, run_end_proof::worker_restarted);
 }
 
 void cell_owner::data::removeWorker(const worker_id& id)
@@ -60,15 +60,19 @@
     while (!session.runs().empty()) {
         const auto [key, current] = *session.runs().begin();
         session.removeRun(key);
-        requeueLostRun(session, key, current);
+        requeueLostRun(session, key, current, run_end_proof::leases_ended);
     }
 }
 
-void cell_owner::data::requeueLostRun(const worker_session& session, const task_key& key, const worker_run& lost)
+void cell_owner::data::requeueLostRun(
+    const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof)
 {
     const worker_id id = session.registration().id;
-    ++counters.lostRuns;
-    logOrder("run lost", key, lost.attempt, id, "requeued");
+    ++counters.lostRuns[static_cast<std::size_t>(proof)];
+    writeLog(log_level::info, "cell", "run lost",
+        { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
+            { "attempt", fmt::to_string(lost.attempt) }, { "worker", id.value }, { "outcome", "requeued" },
+            { "proof", std::string(nameOf(proof)) } });
     requeue(key, id, lost.attempt);
 }
 
@@ -128,8 +132,8 @@
     if (!current || current->attempt != attempt)
         return;
     if (!answer) {
-        ++counters.startFailures[static_cast<std::size_t>(answer.error())];
-        onStartRefused(session, key, *current, answer.error(), now);
+        const worker_run failed = *current;
+        reportFailedStart(id, key, failed, answer.error(), onStartRefused(session, key, *current, answer.error(), now));
         schedule(now);
         return;
     }
@@ -142,25 +146,24 @@
         current->state = run_state::running;
 }
 
-void cell_owner::data::onStartRefused(
+start_decision cell_owner::data::onStartRefused(
     worker_session& session, const task_key& key, worker_run& current, order_failure failure, time_point now)
 {
     const worker_id id = session.registration().id;
     const std::uint64_t attempt = current.attempt;
-    logOrder("start order failed", key, attempt, id, nameOf(failure));
     switch (failure) {
     case order_failure::fenced:
         endSupersededTerm("a worker has seen a higher token");
-        return;
+        return start_decision::term_ended;
     case order_failure::no_answer:
         if (retryStart(session, key, current, now))
-            return;
+            return start_decision::sent_again;
         current.uncertain = true;
         if (open_job* job = jobTable.find(key.jobId); job && job->contains(key))
             job->task(key).failedOn = id;
         session.noteUnanswered(now);
         session.nextPoll = std::min(session.nextPoll, now);
-        return;
+        return start_decision::kept;
     case order_failure::no_room:
         session.pauseStartsUntil(now + noCapacityPause);
         break;
@@ -174,6 +177,18 @@
     }
     session.removeRun(key);
     requeue(key, id, attempt);
+    return start_decision::requeued;
+}
+
+void cell_owner::data::reportFailedStart(
+    const worker_id& id, const task_key& key, const worker_run& failed, order_failure failure, start_decision decision)
+{
+    ++counters.startFailures[static_cast<std::size_t>(failure)];
+    ++counters.startDecisions[static_cast<std::size_t>(decision)];
+    writeLog(log_level::info, "cell", "start order failed",
+        { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
+            { "attempt", fmt::to_string(failed.attempt) }, { "try", fmt::to_string(failed.tries) }, { "worker", id.value },
+            { "outcome", std::string(nameOf(failure)) }, { "decision", std::string(nameOf(decision)) } });
 }
 
 bool cell_owner::data::retryStart(worker_session& session, const task_key& key, const worker_run& current, time_point now)
@@ -458,10 +473,10 @@
     }
     for (const auto& [key, current] : missing) {
         const bool answered = current.answeredAt && *current.answeredAt < sentAt;
-        if (answered || (current.uncertain && current.startableUntil + lateStartMargin < sentAt)) {
-            ++counters.lostRuns;
+        const bool expired = current.uncertain && current.startableUntil + lateStartMargin < sentAt;
+        if (answered || expired) {
             session.removeRun(key);
-            requeue(key, session.registration().id, current.attempt);
+            requeueLostRun(session, key, current, answered ? run_end_proof::not_listed : run_end_proof::order_expired);
         } else if (current.uncertain && (!current.stopSentAt || now - *current.stopSentAt > stopRetryDelay)) {
             stopRun(session, key, now);
         }
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -378,8 +378,7 @@
     const auto cellCounters = owner.counterValues();
     const auto calls = store.counters();
     std::vector<metrics::metric_sample> samples { { "task_starts_total", {}, cellCounters.starts },
-        { "jobs_lent_total", {}, cellCounters.lentJobs }, { "runs_lost_total", {}, cellCounters.lostRuns },
-        { "jobs_ended_total", "completed", cellCounters.completedJobs },
+        { "jobs_lent_total", {}, cellCounters.lentJobs }, { "jobs_ended_total", "completed", cellCounters.completedJobs },
         { "jobs_ended_total", "failed", cellCounters.failedJobs },
         { "jobs_ended_total", "cancelled", cellCounters.cancelledJobs }, { "store_calls_total", "append", calls.appends },
         { "store_calls_total", "read", calls.reads }, { "store_calls_total", "refused", calls.refused },
@@ -388,6 +387,12 @@
     for (std::size_t failure = 0; failure < cells::orderFailureCount; ++failure)
         samples.push_back({ "start_failures_total", cells::nameOf(static_cast<cells::order_failure>(failure)),
             cellCounters.startFailures[failure] });
+    for (std::size_t decision = 0; decision < cells::startDecisionCount; ++decision)
+        samples.push_back({ "start_decisions_total", cells::nameOf(static_cast<cells::start_decision>(decision)),
+            cellCounters.startDecisions[decision] });
+    for (std::size_t proof = 0; proof < cells::runEndProofCount; ++proof)
+        samples.push_back(
+            { "runs_lost_total", cells::nameOf(static_cast<cells::run_end_proof>(proof)), cellCounters.lostRuns[proof] });
     net::http_response response;
     response.contentType = "text/plain; version=0.0.4";
     response.body = metrics.serialize(samples);
