--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -209,13 +209,7 @@
     bool recordsAreCurrent(time_point now) const;
     cell_load currentLoad() const;
 
-    // Workers: cell_owner_workers.cpp.
-    void updateWorker(worker_registration registration, time_point now);
-    void removeWorker(const worker_id& id);
-    /// Requeues the tasks of all runs of a worker that can no longer hold a lease.
-    void dropRuns(worker_session& session);
-    /// Requeues a task whose run has ended, as `proof` shows, although its worker has not reported the end.
-    void requeueLostRun(const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof);
+    // Start and stop orders: cell_owner_orders.cpp.
     void start(open_job& job, const task_key& key, worker_session& session, time_point now);
     void sendStart(open_job& job, const task_key& key, worker_session& session, time_point now);
     bool retryStart(worker_session& session, const task_key& key, const worker_run& current, time_point now);
@@ -229,6 +223,14 @@
     void stopRun(worker_session& session, const task_key& key, time_point now);
     void onStop(
         const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer);
+
+    // Workers: cell_owner_workers.cpp.
+    void updateWorker(worker_registration registration, time_point now);
+    void removeWorker(const worker_id& id);
+    /// Requeues the tasks of all runs of a worker that can no longer hold a lease.
+    void dropRuns(worker_session& session);
+    /// Requeues a task whose run has ended, as `proof` shows, although its worker has not reported the end.
+    void requeueLostRun(const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof);
     void pollWorkers(time_point now);
     void poll(worker_session& session, time_point now);
     void onPollAnswer(
--- /dev/null
+++ b/cells/cell_owner_orders.cpp
@@ -0,0 +1,178 @@
+#include "cells/cell_owner_data.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace coriandermount::cells {
+
+namespace {
+
+    /// Number of attempts reserved for each epoch, so that every attempt of an epoch is higher than all of earlier epochs.
+    constexpr std::uint64_t attemptsPerEpoch = 100000;
+    /// Weight of the newest task in the moving average of the CPU need.
+    constexpr double averageTaskCpuWeight = 0.02;
+
+} // namespace
+
+void cell_owner::data::start(open_job& job, const task_key& key, worker_session& session, time_point now)
+{
+    const jobs::step& step = job.accepted.work.steps[key.step];
+    const worker_registration& worker = session.registration();
+    task_state& task = job.task(key);
+    task.attempt = std::max(task.attempt, (term.epoch - 1) * attemptsPerEpoch) + 1;
+    task.phase = task_phase::placed;
+    task.runsOn = worker.id;
+    job.started = true;
+    job.firstStart = job.firstStart.value_or(now);
+    ++counters.starts;
+    averageTaskCpu += averageTaskCpuWeight * (static_cast<double>(step.need.cpuMillis) - averageTaskCpu);
+
+    worker_run added;
+    added.attempt = task.attempt;
+    added.need = step.need;
+    added.estimate = step.estimate;
+    added.longRunning = step.longRunning;
+    added.sentAt = now;
+    added.progressAt = now;
+    session.addRun(key, added);
+    session.nextPoll = std::min(session.nextPoll, now);
+    sendStart(job, key, session, now);
+}
+
+void cell_owner::data::sendStart(open_job& job, const task_key& key, worker_session& session, time_point now)
+{
+    const worker_registration& worker = session.registration();
+    worker_run& current = *session.find(key);
+    start_order order { key, current.attempt, job.accepted.work.payload, session.extendLease(settings.maxLease, now), term.epoch,
+        job.accepted.work.steps[key.step].gang ? job.steps[key.step].checkpoint : job.task(key).checkpoint };
+    current.startableUntil = session.leasesEnded(now);
+    ++current.tries;
+    deferredCalls.emplace_back([self = shared_from_this(), worker, order = std::move(order), number = termNumber] {
+        self->link.start(
+            worker, order, [self, number, id = worker.id, key = order.task, attempt = order.attempt](const auto& answer) {
+                self->locked([&] {
+                    if (number == self->termNumber)
+                        self->onStart(id, key, attempt, answer);
+                });
+            });
+    });
+}
+
+void cell_owner::data::onStart(
+    const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer)
+{
+    const auto now = clock.now();
+    const auto found = sessions.find(id);
+    if (found == sessions.end())
+        return;
+    worker_session& session = found->second;
+    worker_run* current = session.find(key);
+    if (!current || current->attempt != attempt)
+        return;
+    if (!answer) {
+        const worker_run failed = *current;
+        reportFailedStart(id, key, failed, answer.error(), onStartRefused(session, key, *current, answer.error(), now));
+        schedule(now);
+        return;
+    }
+    session.noteClock(answer->clock, now);
+    session.noteAnswered();
+    current->answeredAt = now;
+    if (!current->confirmedAt)
+        current->confirmedAt = now;
+    if (current->state == run_state::starting)
+        current->state = run_state::running;
+}
+
+start_decision cell_owner::data::onStartRefused(
+    worker_session& session, const task_key& key, worker_run& current, order_failure failure, time_point now)
+{
+    const worker_id id = session.registration().id;
+    const std::uint64_t attempt = current.attempt;
+    switch (failure) {
+    case order_failure::fenced:
+        endSupersededTerm("a worker has seen a higher token");
+        return start_decision::term_ended;
+    case order_failure::no_answer:
+        if (retryStart(session, key, current, now))
+            return start_decision::sent_again;
+        current.uncertain = true;
+        if (open_job* job = jobTable.find(key.jobId); job && job->contains(key))
+            job->task(key).failedOn = id;
+        session.noteUnanswered(now);
+        session.nextPoll = std::min(session.nextPoll, now);
+        return start_decision::kept;
+    case order_failure::no_room:
+        session.pauseStartsUntil(now + noCapacityPause);
+        break;
+    case order_failure::too_late:
+    case order_failure::attempt_too_old:
+        session.nextPoll = std::min(session.nextPoll, now);
+        break;
+    default:
+        session.pauseStartsUntil(now + refusalPause);
+        break;
+    }
+    session.removeRun(key);
+    requeue(key, id, attempt);
+    return start_decision::requeued;
+}
+
+void cell_owner::data::reportFailedStart(
+    const worker_id& id, const task_key& key, const worker_run& failed, order_failure failure, start_decision decision)
+{
+    ++counters.startFailures[static_cast<std::size_t>(failure)];
+    ++counters.startDecisions[static_cast<std::size_t>(decision)];
+    writeLog(log_level::info, "cell", "start order failed",
+        { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
+            { "attempt", fmt::to_string(failed.attempt) }, { "try", fmt::to_string(failed.tries) }, { "worker", id.value },
+            { "outcome", std::string(nameOf(failure)) }, { "decision", std::string(nameOf(decision)) } });
+}
+
+bool cell_owner::data::retryStart(worker_session& session, const task_key& key, const worker_run& current, time_point now)
+{
+    open_job* job = jobTable.find(key.jobId);
+    if (!job || job->ended || current.state != run_state::starting || current.tries >= maxStartTries)
+        return false;
+    // The attempt number stays the same, so the worker carries out at most one of the orders.
+    sendStart(*job, key, session, now);
+    return true;
+}
+
+void cell_owner::data::stopRun(worker_session& session, const task_key& key, time_point now)
+{
+    worker_run* current = session.find(key);
+    if (!current)
+        return;
+    current->state = run_state::stopping;
+    current->answeredAt.reset();
+    current->stopSentAt = now;
+    session.nextPoll = std::min(session.nextPoll, now);
+    const worker_registration& worker = session.registration();
+    const stop_order order { key, current->attempt, term.epoch };
+    deferredCalls.emplace_back([self = shared_from_this(), worker, order, number = termNumber] {
+        self->link.stop(worker, order, [self, number, id = worker.id, order](const auto& answer) {
+            self->locked([&] {
+                if (number == self->termNumber)
+                    self->onStop(id, order.task, order.attempt, answer);
+            });
+        });
+    });
+}
+
+void cell_owner::data::onStop(
+    const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer)
+{
+    const auto now = clock.now();
+    const auto found = sessions.find(id);
+    worker_run* current = found == sessions.end() ? nullptr : found->second.find(key);
+    if (!current || current->attempt != attempt)
+        return;
+    if (answer)
+        current->answeredAt = now;
+    else if (answer.error() == order_failure::fenced)
+        endSupersededTerm("a worker has seen a higher token");
+}
+
+} // namespace coriandermount::cells
