tests: Let the fake workers' network lose, delay and refuse single orders

Cause: a path was either whole, cut in both directions or slow, and a slow one lost every answer, so no test had tries of one order with different outcomes. Change: each start or stop order of a worker may have its own transport; a path may be cut in one direction (open connections still deliver orders, new ones can't be made) or lose packets at random by a seed, for polls as well. A completion that was never called when its worker restarted now fails as `no_answer`, as the interface says that each is called once. A poll acknowledges only ends of the boot that it was sent to.

--- a/tests/fakes/virtual_workers.cpp
+++ b/tests/fakes/virtual_workers.cpp
@@ -1,6 +1,8 @@
 #include "tests/fakes/virtual_workers.h"
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -11,7 +13,6 @@
 namespace {
 
     constexpr std::chrono::milliseconds oneWayLatency { 1 };
-    constexpr std::chrono::milliseconds orderTimeout { 120 };
     constexpr std::chrono::milliseconds maxLease { 1000 };
     constexpr std::chrono::milliseconds pollCheckInterval { 5 };
     constexpr std::chrono::milliseconds leaseCheckInterval { 50 };
@@ -140,80 +141,149 @@
     current.ended.push_back({ ++current.lastEndNumber, task, run.attempt, endReason, {} });
 }
 
-void virtual_workers::start(const worker_id& id, const start_order& order, const worker_link::completion<order_answer>& done)
+void virtual_workers::endRuns(const std::string& id, run_end_reason reason)
 {
-    const worker_faults faults = m_workers.at(id.value).faults;
-    const bool answered = !faults.partitioned && faults.orderDelay.count() == 0;
-    if (!faults.partitioned) {
-        m_loop.after(faults.orderDelay + oneWayLatency, [this, id, order, done, answered, boot = m_workers.at(id.value).boot] {
-            worker& current = m_workers.at(id.value);
-            if (current.boot != boot)
-                return;
-            const auto answer = executeOrder(current, order);
-            if (answered)
-                m_loop.after(oneWayLatency, [done, answer] { done(answer); });
-        });
+    worker& current = m_workers.at(id);
+    while (!current.running.empty())
+        finish(current, current.running.begin()->first, reason);
+}
+
+tl::expected<order_answer, order_failure> virtual_workers::refuseOrder(
+    worker& current, const start_order& order, order_failure refusal)
+{
+    // A start that is refused for want of room extends the lease; the other refusals have no effect.
+    if (refusal == order_failure::no_room && order.token >= current.token) {
+        current.token = order.token;
+        extendLease(current, order.leaseEnd);
     }
-    if (!answered)
-        failWithoutAnswer<order_answer>(m_loop, done);
+    return tl::unexpected(refusal);
 }
 
-void virtual_workers::stop(const worker_id& id, const stop_order& order, const worker_link::completion<order_answer>& done)
+tl::expected<order_answer, order_failure> virtual_workers::executeStop(worker& current, const stop_order& order)
+{
+    if (order.token < current.token)
+        return tl::unexpected(order_failure::fenced);
+    current.token = order.token;
+    const order_answer answer { workerTimeOf(current) };
+    const auto found = current.running.find(order.task);
+    if (found != current.running.end() && found->second.attempt <= order.attempt)
+        finish(current, order.task, run_end_reason::stopped);
+    current.highestAttempts[order.task] = std::max(current.highestAttempts[order.task], order.attempt);
+    return answer;
+}
+
+order_transport virtual_workers::nextTransport(
+    const worker& current, worker_path& path, std::deque<order_transport>& scripted) const
+{
+    if (current.faults.partitioned)
+        return order_transport::requestLost();
+    if (current.faults.orderDelay.count() > 0)
+        return order_transport::delayed(current.faults.orderDelay);
+    if (scripted.empty())
+        return path.nextOrder();
+    const order_transport next = scripted.front();
+    scripted.pop_front();
+    return next;
+}
+
+void virtual_workers::deliver(const worker_id& id, const order_transport& transport,
+    std::function<tl::expected<order_answer, order_failure>(worker&)> execute, worker_link::completion<order_answer> done)
 {
-    const worker_faults faults = m_workers.at(id.value).faults;
-    const bool answered = !faults.partitioned && faults.orderDelay.count() == 0;
-    if (!faults.partitioned) {
-        m_loop.after(faults.orderDelay + oneWayLatency, [this, id, order, done, answered, boot = m_workers.at(id.value).boot] {
+    const bool answered = transport.isAnswered();
+    if (!answered) {
+        const auto failure = transport.connected ? order_failure::no_answer : order_failure::not_sent;
+        m_loop.after(orderTimeout, [done, failure] { done(tl::unexpected(failure)); });
+    }
+    if (!transport.connected || !transport.arrivesAfter)
+        return;
+    m_loop.after(*transport.arrivesAfter + oneWayLatency,
+        [this, id, transport, answered, execute = std::move(execute), done = std::move(done),
+            boot = m_workers.at(id.value).boot] {
             worker& current = m_workers.at(id.value);
-            if (current.boot != boot)
+            if (current.boot != boot) {
+                if (answered)
+                    failWithoutAnswer<order_answer>(m_loop, done);
                 return;
-            tl::expected<order_answer, order_failure> answer = order_answer { workerTimeOf(current) };
-            if (order.token < current.token) {
-                answer = tl::unexpected(order_failure::fenced);
-            } else {
-                current.token = order.token;
-                const auto found = current.running.find(order.task);
-                if (found != current.running.end() && found->second.attempt <= order.attempt)
-                    finish(current, order.task, run_end_reason::stopped);
-                current.highestAttempts[order.task] = std::max(current.highestAttempts[order.task], order.attempt);
             }
+            const auto answer = execute(current);
             if (answered)
-                m_loop.after(oneWayLatency, [done, answer] { done(answer); });
+                m_loop.after(*transport.answerAfter + oneWayLatency, [done, answer] { done(answer); });
         });
-    }
-    if (!answered)
-        failWithoutAnswer<order_answer>(m_loop, done);
+}
+
+void virtual_workers::start(const worker_id& id, const start_order& order, const worker_link::completion<order_answer>& done)
+{
+    worker& target = m_workers.at(id.value);
+    const order_transport transport = nextTransport(target, target.faults.path, target.faults.nextStarts);
+    const auto execute = [this, order, refusal = transport.refusal](worker& current) {
+        return refusal ? refuseOrder(current, order, *refusal) : executeOrder(current, order);
+    };
+    deliver(id, transport, execute, done);
+}
+
+void virtual_workers::stop(const worker_id& id, const stop_order& order, const worker_link::completion<order_answer>& done)
+{
+    worker& target = m_workers.at(id.value);
+    const order_transport transport = nextTransport(target, target.faults.path, target.faults.nextStops);
+    const auto execute
+        = [this, order, refusal = transport.refusal](worker& current) -> tl::expected<order_answer, order_failure> {
+        if (refusal)
+            return tl::unexpected(*refusal);
+        return executeStop(current, order);
+    };
+    deliver(id, transport, execute, done);
 }
 
 void virtual_workers::poll(const worker_id& id, const poll_order& order, const worker_link::completion<poll_answer>& done)
 {
-    const worker_faults faults = m_workers.at(id.value).faults;
-    if (faults.partitioned) {
+    worker& target = m_workers.at(id.value);
+    const order_transport transport = target.faults.partitioned ? order_transport::requestLost() : target.faults.path.nextPoll();
+    if (!transport.connected || !transport.arrivesAfter) {
         failWithoutAnswer<poll_answer>(m_loop, done);
         return;
     }
-    m_loop.after(oneWayLatency, [this, id, order, done, boot = m_workers.at(id.value).boot] {
-        worker& current = m_workers.at(id.value);
-        if (order.token < current.token) {
-            m_loop.after(oneWayLatency, [done] { done(tl::unexpected(order_failure::fenced)); });
-            return;
-        }
-        current.token = order.token;
-        if (order.extendsLease && current.boot == boot)
-            extendLease(current, order.leaseEnd);
+    auto answered = std::make_shared<bool>(false);
+    const auto once = [answered, done](const tl::expected<poll_answer, order_failure>& answer) {
+        if (!std::exchange(*answered, true))
+            done(answer);
+    };
+    if (!transport.isAnswered())
+        failWithoutAnswer<poll_answer>(m_loop, once);
+    m_loop.after(*transport.arrivesAfter + oneWayLatency,
+        [this, id, order, once, boot = target.boot] { executePoll(id, order, boot, once); });
+}
+
+void virtual_workers::executePoll(
+    const worker_id& id, poll_order order, std::uint64_t boot, const worker_link::completion<poll_answer>& done)
+{
+    worker& current = m_workers.at(id.value);
+    if (current.faults.partitioned) {
+        failWithoutAnswer<poll_answer>(m_loop, done);
+        return;
+    }
+    if (order.token < current.token) {
+        m_loop.after(oneWayLatency, [done] { done(tl::unexpected(order_failure::fenced)); });
+        return;
+    }
+    current.token = order.token;
+    if (order.extendsLease && current.boot == boot)
+        extendLease(current, order.leaseEnd);
+    if (current.boot == boot)
         std::erase_if(current.ended, [&order](const ended_task& ended) { return ended.number <= order.acknowledged; });
-        if (order.wait.count() > 0 && current.ended.empty()) {
-            poll_order rest = order;
-            rest.wait = std::max(order.wait - pollCheckInterval, std::chrono::milliseconds(0));
-            rest.extendsLease = false;
-            m_loop.after(pollCheckInterval - oneWayLatency, [this, id, rest, done] { poll(id, rest, done); });
-            return;
-        }
-        poll_answer answer { workerTimeOf(current), current.registration.bootTime, {}, current.ended };
-        for (const auto& [task, run] : current.running)
-            answer.running.push_back({ task, run.attempt, {}, percentOf(m_runs[run.index], current.faults.hangs) });
-        m_loop.after(oneWayLatency, [done, answer] { done(answer); });
-    });
+    if (order.wait.count() > 0 && current.ended.empty()) {
+        order.wait = std::max(order.wait - pollCheckInterval, std::chrono::milliseconds(0));
+        order.extendsLease = false;
+        m_loop.after(pollCheckInterval, [this, id, order, boot, done] { executePoll(id, order, boot, done); });
+        return;
+    }
+    if (current.faults.losesPollAnswers || current.faults.path.losesAnswers()) {
+        failWithoutAnswer<poll_answer>(m_loop, done);
+        return;
+    }
+    poll_answer answer { workerTimeOf(current), current.registration.bootTime, {}, current.ended };
+    for (const auto& [task, run] : current.running)
+        answer.running.push_back({ task, run.attempt, {}, percentOf(m_runs[run.index], current.faults.hangs) });
+    m_loop.after(oneWayLatency, [done, answer] { done(answer); });
 }
 
 } // namespace coriandermount::fakes
--- a/tests/fakes/virtual_workers.h
+++ b/tests/fakes/virtual_workers.h
@@ -2,6 +2,7 @@
 /// these are acknowledged.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include "cells/worker_link.h"
 #include "tests/fakes/virtual_loop.h"
+#include "tests/fakes/worker_path.h"
 
 namespace coriandermount::fakes {
 
@@ -22,6 +24,12 @@
     bool hangs = false;
     /// Delay before orders are executed. A start or stop order that is delayed is not answered.
     std::chrono::milliseconds orderDelay { 0 };
+    /// Polls are carried out, but their answers are lost.
+    bool losesPollAnswers = false;
+    /// Transports of the next start and stop orders, which are removed as they are used. Later orders take the path.
+    std::deque<order_transport> nextStarts;
+    std::deque<order_transport> nextStops;
+    worker_path path;
 };
 
 /// A run of a task as the worker executed it.
@@ -48,6 +56,8 @@
     worker_faults& faults(const std::string& id) { return m_workers.at(id).faults; }
     /// Ends all runs of a worker without reporting them, and starts a new boot with the same id and address. Faults stay.
     cells::worker_registration restart(const std::string& id);
+    /// Ends all runs of a worker for `reason` and lists these ends.
+    void endRuns(const std::string& id, cells::run_end_reason reason);
 
     /// Returns the registrations of all workers in a failure domain.
     std::vector<cells::worker_registration> registrations(const std::string& domain) const;
@@ -84,9 +94,19 @@
         std::uint64_t lastEndNumber = 0;
     };
 
+    order_transport nextTransport(const worker& current, worker_path& path, std::deque<order_transport>& scripted) const;
+    /// Passes an order to `execute` when it reaches the worker, and the answer to `done`, as `transport` determines.
+    void deliver(const worker_id& id, const order_transport& transport,
+        std::function<tl::expected<cells::order_answer, cells::order_failure>(worker&)> execute,
+        cells::worker_link::completion<cells::order_answer> done);
+    void executePoll(const worker_id& id, cells::poll_order order, std::uint64_t boot,
+        const cells::worker_link::completion<cells::poll_answer>& done);
     int percentOf(const recorded_run& run, bool hangs) const;
     cells::worker_time workerTimeOf(const worker& current) const;
     tl::expected<cells::order_answer, cells::order_failure> executeOrder(worker& current, const cells::start_order& order);
+    tl::expected<cells::order_answer, cells::order_failure> refuseOrder(
+        worker& current, const cells::start_order& order, cells::order_failure refusal);
+    tl::expected<cells::order_answer, cells::order_failure> executeStop(worker& current, const cells::stop_order& order);
     void finish(worker& current, const cells::task_key& task, cells::run_end_reason endReason);
     void checkLease(worker& current);
     void extendLease(worker& current, cells::worker_time until);
