cells: Start a task elsewhere only on proof about every try of its start order

Callers saw nothing: each job was answered once.

Cause: an unanswered start order is sent up to three times under one attempt. The outcome of the last try decided: when it was not sent, or was refused, the task was requeued at once, although a try before may have been executed or may still be. The same held when a poll had already listed the run. "attempt too old" was taken as "did not run", although it says that the attempt has ended.

Change: once a try had no answer, a later outcome no longer proves that the task does not run. The order is sent again while tries are left; then the run is kept until a poll lists it or its end, a stop order is answered, the order has expired on the worker's clock, or all leases have ended. A refusal that closes the attempt (too old, too late) is followed by a poll, whose lists are complete from then on. A run that the worker has confirmed is not touched by a failed retry. A single try that is not sent or refused still moves the task at once.

--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -215,8 +215,12 @@
     bool retryStart(worker_session& session, const task_key& key, const worker_run& current, time_point now);
     void onStart(
         const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer);
-    start_decision onStartRefused(
+    /// Requeues the task only if no try of the start order can have been executed. Otherwise the run is kept until a poll, or the
+    /// end of the lease, shows what became of it.
+    start_decision onStartFailed(
         worker_session& session, const task_key& key, worker_run& current, order_failure failure, time_point now);
+    /// Pauses starts on a worker according to the failure of its last start order.
+    static void pauseStarts(worker_session& session, order_failure failure, time_point now);
     /// Logs and counts a failed try of a start order.
     void reportFailedStart(
         const worker_id& id, const task_key& key, const worker_run& failed, order_failure failure, start_decision decision);
--- a/cells/cell_owner_orders.cpp
+++ b/cells/cell_owner_orders.cpp
@@ -13,6 +13,13 @@
     /// Weight of the newest task in the moving average of the CPU need.
     constexpr double averageTaskCpuWeight = 0.02;
 
+    /// Returns whether a worker that refuses a start order for this reason refuses every later order of the same attempt too.
+    /// A retry never carries an earlier end of the lease, so a retry that is too late proves that earlier tries are too late.
+    bool closesAttempt(order_failure failure)
+    {
+        return failure == order_failure::attempt_too_old || failure == order_failure::too_late;
+    }
+
 } // namespace
 
 void cell_owner::data::start(open_job& job, const task_key& key, worker_session& session, time_point now)
@@ -48,6 +55,7 @@
         job.accepted.work.steps[key.step].gang ? job.steps[key.step].checkpoint : job.task(key).checkpoint };
     current.startableUntil = session.leasesEnded(now);
     ++current.tries;
+    current.startInFlight = true;
     deferredCalls.emplace_back([self = shared_from_this(), worker, order = std::move(order), number = termNumber] {
         self->link.start(
             worker, order, [self, number, id = worker.id, key = order.task, attempt = order.attempt](const auto& answer) {
@@ -70,53 +78,67 @@
     worker_run* current = session.find(key);
     if (!current || current->attempt != attempt)
         return;
+    current->startInFlight = false;
     if (!answer) {
         const worker_run failed = *current;
-        reportFailedStart(id, key, failed, answer.error(), onStartRefused(session, key, *current, answer.error(), now));
+        reportFailedStart(id, key, failed, answer.error(), onStartFailed(session, key, *current, answer.error(), now));
         schedule(now);
         return;
     }
     session.noteClock(answer->clock, now);
     session.noteAnswered();
     current->answeredAt = now;
+    current->uncertain = false;
     if (!current->confirmedAt)
         current->confirmedAt = now;
     if (current->state == run_state::starting)
         current->state = run_state::running;
 }
 
-start_decision cell_owner::data::onStartRefused(
+start_decision cell_owner::data::onStartFailed(
     worker_session& session, const task_key& key, worker_run& current, order_failure failure, time_point now)
 {
-    const worker_id id = session.registration().id;
-    const std::uint64_t attempt = current.attempt;
-    switch (failure) {
-    case order_failure::fenced:
+    if (failure == order_failure::fenced) {
         endSupersededTerm("a worker has seen a higher token");
         return start_decision::term_ended;
+    }
+    if (current.confirmedAt)
+        return start_decision::kept;
+    current.uncertain = current.uncertain || failure == order_failure::no_answer;
+    if (current.uncertain && !closesAttempt(failure) && retryStart(session, key, current, now))
+        return start_decision::sent_again;
+    pauseStarts(session, failure, now);
+    session.nextPoll = std::min(session.nextPoll, now);
+    if (!current.uncertain && failure != order_failure::attempt_too_old) {
+        const std::uint64_t attempt = current.attempt;
+        session.removeRun(key);
+        requeue(key, session.registration().id, attempt);
+        return start_decision::requeued;
+    }
+    // The worker executes no later order of a closed attempt, so the next poll lists the run or its end, if there is one.
+    if (closesAttempt(failure))
+        current.answeredAt = now;
+    if (open_job* job = jobTable.find(key.jobId); job && job->contains(key))
+        job->task(key).failedOn = session.registration().id;
+    return start_decision::kept;
+}
+
+void cell_owner::data::pauseStarts(worker_session& session, order_failure failure, time_point now)
+{
+    switch (failure) {
     case order_failure::no_answer:
-        if (retryStart(session, key, current, now))
-            return start_decision::sent_again;
-        current.uncertain = true;
-        if (open_job* job = jobTable.find(key.jobId); job && job->contains(key))
-            job->task(key).failedOn = id;
         session.noteUnanswered(now);
-        session.nextPoll = std::min(session.nextPoll, now);
-        return start_decision::kept;
+        break;
     case order_failure::no_room:
         session.pauseStartsUntil(now + noCapacityPause);
         break;
     case order_failure::too_late:
     case order_failure::attempt_too_old:
-        session.nextPoll = std::min(session.nextPoll, now);
         break;
     default:
         session.pauseStartsUntil(now + refusalPause);
         break;
     }
-    session.removeRun(key);
-    requeue(key, id, attempt);
-    return start_decision::requeued;
 }
 
 void cell_owner::data::reportFailedStart(
@@ -135,7 +157,7 @@
     open_job* job = jobTable.find(key.jobId);
     if (!job || job->ended || current.state != run_state::starting || current.tries >= maxStartTries)
         return false;
-    // The attempt number stays the same, so the worker carries out at most one of the orders.
+    // The attempt number stays the same, so the worker executes at most one of the orders.
     sendStart(*job, key, session, now);
     return true;
 }
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -312,7 +312,8 @@
         if (answered || expired) {
             session.removeRun(key);
             requeueLostRun(session, key, current, answered ? run_end_proof::not_listed : run_end_proof::order_expired);
-        } else if (current.uncertain && (!current.stopSentAt || now - *current.stopSentAt > stopRetryDelay)) {
+        } else if (current.uncertain && !current.startInFlight
+            && (!current.stopSentAt || now - *current.stopSentAt > stopRetryDelay)) {
             stopRun(session, key, now);
         }
     }
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -36,7 +36,9 @@
     time_point startableUntil;
     /// Number of times that the start order was sent.
     int tries = 0;
-    /// Whether the start order was not answered, so that the worker may still carry it out until `startableUntil`.
+    bool startInFlight = false;
+    /// Whether a try of the start order had no answer and the run is not confirmed: the worker may have executed that try, or may
+    /// still do so until `startableUntil`.
     bool uncertain = false;
     /// Progress in percent.
     int percent = 0;
