net: Report a call as sent when its body went out on any connection

Callers treat `not_sent` as proof that a server has not seen a call: a start order is then placed on another worker, a job is refused, a record counts as not stored. The client derived it from the error code alone. When a reused connection closes without a reply, libcurl makes a second connection before it asks to rewind the body; if that connection is refused, the call ends with "Couldn't connect to server", although the server has received the whole body on the first one.

The bytes of the body that libcurl has read now decide for calls with a body; the error code decides only for calls without one.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -72,10 +72,13 @@
         return line.size();
     }
 
-    /// Returns how far the request got. A request with a body was not sent if no byte of the body was read; a request
-    /// without a body counts as not sent only if the connection could not be made.
+    /// Returns how far the request got. A request with a body was not sent if no byte of the body was read; a request without a
+    /// body counts as not sent only if the connection could not be made. The error code describes the last connection only:
+    /// libcurl makes a second one when a reused connection closes without a reply.
     transport_progress progressOf(CURLcode code, const transfer& current)
     {
+        if (!current.call.body.empty())
+            return current.bodySent == 0 ? transport_progress::not_sent : transport_progress::may_have_arrived;
         switch (code) {
         case CURLE_COULDNT_CONNECT:
         case CURLE_COULDNT_RESOLVE_HOST:
@@ -83,10 +86,8 @@
         case CURLE_UNSUPPORTED_PROTOCOL:
             return transport_progress::not_sent;
         default:
-            break;
+            return transport_progress::may_have_arrived;
         }
-        const bool hasBody = !current.call.body.empty();
-        return hasBody && current.bodySent == 0 ? transport_progress::not_sent : transport_progress::may_have_arrived;
     }
 
 } // namespace
