cells: Lend a resubmitted job to the cell that may still run it

A caller whose job had been lent got 504 when the other cell did not answer before the job's deadline, and submitted it again. The job then ran twice at the same time, once in each cell.

The home cell took the end of its own wait for the end of the job: it erased the job, so that the resubmission counted as new and was started at home, or lent to a third cell. The other cell stops the job at its own time limit, but a stop order may be executed seconds later. In the cell that sent the starts the runs themselves keep a second start away; the home cell does not see them.

The home cell now remembers such a job and its cell for five seconds, as long as the end of an unstored job, and lends a resubmission to the same cell again, as a job that may have been started. That cell waits until the runs have ended.

`an_unanswered_lent_job/is_sent_to_the_same_cell_when_it_is_submitted_again` failed before: both tasks had two concurrent runs.

--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -77,8 +77,8 @@
     time_point startBy;
     /// Home cell of the job if that cell has lent the job to this one; empty otherwise.
     std::optional<cell_number> lentBy;
-    /// Whether the job is lent to another cell, which runs it.
-    bool lent = false;
+    /// Cell that the job is lent to and that runs it; empty if the job is not lent.
+    std::optional<cell_number> lentTo;
     /// Time at which the last caller stops waiting and the job is given up.
     time_point giveUpAt;
 
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -38,6 +38,7 @@
     endedUnstoredJobs.clear();
     orphanedEnds.clear();
     jobsLentEarlier.clear();
+    jobsLentUnanswered.clear();
     lentJobsQueryCompleted = false;
     lentJobsComplete = false;
     if (neighbors && phase != owner_phase::idle)
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -49,6 +49,13 @@
     neighbor_cells* neighbors = nullptr;
     /// Jobs that were lent in an earlier term and that other cells have reported as running.
     lent_jobs jobsLentEarlier;
+    /// Lent job that ended here without an answer of the other cell, and the time until which that is remembered.
+    struct unanswered_job {
+        cell_number cell = 0;
+        time_point until;
+    };
+    /// Jobs that their cells may still run, by id. A resubmission is lent to the same cell, which knows whether it runs the job.
+    std::map<std::string, unanswered_job> jobsLentUnanswered;
     /// Highest epoch, by cell, in which another cell has queried its lent jobs that run here.
     std::map<cell_number, std::uint64_t> lenderEpochs;
     /// Whether a query for lent jobs has completed in this term.
@@ -171,6 +178,8 @@
     void adoptOrphans(open_job& job);
     /// Lends a job to a cell that has free capacity when this one has too little; returns whether the job was lent.
     bool lend(open_job& job, time_point now);
+    /// Returns the cell that may run the job because it was lent before; empty if no such cell is known.
+    std::optional<cell_number> earlierBorrower(const std::string& id) const;
     void lendTo(cell_number cell, open_job& job, time_point now);
     void onLentAnswer(const std::string& id, const result<jobs::job_state>& result);
     void queryLentJobs();
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -32,7 +32,7 @@
 
 void cell_owner::data::enqueue(const open_job& job)
 {
-    if (!job.ended && !job.lent && job.readyTasks() > 0)
+    if (!job.ended && !job.lentTo && job.readyTasks() > 0)
         readyJobs.emplace(rankOf(job));
 }
 
@@ -117,6 +117,8 @@
                 stopRun(session->second, { job.accepted.work.id, 0, step, index }, now);
         }
     }
+    if (job.lentTo && state == jobs::job_state::cancelled)
+        jobsLentUnanswered.insert_or_assign(job.accepted.work.id, unanswered_job { *job.lentTo, now + unstoredRetention });
     answerWatches(job.accepted.work.id, state);
     if (job.accepted.work.answeredAtEnd && !job.waiters.empty())
         answer(job, state);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -89,12 +89,21 @@
     return idle;
 }
 
+std::optional<cell_number> cell_owner::data::earlierBorrower(const std::string& id) const
+{
+    if (const auto before = jobsLentUnanswered.find(id); before != jobsLentUnanswered.end())
+        return before->second.cell;
+    const auto before = jobsLentEarlier.find(id);
+    return before == jobsLentEarlier.end() ? std::nullopt : std::optional(before->second);
+}
+
 bool cell_owner::data::lend(open_job& job, time_point now)
 {
     if (!neighbors || job.lentBy || job.started || job.ended)
         return false;
-    if (const auto before = jobsLentEarlier.find(job.accepted.work.id); before != jobsLentEarlier.end()) {
-        lendTo(before->second, job, now);
+    if (const auto cell = earlierBorrower(job.accepted.work.id)) {
+        job.offset = 0;
+        lendTo(*cell, job, now);
         return true;
     }
     std::int64_t need = 0;
@@ -112,7 +121,7 @@
 void cell_owner::data::lendTo(cell_number cell, open_job& job, time_point now)
 {
     readyJobs.erase(rankOf(job));
-    job.lent = true;
+    job.lentTo = cell;
     job.started = true;
     ++counters.lentJobs;
     jobs::run_request request { job.accepted, job.offset != newestOffset,
@@ -138,7 +147,7 @@
         return;
     }
     if (rowOf(result.error().kind).result == outcome::not_run) {
-        job->lent = false;
+        job->lentTo.reset();
         job->started = false;
         enqueue(*job);
         schedule(clock.now());
@@ -257,6 +266,7 @@
         orphanedEnds.clear();
     if (now > takenOverAt + unstoredRetention)
         jobsLentEarlier.clear();
+    std::erase_if(jobsLentUnanswered, [now](const auto& entry) { return now > entry.second.until; });
     jobTable.expire(now - settings.finishedRetention);
 }
 
