cells: Report runs of ended jobs to the cells that may have lent them

A new owner of a cell asks the other cells what they run for it before it starts resubmitted jobs. A cell reported its open lent jobs and its orphaned runs, but not the runs that it had failed to stop: their job had ended and was erased. The new owner took the report as complete and started a resubmission of the job while the earlier runs went on.

A cell now reports the jobs of all its runs whose job is not open. Such a job is lent to it again, and it starts the tasks only after the earlier runs have ended.

`an_unanswered_lent_job/is_reported_to_the_next_owner_of_the_home_cell` failed before: both tasks had two concurrent runs.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -176,10 +176,12 @@
         if (job.lentBy == home.cell)
             ids.push_back(id);
     }
-    // The jobs of orphaned runs have not been resubmitted, so any cell may have lent them.
+    // Any cell may have lent the jobs of the other runs: orphaned ones, whose jobs have not been resubmitted, and those that have
+    // not stopped since their job ended.
     for (const auto& [worker, session] : m_data->sessions) {
         for (const auto& [key, current] : session.runs()) {
-            if (current.orphaned)
+            const open_job* job = m_data->jobTable.find(key.jobId);
+            if (current.orphaned || !job || job->ended)
                 ids.push_back(key.jobId);
         }
     }
--- a/tests/cells/lent_jobs_unanswered_test.cpp
+++ b/tests/cells/lent_jobs_unanswered_test.cpp
@@ -58,4 +58,15 @@
     expectNoViolation(fleet);
 }
 
+BOOST_AUTO_TEST_CASE(is_reported_to_the_next_owner_of_the_home_cell)
+{
+    // Guards against a second start: the other cell did not report runs that it had failed to stop, because their job had ended.
+    fleet.drain(home);
+    fleet.runFor(resubmissionDelay);
+    BOOST_REQUIRE(fleet.owner(0) != home);
+    resubmit();
+    BOOST_TEST(isCompleted());
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
