cells: Refuse a job only if every request for it was refused

A job is sent again when an owner did not answer, to the same owner or to its successor. If the last one refused it for lack of capacity, the caller got that refusal, which says that the job has not run, although an earlier request may have been accepted or may still arrive. A home cell that had lent the job started it at home on such an answer.

The router kept that knowledge for jobs that it abandons, but passed on final answers as they came. It now answers that the job may have run when a refusal follows a request whose outcome is unknown. A refusal of the only request, and one that follows requests that were all declined, are passed on as before.

Three cases of `a_refused_job` failed before: an earlier owner that did not answer, an earlier unanswered request to the same owner, and a caller that says that the job may have been started.

--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -96,6 +96,7 @@
 void job_router::data::onAnswer(std::uint64_t number, std::uint64_t epoch, const result<jobs::job_state>& answer)
 {
     const bool refused = !answer && answer.error().kind == error_kind::claim_unavailable;
+    bool mayHaveRunBefore = false;
     {
         const std::scoped_lock lock(mutex);
         const auto found = runs.find(number);
@@ -111,8 +112,11 @@
             found->second.retryAt = clock.now() + retryPause;
             return;
         }
+        mayHaveRunBefore = found->second.mayHaveRunBefore;
     }
-    finish(number, answer);
+    // A refusal holds for the request that was refused. Requests before it may have been accepted, or may still arrive.
+    const bool refusalHolds = answer || rowOf(answer.error().kind).result != outcome::not_run || !mayHaveRunBefore;
+    finish(number, refusalHolds ? answer : fail(error_kind::owner_unknown, "an earlier request for the job was not answered"));
 }
 
 void job_router::data::finish(std::uint64_t number, const result<jobs::job_state>& answer)
--- /dev/null
+++ b/tests/cells/job_router_test.cpp
@@ -0,0 +1,111 @@
+// Checks that a caller is told that its job has not run only if that holds for every owner that the job was sent to.
+#include <boost/test/unit_test.hpp>
+
+#include "cells/job_router.h"
+#include "tests/fakes/single_owner.h"
+
+using namespace coriandermount;
+using namespace coriandermount::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A job that was sent to the owner of epoch 1.
+struct routed_job : cells::owner_link {
+    routed_job()
+    {
+        router.run(local.request(0, "a", 1, 100ms), [this](const result<jobs::job_state>& answer) { answers.push_back(answer); });
+        BOOST_REQUIRE(requests.size() == 1);
+    }
+
+    void run(const std::string&, const jobs::run_request& request, cells::job_completion done) override
+    {
+        requests.push_back(request);
+        pending = std::move(done);
+    }
+    void queryLentJobs(const std::string&, jobs::lender, std::function<void(std::optional<std::vector<std::string>>)>) override {
+    }
+
+    /// Sends the job to the owner of `epoch`.
+    void sendTo(std::uint64_t epoch)
+    {
+        const std::size_t before = requests.size();
+        target.epoch = epoch;
+        local.loop.runFor(100ms);
+        router.tick();
+        BOOST_REQUIRE(requests.size() == before + 1);
+    }
+
+    single_owner local;
+    cells::run_target target { false, "owner", 1 };
+    cells::job_router router { local.loop, local.owner, *this, [this] { return std::optional(target); } };
+    std::vector<jobs::run_request> requests;
+    cells::job_completion pending;
+    std::vector<result<jobs::job_state>> answers;
+};
+
+outcome outcomeOf(const result<jobs::job_state>& answer) { return answer ? outcome::done : rowOf(answer.error().kind).result; }
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_refused_job, routed_job)
+
+BOOST_AUTO_TEST_CASE(has_not_run_if_it_was_sent_once)
+{
+    pending(fail(error_kind::overloaded));
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((answers[0].error().kind == error_kind::overloaded));
+}
+
+BOOST_AUTO_TEST_CASE(may_have_run_if_an_earlier_owner_did_not_answer)
+{
+    // Guards against a false refusal: the answer of the last owner was passed on although the first one may have started the job.
+    pending(fail(error_kind::owner_unknown));
+    sendTo(2);
+    BOOST_TEST(requests.back().mayHaveStarted);
+    pending(fail(error_kind::overloaded));
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((outcomeOf(answers[0]) == outcome::may_have_run));
+}
+
+BOOST_AUTO_TEST_CASE(may_have_run_if_an_earlier_request_to_the_same_owner_was_not_answered)
+{
+    // Guards against a false refusal: the first request may arrive after the second one was refused, and start the job.
+    pending(fail(error_kind::owner_unknown));
+    sendTo(1);
+    pending(fail(error_kind::overloaded));
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((outcomeOf(answers[0]) == outcome::may_have_run));
+}
+
+BOOST_AUTO_TEST_CASE(may_have_run_if_its_caller_says_so)
+{
+    auto request = local.request(0, "b", 1, 100ms);
+    request.mayHaveStarted = true;
+    router.run(std::move(request), [this](const result<jobs::job_state>& answer) { answers.push_back(answer); });
+    pending(fail(error_kind::overloaded));
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((outcomeOf(answers[0]) == outcome::may_have_run));
+}
+
+BOOST_AUTO_TEST_CASE(has_not_run_if_every_owner_refused_it)
+{
+    pending(fail(error_kind::claim_unavailable));
+    sendTo(2);
+    BOOST_TEST(!requests.back().mayHaveStarted);
+    pending(fail(error_kind::overloaded));
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((answers[0].error().kind == error_kind::overloaded));
+}
+
+BOOST_AUTO_TEST_CASE(may_have_run_if_it_is_abandoned_after_an_owner_did_not_answer_and_the_next_did_not_accept_it)
+{
+    pending(fail(error_kind::owner_unknown));
+    sendTo(2);
+    pending(fail(error_kind::claim_unavailable));
+    router.stop();
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((outcomeOf(answers[0]) == outcome::may_have_run));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
