cells: Keep the word of a later request that a job may have been started

When a job reaches a new owner twice, the first request decided whether an earlier owner may have started it. A resubmission by the caller to a VM that knows nothing of the earlier one can arrive first. The job then counted as new: it did not wait for the runs of the earlier owner, and both callers got "overloaded", which says that it has not run.

A later request that tells of an earlier owner now changes the job to one that may have been started, and adopts runs that were found meanwhile.

`a_job_that_finds_no_capacity/may_have_run_if_it_seemed_new_until_a_request_told_of_an_earlier_owner` failed before for both callers.

--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -175,6 +175,8 @@
     // Unstored jobs and lent jobs: cell_owner_runs.cpp.
     void run(jobs::run_request request, job_completion done);
     void addRun(jobs::run_request request, job_completion done, time_point now);
+    /// Handles a request that tells that an earlier owner may have started a job that seemed to be new.
+    void noteEarlierOwner(open_job& job);
     void adoptOrphans(open_job& job);
     /// Lends a job to a cell that has free capacity when this one has too little; returns whether the job was lent.
     bool lend(open_job& job, time_point now);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -55,6 +55,8 @@
     if (known) {
         known->waiters.push_back(std::move(done));
         known->giveUpAt = std::max(known->giveUpAt, now + request.timeLeft);
+        if (request.mayHaveStarted && known->offset == newestOffset)
+            noteEarlierOwner(*known);
         return;
     }
     addRun(std::move(request), std::move(done), now);
@@ -190,6 +192,13 @@
     });
 }
 
+void cell_owner::data::noteEarlierOwner(open_job& job)
+{
+    job.offset = 0;
+    if (!job.lentTo)
+        adoptOrphans(job);
+}
+
 void cell_owner::data::adoptOrphans(open_job& job)
 {
     const std::string id = job.accepted.work.id;
