cells: Keep the start limit of carried runs from overflowing

Runs that no poll of the earlier boot of a worker had listed are carried over to the next boot, because a start order may reach it. They have no time from which the worker refuses the order; that was stored as the largest time. `dropUnlistedRuns` adds a margin to it, the sum overflowed to a time in the past, and the first poll that did not list the run counted as proof that it would never start. The task was started on another worker, and a late order started it a second time.

The limit now leaves room for margins, so that the run is dropped only after a stop has closed its attempt in the new boot.

`a_restarted_worker/refuses_a_late_order_that_its_earlier_boot_did_not_receive` failed before: the task had two concurrent runs.

--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -58,7 +58,7 @@
         carried.answeredAt.reset();
         carried.stopSentAt.reset();
         // The lease in the start order refers to the clock of the previous boot, so this boot would not refuse a late start.
-        carried.startableUntil = time_point::max();
+        carried.startableUntil = noStartLimit;
         addRun(key, carried);
     }
     if (!m_runs.empty())
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -19,6 +19,9 @@
     stopping,
 };
 
+/// Start limit of runs that their worker may start at any time. Margins can be added to it without an overflow.
+inline constexpr time_point noStartLimit = time_point::max() - std::chrono::hours(24);
+
 /// One attempt of a task on one worker.
 struct worker_run {
     std::uint64_t attempt = 0;
--- a/tests/fakes/single_owner.h
+++ b/tests/fakes/single_owner.h
@@ -11,7 +11,7 @@
 namespace coriandermount::fakes {
 
 /// A `cell_owner` with a store and workers that run in virtual time. Not thread-safe.
-class single_owner : jobs::record_store, cells::worker_link {
+class single_owner : protected jobs::record_store, protected cells::worker_link {
 public:
     single_owner()
         : owner(*this, *this, loop, { "jobs", 0 }, {})
@@ -64,7 +64,7 @@
     std::vector<result<jobs::job_state>> answers;
     cells::cell_owner owner;
 
-private:
+protected:
     void append(jobs::append_request request, append_completion done) override
     {
         records.append(request, store_fault::none, done);
