cells: Expect late tries of a start order after a restart of its worker

An unanswered start order is sent up to three times. When its worker started again under the same id after it had listed the run, the run counted as ended with the earlier boot, and the task was started on another worker. A further try of the order could then reach the new boot, which knows nothing of the attempt, and start the task a second time: the lease in the order refers to the clock of the earlier boot, so that the new one does not refuse it as too late.

Runs that no poll has listed were carried over to the new boot, where a stop closes the attempt before the task is placed again. That now holds for every run whose order was sent more than once. A listed run whose order was sent once is placed again at once, as before.

`a_restarted_worker/refuses_a_late_try_of_an_order_that_its_earlier_boot_executed` failed before: the task had two concurrent runs.

--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -49,12 +49,15 @@
 {
     std::map<task_key, worker_run> ended;
     for (const auto& [key, current] : earlier.m_runs) {
-        if (current.listed) {
+        // A listed run shows that one try of its order arrived; the others may still arrive.
+        if (current.listed && current.tries <= 1) {
             ended.emplace(key, current);
             continue;
         }
         worker_run carried = current;
         carried.uncertain = true;
+        carried.listed = false;
+        carried.confirmedAt.reset();
         carried.answeredAt.reset();
         carried.stopSentAt.reset();
         // The lease in the start order refers to the clock of the previous boot, so this boot would not refuse a late start.
--- a/tests/cells/worker_restart_test.cpp
+++ b/tests/cells/worker_restart_test.cpp
@@ -74,6 +74,14 @@
     std::vector<cells::start_order> held;
 };
 
+struct worker_that_ran_the_task : restarted_worker {
+    worker_that_ran_the_task()
+        : restarted_worker(true)
+    {
+        BOOST_REQUIRE(workers.runs().size() == 1);
+    }
+};
+
 struct worker_that_got_no_order : restarted_worker {
     worker_that_got_no_order()
         : restarted_worker(false)
@@ -98,4 +106,15 @@
     expectNoConcurrentRuns();
 }
 
+BOOST_FIXTURE_TEST_CASE(refuses_a_late_try_of_an_order_that_its_earlier_boot_executed, worker_that_ran_the_task)
+{
+    // Guards against a second start: the end of the listed run was taken as proof that no other try of its order would arrive.
+    restart();
+    runFor(pollsAnswered);
+    deliverHeldOrders();
+    runFor(10s);
+    BOOST_TEST(answers.size() == 1);
+    expectNoConcurrentRuns();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
