cells: Keep tasks that a silent restarted worker may still start

When a worker started again before it had listed a run, the run is carried over, since a start order may reach the new boot. If the new boot did not answer polls, the task was started elsewhere once every lease had ended. That is proof for orders of the same boot, which the worker refuses as too late. The lease in a carried order refers to the clock of the earlier boot, so the new one may execute it at any time, and the task then ran twice at the same time.

Runs without a known time from which their worker refuses the order now stay until the worker answers, which stops the attempt, or is no longer registered. Other runs of a silent worker are placed again as before.

`a_restarted_worker/keeps_its_task_while_it_does_not_answer` failed before: the task had two concurrent runs.

--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -223,7 +223,8 @@
     // Workers: cell_owner_workers.cpp.
     void updateWorker(worker_registration registration, time_point now);
     void removeWorker(const worker_id& id);
-    void dropRuns(worker_session& session);
+    /// Requeues the runs that the worker can no longer start after `startableAtMost`. The leases of the worker must have ended.
+    void dropRuns(worker_session& session, time_point startableAtMost);
     /// Requeues a task whose run ended because its worker restarted or can no longer hold a lease.
     void requeueLostRun(const worker_session& session, const task_key& key, const worker_run& lost);
     void start(open_job& job, const task_key& key, worker_session& session, time_point now);
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -55,13 +55,15 @@
         found->second.deregistered = true;
 }
 
-void cell_owner::data::dropRuns(worker_session& session)
+void cell_owner::data::dropRuns(worker_session& session, time_point startableAtMost)
 {
-    while (!session.runs().empty()) {
-        const auto [key, current] = *session.runs().begin();
-        session.removeRun(key);
-        requeueLostRun(session, key, current);
+    std::vector<task_key> dropped;
+    for (const auto& [key, current] : session.runs()) {
+        if (current.startableUntil <= startableAtMost)
+            dropped.push_back(key);
     }
+    for (const auto& key : dropped)
+        requeueLostRun(session, key, session.removeRun(key).value());
 }
 
 void cell_owner::data::requeueLostRun(const worker_session& session, const task_key& key, const worker_run& lost)
@@ -226,12 +228,12 @@
     for (auto entry = sessions.begin(); entry != sessions.end();) {
         worker_session& session = entry->second;
         if (session.deregistered && now >= session.leasesEnded(now) && !session.pollInFlight) {
-            dropRuns(session);
+            dropRuns(session, time_point::max());
             entry = sessions.erase(entry);
             continue;
         }
         if (session.failedPolls > 1 && !session.runs().empty() && now >= session.leasesEnded(now))
-            dropRuns(session);
+            dropRuns(session, now);
         const bool needed = !session.listed || !session.runs().empty() || session.durableEnd > session.acknowledgedEnd
             || session.lastEnd > session.durableEnd;
         if (needed && !session.pollInFlight && now >= session.nextPoll)
--- a/tests/cells/worker_restart_test.cpp
+++ b/tests/cells/worker_restart_test.cpp
@@ -117,4 +117,28 @@
     expectNoConcurrentRuns();
 }
 
+BOOST_FIXTURE_TEST_CASE(keeps_its_task_while_it_does_not_answer, worker_that_got_no_order)
+{
+    // Guards against a second start: the lease in the order had ended on the clock of the earlier boot only.
+    restart();
+    workers.faults(first.value).partitioned = true;
+    runFor(2s);
+    workers.faults(first.value).partitioned = false;
+    deliverHeldOrders();
+    runFor(8s);
+    BOOST_TEST(answers.size() == 1);
+    expectNoConcurrentRuns();
+}
+
+BOOST_FIXTURE_TEST_CASE(gives_up_its_task_when_it_is_no_longer_registered, worker_that_got_no_order)
+{
+    restart();
+    workers.faults(first.value).partitioned = true;
+    runFor(1s);
+    owner.removeWorker(first);
+    runFor(1s);
+    BOOST_REQUIRE(workers.runs().size() == 1);
+    BOOST_TEST((workers.runs()[0].worker != first));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
