cells: Repeat an unanswered liveness record before releasing the cell

The records of an owner carry consecutive numbers, and the store answers a repeated number with its first response. When a liveness record was stored and its answer was lost, the release took the same number: the store took it for a repetition and stored nothing. The owner had stopped and repeated the release without effect, so that the cell had no owner until its liveness record was 2.5 s old.

An unanswered liveness record is now repeated until its outcome is known; the release follows with the next number.

`a_cell_that_is_handed_over/is_released_after_an_append_of_its_owner_was_not_answered` failed before: the store held no release 1.5 s after it answered again.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -42,6 +42,8 @@
     time_point nextAppendAt;
     time_point nextLivenessRecordAt;
     std::uint64_t livenessSequence = 0;
+    /// Whether an append of the liveness record `livenessSequence` was not answered, so that its number may be used.
+    bool livenessUnanswered = false;
     /// When the last stored liveness record of this owner was sent, and how long the append took.
     time_point lastAppendSentAt;
     std::chrono::nanoseconds lastAppendDuration { 0 };
@@ -145,6 +147,7 @@
         return;
     wasOwner = owns;
     livenessSequence = 1;
+    livenessUnanswered = false;
     nextLivenessRecordAt = clock.now();
     if (!owns) {
         deferredCalls.emplace_back([self = shared_from_this()] {
@@ -203,8 +206,12 @@
     request.records.push_back({ std::string(livenessRecordKey), encodeLiveness(state.epoch()), 0 });
     request.from = jobs::writer { "owner", state.epoch(), livenessSequence };
     appendRecords(std::move(request), [this, now, epoch = state.epoch()](const result<std::uint64_t>& answer) {
-        if (!answer || epoch != state.epoch())
+        if (epoch != state.epoch())
             return;
+        livenessUnanswered = livenessUnanswered || (!answer && answer.error().kind == error_kind::log_answer_lost);
+        if (!answer)
+            return;
+        livenessUnanswered = false;
         ++livenessSequence;
         lastAppendSentAt = now;
         lastAppendDuration = clock.now() - now;
@@ -257,9 +264,9 @@
     }
     if (advice == ownership_advice::claim)
         claim();
-    else if (state.isOwner() && shouldRelease(now))
+    else if (state.isOwner() && !livenessUnanswered && shouldRelease(now))
         release();
-    else if (state.isOwner() && now >= nextLivenessRecordAt)
+    else if (state.isOwner() && (livenessUnanswered || now >= nextLivenessRecordAt))
         appendLivenessRecord(now);
 }
 
--- /dev/null
+++ b/tests/cells/handover_test.cpp
@@ -0,0 +1,91 @@
+// Checks that a cell stays usable when the store does not answer the records with which its owner hands it over.
+#include <boost/test/unit_test.hpp>
+
+#include "cells/cell_member.h"
+#include "cells/ownership_codec.h"
+#include "tests/fakes/single_owner.h"
+
+using namespace coriandermount;
+using namespace coriandermount::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The owner of a cell, and a VM with more processor time that sends heartbeats and never claims the cell.
+struct handed_over_cell : single_owner, cells::worker_source {
+    handed_over_cell()
+    {
+        member.start();
+        advance(1500ms);
+        BOOST_REQUIRE(owner.isServing());
+        strongerVmIsAlive = true;
+        // The handover starts four seconds after the first heartbeat of the other VM.
+        advance(3500ms);
+        BOOST_REQUIRE(owner.isServing());
+    }
+
+    void advance(std::chrono::milliseconds duration)
+    {
+        constexpr auto tickInterval = 10ms;
+        for (auto passed = 0ms; passed < duration; passed += tickInterval) {
+            if (strongerVmIsAlive)
+                member.onHeartbeat(heartbeatOfStrongerVm());
+            member.tick();
+            runFor(tickInterval);
+        }
+    }
+
+    cells::heartbeat heartbeatOfStrongerVm() const
+    {
+        auto view = member.view();
+        view.owned = false;
+        view.load.reset();
+        return { { "vm-2" }, 1, false, true, { view }, 1000 };
+    }
+
+    /// Returns whether the store holds a record with which an owner released the cell.
+    bool wasReleased()
+    {
+        bool released = false;
+        records.read({ "cells", 0 }, 0, 0ms, store_fault::none, [&released](const result<jobs::record_batch>& batch) {
+            for (const auto& current : batch->records)
+                released
+                    = released || (current.key == cells::ownerRecordKey && cells::decodeOwnerRecord(*current.value)->released);
+        });
+        loop.runFor(10ms);
+        return released;
+    }
+
+    void append(jobs::append_request request, append_completion done) override { records.append(request, fault, done); }
+    void start() override { owner.setWorkers({}); }
+    void stop() override { }
+    void tick(time_point) override { }
+
+    store_fault fault = store_fault::none;
+    bool strongerVmIsAlive = false;
+    cells::cell_member member { *this, loop, owner, *this, { "cells", 0 }, 0, { { "vm-1" }, 1, 100 } };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_cell_that_is_handed_over, handed_over_cell)
+
+BOOST_AUTO_TEST_CASE(is_released_when_the_store_answers)
+{
+    BOOST_TEST(!wasReleased());
+    advance(1500ms);
+    BOOST_TEST(wasReleased());
+}
+
+BOOST_AUTO_TEST_CASE(is_released_after_an_append_of_its_owner_was_not_answered)
+{
+    // Guards against a cell without an owner: the release reused the number of the unanswered append, so that the store took it
+    // for a repetition of that append.
+    fault = store_fault::drops_answers;
+    advance(1100ms);
+    fault = store_fault::none;
+    advance(1500ms);
+    BOOST_TEST(wasReleased());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
