cells: Keep releasing a cell whose owner has stopped

An owner that hands its cell over stops first and then stores the release. When that append failed and the VM that was to take over was lost meanwhile, the owner no longer saw a reason to release the cell. It had stopped, but kept writing liveness records, so that the cell had an owner that served nothing and that nobody replaced.

A release that was begun is now repeated until it is read back, whatever becomes of the other VM.

`a_cell_that_is_handed_over/is_served_again_if_its_release_was_refused_and_the_other_vm_is_lost` failed before: the cell was not served 3 s after the store answered again.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -49,6 +49,8 @@
     std::chrono::nanoseconds lastAppendDuration { 0 };
     time_point drainingSince;
     bool releaseRequested = false;
+    /// Whether the owner has stopped in order to release the cell. The record of that may not be stored yet.
+    bool releasing = false;
     /// Whether the previous owner had released the cell before the claim.
     bool claimedAfterRelease = false;
     bool draining = false;
@@ -148,6 +150,7 @@
     wasOwner = owns;
     livenessSequence = 1;
     livenessUnanswered = false;
+    releasing = false;
     nextLivenessRecordAt = clock.now();
     if (!owns) {
         deferredCalls.emplace_back([self = shared_from_this()] {
@@ -224,6 +227,7 @@
 {
     owner_record record = *state.owner();
     record.released = true;
+    releasing = true;
     jobs::append_request request;
     request.records.push_back({ std::string(ownerRecordKey), encodeOwnerRecord(record), 0 });
     request.from = jobs::writer { "owner", record.epoch, livenessSequence };
@@ -236,7 +240,7 @@
 
 bool cell_member::data::shouldRelease(time_point now)
 {
-    if (releaseRequested)
+    if (releaseRequested || releasing)
         return true;
     if (lastAppendDuration > handoverAppendLimit || lastAppendSentAt < drainingSince)
         return false;
--- a/tests/cells/handover_test.cpp
+++ b/tests/cells/handover_test.cpp
@@ -88,4 +88,18 @@
     BOOST_TEST(wasReleased());
 }
 
+BOOST_AUTO_TEST_CASE(is_served_again_if_its_release_was_refused_and_the_other_vm_is_lost)
+{
+    // Guards against a cell without an owner: the owner had stopped, but no longer released the cell.
+    advance(300ms);
+    fault = store_fault::refuses_requests;
+    advance(500ms);
+    BOOST_REQUIRE(!owner.isServing());
+    strongerVmIsAlive = false;
+    advance(1s);
+    fault = store_fault::none;
+    advance(3s);
+    BOOST_TEST(owner.isServing());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
