cells: Merge the places where an unanswered order, lent job or handover was taken as proof

Lent jobs, refusals by the last of several owners, runs that a restarted worker may still start, liveness and release records.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -42,11 +42,15 @@
     time_point nextAppendAt;
     time_point nextLivenessRecordAt;
     std::uint64_t livenessSequence = 0;
+    /// Whether an append of the liveness record `livenessSequence` was not answered, so that its number may be used.
+    bool livenessUnanswered = false;
     /// When the last stored liveness record of this owner was sent, and how long the append took.
     time_point lastAppendSentAt;
     std::chrono::nanoseconds lastAppendDuration { 0 };
     time_point drainingSince;
     bool releaseRequested = false;
+    /// Whether the owner has stopped in order to release the cell. The record of that may not be stored yet.
+    bool releasing = false;
     /// Whether the previous owner had released the cell before the claim.
     bool claimedAfterRelease = false;
     bool draining = false;
@@ -145,6 +149,8 @@
         return;
     wasOwner = owns;
     livenessSequence = 1;
+    livenessUnanswered = false;
+    releasing = false;
     nextLivenessRecordAt = clock.now();
     if (!owns) {
         deferredCalls.emplace_back([self = shared_from_this()] {
@@ -203,8 +209,12 @@
     request.records.push_back({ std::string(livenessRecordKey), encodeLiveness(state.epoch()), 0 });
     request.from = jobs::writer { "owner", state.epoch(), livenessSequence };
     appendRecords(std::move(request), [this, now, epoch = state.epoch()](const result<std::uint64_t>& answer) {
-        if (!answer || epoch != state.epoch())
+        if (epoch != state.epoch())
             return;
+        livenessUnanswered = livenessUnanswered || (!answer && answer.error().kind == error_kind::log_answer_lost);
+        if (!answer)
+            return;
+        livenessUnanswered = false;
         ++livenessSequence;
         lastAppendSentAt = now;
         lastAppendDuration = clock.now() - now;
@@ -217,6 +227,7 @@
 {
     owner_record record = *state.owner();
     record.released = true;
+    releasing = true;
     jobs::append_request request;
     request.records.push_back({ std::string(ownerRecordKey), encodeOwnerRecord(record), 0 });
     request.from = jobs::writer { "owner", record.epoch, livenessSequence };
@@ -229,7 +240,7 @@
 
 bool cell_member::data::shouldRelease(time_point now)
 {
-    if (releaseRequested)
+    if (releaseRequested || releasing)
         return true;
     if (lastAppendDuration > handoverAppendLimit || lastAppendSentAt < drainingSince)
         return false;
@@ -257,9 +268,9 @@
     }
     if (advice == ownership_advice::claim)
         claim();
-    else if (state.isOwner() && shouldRelease(now))
+    else if (state.isOwner() && !livenessUnanswered && shouldRelease(now))
         release();
-    else if (state.isOwner() && now >= nextLivenessRecordAt)
+    else if (state.isOwner() && (livenessUnanswered || now >= nextLivenessRecordAt))
         appendLivenessRecord(now);
 }
 
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -49,6 +49,13 @@
     neighbor_cells* neighbors = nullptr;
     /// Jobs that were lent in an earlier term and that other cells have reported as running.
     lent_jobs jobsLentEarlier;
+    /// Lent job that ended here without an answer of the other cell, and the time until which that is remembered.
+    struct unanswered_job {
+        cell_number cell = 0;
+        time_point until;
+    };
+    /// Jobs that their cells may still run, by id. A resubmission is lent to the same cell, which knows whether it runs the job.
+    std::map<std::string, unanswered_job> jobsLentUnanswered;
     /// Highest epoch, by cell, in which another cell has queried its lent jobs that run here.
     std::map<cell_number, std::uint64_t> lenderEpochs;
     /// Whether a query for lent jobs has completed in this term.
@@ -168,9 +175,13 @@
     // Unstored jobs and lent jobs: cell_owner_runs.cpp.
     void run(jobs::run_request request, job_completion done);
     void addRun(jobs::run_request request, job_completion done, time_point now);
+    /// Handles a request that tells that an earlier owner may have started a job that seemed to be new.
+    void noteEarlierOwner(open_job& job);
     void adoptOrphans(open_job& job);
     /// Lends a job to a cell that has free capacity when this one has too little; returns whether the job was lent.
     bool lend(open_job& job, time_point now);
+    /// Returns the cell that may run the job because it was lent before; empty if no such cell is known.
+    std::optional<cell_number> earlierBorrower(const std::string& id) const;
     void lendTo(cell_number cell, open_job& job, time_point now);
     void onLentAnswer(const std::string& id, const result<jobs::job_state>& result);
     void queryLentJobs();
@@ -231,8 +242,8 @@
     // Workers: cell_owner_workers.cpp.
     void updateWorker(worker_registration registration, time_point now);
     void removeWorker(const worker_id& id);
-    /// Requeues the tasks of all runs of a worker that can no longer hold a lease.
-    void dropRuns(worker_session& session);
+    /// Requeues the runs that the worker can no longer start after `startableAtMost`. The leases of the worker must have ended.
+    void dropRuns(worker_session& session, time_point startableAtMost);
     /// Requeues a task whose run has ended, as `proof` shows, although its worker has not reported the end.
     void requeueLostRun(const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof);
     void pollWorkers(time_point now);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -55,6 +55,8 @@
     if (known) {
         known->waiters.push_back(std::move(done));
         known->giveUpAt = std::max(known->giveUpAt, now + request.timeLeft);
+        if (request.mayHaveStarted && known->offset == newestOffset)
+            noteEarlierOwner(*known);
         return;
     }
     addRun(std::move(request), std::move(done), now);
@@ -89,12 +91,21 @@
     return idle;
 }
 
+std::optional<cell_number> cell_owner::data::earlierBorrower(const std::string& id) const
+{
+    if (const auto before = jobsLentUnanswered.find(id); before != jobsLentUnanswered.end())
+        return before->second.cell;
+    const auto before = jobsLentEarlier.find(id);
+    return before == jobsLentEarlier.end() ? std::nullopt : std::optional(before->second);
+}
+
 bool cell_owner::data::lend(open_job& job, time_point now)
 {
     if (!neighbors || job.lentBy || job.started || job.ended)
         return false;
-    if (const auto before = jobsLentEarlier.find(job.accepted.work.id); before != jobsLentEarlier.end()) {
-        lendTo(before->second, job, now);
+    if (const auto cell = earlierBorrower(job.accepted.work.id)) {
+        job.offset = 0;
+        lendTo(*cell, job, now);
         return true;
     }
     std::int64_t need = 0;
@@ -112,7 +123,7 @@
 void cell_owner::data::lendTo(cell_number cell, open_job& job, time_point now)
 {
     readyJobs.erase(rankOf(job));
-    job.lent = true;
+    job.lentTo = cell;
     job.started = true;
     ++counters.lentJobs;
     jobs::run_request request { job.accepted, job.offset != newestOffset,
@@ -138,7 +149,7 @@
         return;
     }
     if (rowOf(result.error().kind).result == outcome::not_run) {
-        job->lent = false;
+        job->lentTo.reset();
         job->started = false;
         enqueue(*job);
         schedule(clock.now());
@@ -181,6 +192,13 @@
     });
 }
 
+void cell_owner::data::noteEarlierOwner(open_job& job)
+{
+    job.offset = 0;
+    if (!job.lentTo)
+        adoptOrphans(job);
+}
+
 void cell_owner::data::adoptOrphans(open_job& job)
 {
     const std::string id = job.accepted.work.id;
@@ -257,6 +275,7 @@
         orphanedEnds.clear();
     if (now > takenOverAt + unstoredRetention)
         jobsLentEarlier.clear();
+    std::erase_if(jobsLentUnanswered, [now](const auto& entry) { return now > entry.second.until; });
     jobTable.expire(now - settings.finishedRetention);
 }
 
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -19,6 +19,9 @@
     stopping,
 };
 
+/// Start limit of runs that their worker may start at any time. Margins can be added to it without an overflow.
+inline constexpr time_point noStartLimit = time_point::max() - std::chrono::hours(24);
+
 /// One attempt of a task on one worker.
 struct worker_run {
     std::uint64_t attempt = 0;
@@ -73,7 +76,8 @@
     /// Returns the earliest time by which every granted lease has certainly ended on the worker's clock.
     time_point leasesEnded(time_point now) const;
 
-    /// Takes over the runs of the previous boot that no poll has listed, since their start may reach this boot instead.
+    /// Takes over the runs of the previous boot of which a start order may reach this boot: those that no poll has listed, and
+    /// those whose order was sent more than once.
     /// Returns the other runs, which ended with the previous boot.
     std::map<task_key, worker_run> inheritUncertainRuns(
         const worker_session& earlier, std::chrono::milliseconds maxLease, time_point now);
