--- a/tests/fakes/virtual_workers.cpp
+++ b/tests/fakes/virtual_workers.cpp
@@ -75,6 +75,8 @@
 
 void virtual_workers::extendLease(worker& current, worker_time until)
 {
+    if (m_loop.now() >= current.leaseEnd)
+        current.lastLapse = current.leaseEnd;
     const time_point requestedEnd = current.bootTime + until;
     current.leaseEnd = std::max(current.leaseEnd, std::min(requestedEnd, m_loop.now() + maxLease));
 }
@@ -138,9 +140,34 @@
     current.highestAttempts[task] = std::max(current.highestAttempts[task], run.attempt);
     m_runs[run.index].end = m_loop.now();
     m_runs[run.index].done = endReason == run_end_reason::done;
+    current.endedRuns.emplace(current.lastEndNumber + 1, run.index);
     current.ended.push_back({ ++current.lastEndNumber, task, run.attempt, endReason, {} });
 }
 
+void virtual_workers::acknowledgeEnds(worker& current, std::uint64_t acknowledged)
+{
+    for (const auto& ended : current.ended) {
+        recorded_run& run = m_runs[current.endedRuns.at(ended.number)];
+        const bool lapsed = m_loop.now() >= current.leaseEnd || current.lastLapse >= *run.end;
+        run.noted = run.noted || (ended.number <= acknowledged && !lapsed);
+    }
+    std::erase_if(current.ended, [acknowledged](const ended_task& ended) { return ended.number <= acknowledged; });
+}
+
+std::vector<task_key> virtual_workers::startsAfterNotedEnd() const
+{
+    std::vector<task_key> found;
+    for (const auto& before : m_runs) {
+        if (!before.done || !before.noted)
+            continue;
+        const bool startedAgain = std::any_of(m_runs.begin(), m_runs.end(),
+            [&before](const recorded_run& run) { return run.task == before.task && run.start >= *before.end; });
+        if (startedAgain)
+            found.push_back(before.task);
+    }
+    return found;
+}
+
 void virtual_workers::endRuns(const std::string& id, run_end_reason reason)
 {
     worker& current = m_workers.at(id);
@@ -269,7 +296,7 @@
     if (order.extendsLease && current.boot == boot)
         extendLease(current, order.leaseEnd);
     if (current.boot == boot)
-        std::erase_if(current.ended, [&order](const ended_task& ended) { return ended.number <= order.acknowledged; });
+        acknowledgeEnds(current, order.acknowledged);
     if (order.wait.count() > 0 && current.ended.empty()) {
         order.wait = std::max(order.wait - pollCheckInterval, std::chrono::milliseconds(0));
         order.extendsLease = false;
--- a/tests/fakes/virtual_workers.h
+++ b/tests/fakes/virtual_workers.h
@@ -40,6 +40,8 @@
     time_point start;
     std::optional<time_point> end;
     bool done = false;
+    /// Whether the end was acknowledged before the lease of the worker ended.
+    bool noted = false;
 };
 
 /// Executes orders for any number of workers on a `virtual_loop`, records all runs and checks the guarantees of the platform.
@@ -74,6 +76,9 @@
     const std::vector<recorded_run>& runs() const { return m_runs; }
     /// Returns a message for each violated guarantee: two concurrent runs of the same task.
     const std::vector<std::string>& violations() const { return m_violations; }
+    /// Returns the tasks that were started again after a run was done whose end was noted. The platform forbids that for stored
+    /// jobs.
+    std::vector<cells::task_key> startsAfterNotedEnd() const;
 
 private:
     struct active_run {
@@ -88,9 +93,13 @@
         std::uint64_t boot = 0;
         cells::fencing_token token = 0;
         time_point leaseEnd;
+        /// End of the last lease that was not extended in time.
+        time_point lastLapse;
         std::map<cells::task_key, active_run> running;
         std::map<cells::task_key, std::uint64_t> highestAttempts;
         std::vector<cells::ended_task> ended;
+        /// Indexes of the ended runs by the numbers of their ends.
+        std::map<std::uint64_t, std::size_t> endedRuns;
         std::uint64_t lastEndNumber = 0;
     };
 
@@ -108,6 +117,7 @@
         worker& current, const cells::start_order& order, cells::order_failure refusal);
     tl::expected<cells::order_answer, cells::order_failure> executeStop(worker& current, const cells::stop_order& order);
     void finish(worker& current, const cells::task_key& task, cells::run_end_reason endReason);
+    void acknowledgeEnds(worker& current, std::uint64_t acknowledged);
     void checkLease(worker& current);
     void extendLease(worker& current, cells::worker_time until);
     void recordStart(worker& current, const cells::start_order& order);
