cells: Ignore answers of an earlier boot of a worker

A run whose order may reach the next boot of its worker is carried over and its attempt stopped there. An answer to a start or stop order that the earlier boot gave, and that arrived after the change, counted for the carried run: a lost run could be placed elsewhere while a late try was still on its way to the new boot, and a failed try was repeated with a lease that refers to the wrong clock.

--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -224,8 +224,11 @@
     void start(open_job& job, const task_key& key, worker_session& session, time_point now);
     void sendStart(open_job& job, const task_key& key, worker_session& session, time_point now);
     bool retryStart(worker_session& session, const task_key& key, const worker_run& current, time_point now);
-    void onStart(
-        const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer);
+    /// Returns the session of the boot that an order was sent to, or null if the worker has restarted since or is gone. Answers
+    /// to orders of an earlier boot prove nothing about the present one.
+    worker_session* sessionOf(const worker_registration& addressee);
+    void onStart(const worker_registration& addressee, const task_key& key, std::uint64_t attempt,
+        const tl::expected<order_answer, order_failure>& answer);
     /// Requeues the task only if no try of the start order can have been executed. Otherwise the run is kept until a poll, or the
     /// end of the lease, shows what became of it.
     start_decision onStartFailed(
@@ -236,8 +239,8 @@
     void reportFailedStart(
         const worker_id& id, const task_key& key, const worker_run& failed, order_failure failure, start_decision decision);
     void stopRun(worker_session& session, const task_key& key, time_point now);
-    void onStop(
-        const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer);
+    void onStop(const worker_registration& addressee, const task_key& key, std::uint64_t attempt,
+        const tl::expected<order_answer, order_failure>& answer);
 
     // Workers: cell_owner_workers.cpp.
     void updateWorker(worker_registration registration, time_point now);
--- a/cells/cell_owner_orders.cpp
+++ b/cells/cell_owner_orders.cpp
@@ -57,31 +57,37 @@
     ++current.tries;
     current.startInFlight = true;
     deferredCalls.emplace_back([self = shared_from_this(), worker, order = std::move(order), number = termNumber] {
-        self->link.start(
-            worker, order, [self, number, id = worker.id, key = order.task, attempt = order.attempt](const auto& answer) {
-                self->locked([&] {
-                    if (number == self->termNumber)
-                        self->onStart(id, key, attempt, answer);
-                });
+        self->link.start(worker, order, [self, number, worker, key = order.task, attempt = order.attempt](const auto& answer) {
+            self->locked([&] {
+                if (number == self->termNumber)
+                    self->onStart(worker, key, attempt, answer);
             });
+        });
     });
 }
 
-void cell_owner::data::onStart(
-    const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer)
+worker_session* cell_owner::data::sessionOf(const worker_registration& addressee)
+{
+    const auto found = sessions.find(addressee.id);
+    const bool sameBoot = found != sessions.end() && found->second.registration().bootTime == addressee.bootTime;
+    return sameBoot ? &found->second : nullptr;
+}
+
+void cell_owner::data::onStart(const worker_registration& addressee, const task_key& key, std::uint64_t attempt,
+    const tl::expected<order_answer, order_failure>& answer)
 {
     const auto now = clock.now();
-    const auto found = sessions.find(id);
-    if (found == sessions.end())
+    worker_session* addressed = sessionOf(addressee);
+    if (!addressed)
         return;
-    worker_session& session = found->second;
+    worker_session& session = *addressed;
     worker_run* current = session.find(key);
     if (!current || current->attempt != attempt)
         return;
     current->startInFlight = false;
     if (!answer) {
         const worker_run failed = *current;
-        reportFailedStart(id, key, failed, answer.error(), onStartFailed(session, key, *current, answer.error(), now));
+        reportFailedStart(addressee.id, key, failed, answer.error(), onStartFailed(session, key, *current, answer.error(), now));
         schedule(now);
         return;
     }
@@ -174,21 +180,21 @@
     const worker_registration& worker = session.registration();
     const stop_order order { key, current->attempt, term.epoch };
     deferredCalls.emplace_back([self = shared_from_this(), worker, order, number = termNumber] {
-        self->link.stop(worker, order, [self, number, id = worker.id, order](const auto& answer) {
+        self->link.stop(worker, order, [self, number, worker, order](const auto& answer) {
             self->locked([&] {
                 if (number == self->termNumber)
-                    self->onStop(id, order.task, order.attempt, answer);
+                    self->onStop(worker, order.task, order.attempt, answer);
             });
         });
     });
 }
 
-void cell_owner::data::onStop(
-    const worker_id& id, const task_key& key, std::uint64_t attempt, const tl::expected<order_answer, order_failure>& answer)
+void cell_owner::data::onStop(const worker_registration& addressee, const task_key& key, std::uint64_t attempt,
+    const tl::expected<order_answer, order_failure>& answer)
 {
     const auto now = clock.now();
-    const auto found = sessions.find(id);
-    worker_run* current = found == sessions.end() ? nullptr : found->second.find(key);
+    worker_session* session = sessionOf(addressee);
+    worker_run* current = session ? session->find(key) : nullptr;
     if (!current || current->attempt != attempt)
         return;
     if (answer)
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -60,6 +60,7 @@
         carried.confirmedAt.reset();
         carried.answeredAt.reset();
         carried.stopSentAt.reset();
+        carried.startInFlight = false;
         // The lease in the start order refers to the clock of the previous boot, so this boot would not refuse a late start.
         carried.startableUntil = noStartLimit;
         addRun(key, carried);
