net: Count a call as not sent only if no connection carried it

Callers saw: a start of a task that a worker had received whole was reported as `worker_unreachable`, which proves that the task did not run; it was started again on another worker, also when it was not idempotent. The same result `not_sent` reaches the owner of a cell and the platform's log and store clients. Cause: libcurl tries a request again on a new connection when a kept one closes before the reply. If that connection is refused, the transfer ends with CURLE_COULDNT_CONNECT, and `progressOf` took this code as "not sent" before it looked at the bytes of the body that the first connection had carried.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -72,21 +72,16 @@
         return line.size();
     }
 
-    /// Returns how far the request got. A request with a body was not sent if no byte of the body was read; a request
-    /// without a body counts as not sent only if the connection could not be made.
-    transport_progress progressOf(CURLcode code, const transfer& current)
+    /// Returns how far the request got, over all connections: libcurl tries a request again on a new connection when a reused one
+    /// closes without a reply, and its error code tells only what became of the last one. A request with a body was not sent if
+    /// no byte of the body was read, a request without one if no byte of its headers was written.
+    transport_progress progressOf(const transfer& current)
     {
-        switch (code) {
-        case CURLE_COULDNT_CONNECT:
-        case CURLE_COULDNT_RESOLVE_HOST:
-        case CURLE_URL_MALFORMAT:
-        case CURLE_UNSUPPORTED_PROTOCOL:
-            return transport_progress::not_sent;
-        default:
-            break;
-        }
-        const bool hasBody = !current.call.body.empty();
-        return hasBody && current.bodySent == 0 ? transport_progress::not_sent : transport_progress::may_have_arrived;
+        long headersSent = 0;
+        curl_easy_getinfo(current.handle, CURLINFO_REQUEST_SIZE, &headersSent);
+        const bool hasBody = current.call.method != "GET" && !current.call.body.empty();
+        const bool sent = hasBody ? current.bodySent > 0 : headersSent > 0;
+        return sent ? transport_progress::may_have_arrived : transport_progress::not_sent;
     }
 
 } // namespace
@@ -211,6 +206,7 @@
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     countTraffic(handle);
+    const transport_progress progress = progressOf(*current);
     curl_multi_remove_handle(multi, handle);
     curl_easy_reset(handle);
     idleHandles.push_back(handle);
@@ -220,7 +216,7 @@
         return;
     }
     current->done(tl::unexpected<transport_error>(
-        transport_error { progressOf(code, *current), code == CURLE_OPERATION_TIMEDOUT, curl_easy_strerror(code) }));
+        transport_error { progress, code == CURLE_OPERATION_TIMEDOUT, curl_easy_strerror(code) }));
 }
 
 http_client::http_client(http_client_options options)
