configuration: Take no refusal of a repeated publication as proof about the earlier one

The second answer could be `log_unavailable`, `configuration_missing` or `publish_conflict`, all of which say that nothing was published, while the log held the record of the first request and it came into force, or had been in force. Cause: the follower judged each request by itself. Proof about the second append (refused), about this VM (just started) or about its base (another version in force, also an older one on a VM that is behind) was reported as proof about the record. Requests whose record id the VM has just generated are answered as before.

--- a/configuration/configuration_controller.cpp
+++ b/configuration/configuration_controller.cpp
@@ -223,11 +223,12 @@
 
 void configuration_controller::publish(snapshot candidate, publish_completion done)
 {
+    publish_requested request;
+    request.mayBeInLog = !candidate.recordId.empty();
     if (candidate.recordId.empty())
         candidate.recordId = newRecordId();
     candidate.publishedAt = m_data->dependencies.clock.wallNow();
     candidate.version = 0;
-    publish_requested request;
     {
         const std::scoped_lock lock(m_data->mutex);
         request.publication = publication_id { m_data->nextPublication++ };
--- a/configuration/follower.cpp
+++ b/configuration/follower.cpp
@@ -34,8 +34,19 @@
         snapshot candidate;
         time_point startedAt;
         bool appendCompleted = false;
+        /// Whether the log may hold the record although this append failed.
+        bool mayBeInLog = false;
     };
 
+    error unknownOutcome(const std::string& recordId)
+    {
+        return { error_kind::publish_unknown,
+            fmt::format("the outcome of record {} is unknown, because the log may hold it; query this record before publishing "
+                        "another one",
+                recordId),
+            std::nullopt };
+    }
+
     history_entry makeHistoryEntry(const snapshot& value, platform::log_offset offset)
     {
         return { offset, value.version, value.basedOn, value.recordId, value.author, value.reason, value.publishedAt, {}, {} };
@@ -109,6 +120,7 @@
     void handleTruncatedTail(platform::log_offset end);
     void appendCopyIfDue(unsigned copyRank);
     const history_entry* findInHistory(const std::string& recordId) const;
+    const history_entry* acceptedOnBase(std::uint64_t basedOn) const;
     bool wasReadBack(const std::string& recordId, platform::log_offset offset) const;
     publish_result makeConflictResult(const snapshot& candidate) const;
     void completePublication(const std::string& recordId, const publish_result& outcome);
@@ -285,9 +297,8 @@
 /// winner is not in the history, as after a fetch from a peer, is skipped without a report.
 void follower::data::rejectStale(const record& value, platform::log_offset offset)
 {
-    const auto winner = std::find_if(history.begin(), history.end(),
-        [&value](const history_entry& entry) { return entry.version > 0 && entry.basedOn == value.basedOn; });
-    if (winner == history.end())
+    const history_entry* winner = acceptedOnBase(value.basedOn);
+    if (!winner)
         return;
     reject(makeHistoryEntry(value, offset),
         fmt::format("the record is based on version {}, but version {} by {} with the same base precedes it in the log",
@@ -393,6 +404,14 @@
     return found == history.rend() ? nullptr : &*found;
 }
 
+/// Returns the accepted record that is based on a version, after which no other record with that base is accepted.
+const history_entry* follower::data::acceptedOnBase(std::uint64_t basedOn) const
+{
+    const auto found = std::find_if(history.begin(), history.end(),
+        [basedOn](const history_entry& entry) { return entry.version > 0 && entry.basedOn == basedOn; });
+    return found == history.end() ? nullptr : &*found;
+}
+
 /// Returns whether the appended record was read back before the answer to its append arrived.
 bool follower::data::wasReadBack(const std::string& recordId, platform::log_offset offset) const
 {
@@ -492,6 +511,7 @@
     };
     if (const auto open = publications.find(candidate.recordId); open != publications.end()) {
         open->second.requests.push_back(event.publication);
+        open->second.mayBeInLog = open->second.mayBeInLog || event.mayBeInLog;
         return;
     }
     const history_entry* known = findInHistory(candidate.recordId);
@@ -499,6 +519,13 @@
         complete({ std::nullopt, {}, known->version, known->changes, std::nullopt });
         return;
     }
+    // Neither a missing nor another base version proves that a record that may be in the log was not accepted. Another accepted
+    // record with the same base does.
+    const bool wrongBase = !hasSynced() || candidate.basedOn != current->version;
+    if (wrongBase && event.mayBeInLog && !acceptedOnBase(candidate.basedOn)) {
+        complete({ unknownOutcome(candidate.recordId), {}, 0, {}, std::nullopt });
+        return;
+    }
     if (!hasSynced()) {
         complete(
             { error { error_kind::configuration_missing, "this VM has not learned the current configuration yet", std::nullopt },
@@ -513,7 +540,7 @@
         complete({ error { error_kind::configuration_invalid, joinProblems(problems), std::nullopt }, {}, 0, {}, std::nullopt });
         return;
     }
-    publications[candidate.recordId] = { { event.publication }, candidate, now, false };
+    publications[candidate.recordId] = { { event.publication }, candidate, now, false, event.mayBeInLog };
     pendingActions.emplace_back(append_record { candidate.recordId, encodeRecord(makeRecord(candidate, *current)) });
 }
 
@@ -532,7 +559,7 @@
     own->second.startedAt = now;
     if (!event.offset && event.offset.error().kind != error_kind::log_answer_lost) {
         publish_result outcome;
-        outcome.problem = event.offset.error();
+        outcome.problem = own->second.mayBeInLog ? unknownOutcome(event.recordId) : event.offset.error();
         completePublication(event.recordId, outcome);
         return;
     }
@@ -562,11 +589,7 @@
     }
     for (const auto& recordId : expired) {
         publish_result outcome;
-        outcome.problem = error { error_kind::publish_unknown,
-            fmt::format("the outcome of record {} is unknown, because the log may hold it; query this record before publishing "
-                        "another one",
-                recordId),
-            std::nullopt };
+        outcome.problem = unknownOutcome(recordId);
         completePublication(recordId, outcome);
     }
 }
--- a/configuration/follower.h
+++ b/configuration/follower.h
@@ -117,6 +117,8 @@
     publication_id publication {};
     /// Configuration to publish, with record id and base version set.
     snapshot candidate;
+    /// Whether an earlier request with this record id, on any VM, may have appended the record.
+    bool mayBeInLog = false;
 };
 
 using follower_event = std::variant<poll_tick, log_read_completed, append_completed, peer_revision_received, peer_fetch_completed,
--- a/tests/fakes/virtual_followers.cpp
+++ b/tests/fakes/virtual_followers.cpp
@@ -152,7 +152,12 @@
 
 void virtual_followers::publish(std::size_t vm, snapshot candidate)
 {
-    handle(vm, publish_requested { publication_id { m_nextRecord++ }, std::move(candidate) });
+    handle(vm, publish_requested { publication_id { m_nextRecord++ }, std::move(candidate), false });
+}
+
+void virtual_followers::publishAgain(std::size_t vm, snapshot candidate)
+{
+    handle(vm, publish_requested { publication_id { m_nextRecord++ }, std::move(candidate), true });
 }
 
 void virtual_followers::run(std::chrono::milliseconds duration)
--- a/tests/fakes/virtual_followers.h
+++ b/tests/fakes/virtual_followers.h
@@ -41,6 +41,8 @@
     void publish(std::size_t vm, const std::string& author, const std::string& customer, const std::string& plan);
     /// Publishes `candidate`, which has its record id and base version set.
     void publish(std::size_t vm, configuration::snapshot candidate);
+    /// Publishes `candidate` after an earlier request with the same record id.
+    void publishAgain(std::size_t vm, configuration::snapshot candidate);
 
     /// Advances the virtual clock by `duration` and runs the actions that become due.
     void run(std::chrono::milliseconds duration);
