cli: Name the id of a submitted job whose answer was lost

Callers saw: `coriandermount submit` of a job without an id lost its answer and told them to send it again with the same id. The command had made that id and printed it nowhere, so the next call made another one, under which the job runs a second time. Cause: only an answer prints the key of the job. Evidence: a node that receives the submission and closes the connection.

--- a/cli/submit_command.cpp
+++ b/cli/submit_command.cpp
@@ -71,13 +71,24 @@
             terminal.err("\r\033[K");
     }
 
+    /// Prints the id under which the job may be submitted again without a second run, since the command may have made this id.
+    void printIdForResubmission(const job_request& job, console& terminal)
+    {
+        terminal.err(
+            fmt::format("to submit the job again without a second run, give it this id: \"job\": \"{}\", \"issued_at_ms\": {}\n",
+                job.key.name, job.key.issuedAt.time_since_epoch().count()));
+    }
+
     int printAnswer(const node_reply& reply, const job_request& job, node_client& node, console& terminal)
     {
         const std::string key
             = fmt::format("{}/{}/{}", job.key.customer.value, job.key.name, job.key.issuedAt.time_since_epoch().count());
         const auto answer = front::decodeAnswer(reply.body);
-        if (!answer)
-            return node.reportError(reply);
+        if (!answer) {
+            const int code = node.reportError(reply);
+            printIdForResubmission(job, terminal);
+            return code;
+        }
         const int code = answer->result == outcome::done ? exit_done
             : answer->result == outcome::not_run         ? exit_refused
                                                          : exit_may_have_run;
@@ -119,8 +130,11 @@
         if (terminal.isTerminal())
             showProgress(terminal, answer, job->tasks.size());
         const auto reply = answer.get();
-        if (!reply)
-            return node.reportTransportError(reply.error());
+        if (!reply) {
+            const int code = node.reportTransportError(reply.error());
+            printIdForResubmission(*job, terminal);
+            return code;
+        }
         return printAnswer(
             { reply->status, reply->body, nlohmann::json::parse(reply->body, nullptr, false) }, *job, node, terminal);
     }
--- a/tests/cli/commands_test.cpp
+++ b/tests/cli/commands_test.cpp
@@ -8,6 +8,7 @@
 #include "cli/command.h"
 #include "cli/refusals_page.h"
 #include "event_log/attribution.h"
+#include "net/http_server.h"
 #include "tests/fakes/fleet_caller.h"
 
 using namespace coriandermount;
@@ -60,6 +61,23 @@
     std::string address;
 };
 
+/// A node that receives every submission and closes the connection without an answer.
+struct silent_node_and_command_line : command_line {
+    silent_node_and_command_line()
+        : node({}, [this](const net::http_request& request, const std::shared_ptr<net::responder>& responder) {
+            received = json::parse(request.body);
+            net::http_response response;
+            response.dropConnection = true;
+            responder->reply(response);
+        })
+    {
+        BOOST_REQUIRE(node.start());
+    }
+
+    json received;
+    net::http_server node;
+};
+
 std::string readSourceFile(const std::string& path)
 {
     std::ifstream file(std::string(CORIANDERMOUNT_SOURCE_FOLDER) + "/" + path);
@@ -127,6 +145,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a second run of a job under a new id: the caller was told to use the same id, but not which id the command had
+// made.
+BOOST_FIXTURE_TEST_CASE(the_command_line_names_the_id_of_a_job_whose_answer_was_lost, silent_node_and_command_line)
+{
+    terminal.input = R"({"customer":"demo","tasks":[{"service":"echo","payload":"hello"}]})";
+    BOOST_TEST(run({ "submit", "-", fmt::format("--address=127.0.0.1:{}", node.port()) }) == cli::exit_may_have_run);
+    node.stop();
+    BOOST_REQUIRE(received.contains("job"));
+    BOOST_TEST(errorsContain(fmt::format(
+        R"("job": "{}", "issued_at_ms": {})", received["job"].get<std::string>(), received["issued_at_ms"].get<std::int64_t>())));
+}
+
 BOOST_AUTO_TEST_SUITE(the_command_line_with_a_node)
 
 BOOST_FIXTURE_TEST_CASE(submits_shows_and_explains_a_job, node_and_command_line)
