front: Report the outcome of all starts in the errors of an answer

Callers saw: an answer `may_have_run` whose `problem` said `not_run` and `retryable`, and the command line's advice to retry. A client that reads the error, as it has to for a refusal, submits work again that may have run. Cause: errors were encoded with the outcome of their kind. The kind is that of the last start, for example `worker_refused`, also when an earlier start of the task, or another task of the job, had no such proof. Evidence: jobs run by the engine and encoded. Before the change, 6 checks in 2 cases of job_answer_test.cpp failed: says_may_have_run_in_its_errors_if_an_earlier_start_of_the_task_may_have_run: check problem["outcome"] == "may_have_run" has failed ["not_run" != may_have_run] Change: the error of a job carries the outcome of the answer, the error of a task that of its state. An error is retryable only if the outcome of its kind holds for the whole. Result: test-front (12 cases), test-cli, test-claims, test-whole_path and test-load pass.

--- a/front/job_codec.cpp
+++ b/front/job_codec.cpp
@@ -123,11 +123,13 @@
         return job;
     }
 
-    json errorObject(const error& problem)
+    /// Encodes an error of a job or task that ended with `result`. The error may be that of the last start alone; advice to try
+    /// again holds only if the error's own outcome is that of the job or task.
+    json errorObject(const error& problem, outcome result)
     {
         const error_row& row = rowOf(problem.kind);
-        json object { { "error", row.name }, { "outcome", nameOf(row.result) }, { "party", nameOf(row.responsible) },
-            { "message", row.message }, { "detail", problem.detail }, { "retryable", row.retryable } };
+        json object { { "error", row.name }, { "outcome", nameOf(result) }, { "party", nameOf(row.responsible) },
+            { "message", row.message }, { "detail", problem.detail }, { "retryable", row.retryable && row.result == result } };
         if (problem.retryAfter)
             object["retry_after_ms"] = problem.retryAfter->count();
         return object;
@@ -150,7 +152,8 @@
         if (withOutput)
             object["output"] = report.output;
         if (report.problem)
-            object["problem"] = errorObject(*report.problem);
+            object["problem"] = errorObject(
+                *report.problem, report.state == task_state::not_started ? outcome::not_run : outcome::may_have_run);
         return object;
     }
 
@@ -224,7 +227,7 @@
         { "issued_at_ms", answer.key.issuedAt.time_since_epoch().count() }, { "outcome", nameOf(answer.result) },
         { "tasks", tasks } };
     if (answer.problem)
-        object["problem"] = errorObject(*answer.problem);
+        object["problem"] = errorObject(*answer.problem, answer.result);
     return dump(object);
 }
 
@@ -249,6 +252,6 @@
     }
 }
 
-std::string encodeError(const error& problem) { return dump(errorObject(problem)); }
+std::string encodeError(const error& problem) { return dump(errorObject(problem, rowOf(problem.kind).result)); }
 
 } // namespace coriandermount::front
