event_log: Explain a job by all its starts, not by its last answer

Operators and callers saw: `coriandermount explain`, which callers are told to ask before they submit work under a new id, gave the verdict `not_run` for a job of which a start may have run or had run. The fault count listed it as a refusal, and a lost start that was followed by another one as "not run by worker". Cause: the verdict was the outcome of the newest error kind. That is the error of the last start, or of a later submission under the same id that was refused. The verdict is `not_run` only if no event shows a start without proof, or a done answer.

--- a/dispatch/job_events.cpp
+++ b/dispatch/job_events.cpp
@@ -107,6 +107,8 @@
     if (answer.problem) {
         entry.problem = answer.problem->kind;
         entry.value = answer.problem->detail;
+        if (answer.result != rowOf(answer.problem->kind).result)
+            entry.limit = nameOf(answer.result);
     }
     return entry;
 }
--- a/event_log/event.cpp
+++ b/event_log/event.cpp
@@ -14,6 +14,14 @@
     return names[static_cast<std::size_t>(kind)];
 }
 
+outcome outcomeOf(const event& answer)
+{
+    if (!answer.problem)
+        return outcome::done;
+    const bool mayHaveRun = answer.kind == event_kind::job_answered && answer.limit == nameOf(outcome::may_have_run);
+    return mayHaveRun ? outcome::may_have_run : rowOf(*answer.problem).result;
+}
+
 bool isFault(const event& entry)
 {
     switch (entry.kind) {
--- a/event_log/event.h
+++ b/event_log/event.h
@@ -24,10 +24,10 @@
     /// A task ended; `subject` is the worker, `elapsed` the time from start to end, `elapsedPart` the run time that the worker
     /// reported.
     task_answered,
-    /// The task was queued again after a start that provably did not run it; `elapsed` is the duration of that start.
+    /// The task was queued again after a start that failed with `problem`; `elapsed` is the duration of that start.
     task_retried,
     /// The job was answered; `elapsed` is the time from arrival to the answer, `elapsedPart` the time from the end of the last
-    /// task to the answer.
+    /// task to the answer. `limit` is the outcome if it is not that of `problem`.
     job_answered,
     job_cancelled,
     worker_ejected,
@@ -91,6 +91,9 @@
     std::uint64_t sequence = 0;
 };
 
+/// Returns the outcome that a `job_answered` or `job_refused` event reports.
+outcome outcomeOf(const event& answer);
+
 /// Returns whether the event reports a fault. The journal keeps faults longer than other events.
 bool isFault(const event& entry);
 
--- a/event_log/explanation.cpp
+++ b/event_log/explanation.cpp
@@ -1,6 +1,7 @@
 #include "event_log/explanation.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 #include <fmt/format.h>
@@ -29,6 +30,9 @@
 
     std::string problemText(const event& entry) { return entry.problem ? std::string(nameOf(*entry.problem)) : ""; }
 
+    /// Returns whether a failed start proves that it did not run the task.
+    bool provesNotRun(const event& entry) { return entry.problem && rowOf(*entry.problem).result == outcome::not_run; }
+
     std::string stepText(const event& entry)
     {
         switch (entry.kind) {
@@ -56,11 +60,11 @@
                 : fmt::format("{} answered by worker \"{}\" after {}, of which it ran {}", taskText(entry), entry.subject,
                     milliseconds(entry.elapsed), milliseconds(entry.elapsedPart));
         case event_kind::task_retried:
-            return fmt::format(
-                "{} not run by worker \"{}\" ({}), queued again", taskText(entry), entry.subject, problemText(entry));
+            return fmt::format("{} {} worker \"{}\" ({}), queued again", taskText(entry),
+                provesNotRun(entry) ? "not run by" : "may have been run by", entry.subject, problemText(entry));
         case event_kind::job_answered:
-            return entry.problem ? fmt::format("answered after {}: {}, {}", milliseconds(entry.elapsed), problemText(entry),
-                       nameOf(rowOf(*entry.problem).result))
+            return entry.problem ? fmt::format(
+                       "answered after {}: {}, {}", milliseconds(entry.elapsed), problemText(entry), nameOf(outcomeOf(entry)))
                                  : fmt::format("answered after {}: done", milliseconds(entry.elapsed));
         default:
             return fmt::format(
@@ -93,6 +97,21 @@
         return *answer;
     }
 
+    /// Returns whether the events show a start without proof that it did not run its task, or an answer with results.
+    bool showExecution(const std::vector<event>& events)
+    {
+        std::map<std::optional<std::uint32_t>, int> unprovedStarts;
+        for (const auto& entry : events) {
+            if (entry.kind == event_kind::job_answered && outcomeOf(entry) == outcome::done)
+                return true;
+            if (entry.kind == event_kind::task_placed)
+                ++unprovedStarts[entry.task];
+            else if (entry.kind == event_kind::task_answered && provesNotRun(entry))
+                --unprovedStarts[entry.task];
+        }
+        return std::any_of(unprovedStarts.begin(), unprovedStarts.end(), [](const auto& entry) { return entry.second > 0; });
+    }
+
 } // namespace
 
 result<explanation> explain(const job_key& job, std::vector<event> events, const evidence& context, explanation_sources sources)
@@ -118,7 +137,10 @@
     found.answered = true;
     found.problem = finalAnswer->problem;
     found.detail = finalAnswer->value;
-    found.result = finalAnswer->problem ? rowOf(*finalAnswer->problem).result : outcome::done;
+    found.result = outcomeOf(*finalAnswer);
+    // The newest answer may be that of a later submission, which was refused without knowledge of the earlier ones.
+    if (found.result == outcome::not_run && showExecution(events))
+        found.result = outcome::may_have_run;
     if (finalAnswer->problem)
         found.fault = attribute(*finalAnswer, context);
     return found;
--- a/event_log/fault_counter.cpp
+++ b/event_log/fault_counter.cpp
@@ -28,7 +28,7 @@
         case event_kind::job_answered:
             if (!entry.problem)
                 return std::nullopt;
-            return rowOf(*entry.problem).result == outcome::not_run ? fault_class::refusal : fault_class::failure;
+            return outcomeOf(entry) == outcome::not_run ? fault_class::refusal : fault_class::failure;
         case event_kind::task_retried:
             return fault_class::retry;
         case event_kind::worker_ejected:
@@ -173,7 +173,8 @@
 {
     answer.subject = cause.subject;
     answer.rule = cause.rule;
-    answer.limit = cause.limit;
+    if (answer.limit.empty())
+        answer.limit = cause.limit;
     if (!cause.value.empty())
         answer.value = cause.value;
     if (cause.kind == event_kind::task_answered)
