tests: Cover a refused last start after one that may have run

Change: a case that cancels the job after one lost and one refused start, and checks in the property that a claim is given up, and a task reported as not started, only with proof about all its starts.

--- a/tests/dispatch/engine_properties_test.cpp
+++ b/tests/dispatch/engine_properties_test.cpp
@@ -189,6 +189,12 @@
         const bool mayHaveRun = std::any_of(
             job.startsWithoutProof.begin(), job.startsWithoutProof.end(), [](const auto& entry) { return entry.second > 0; });
         RC_ASSERT(answer.result != outcome::not_run || !mayHaveRun);
+        // The claim of a job is given up when nothing started, after which another VM may run it.
+        const auto finished = std::find_if(m_driver.finished.begin(), m_driver.finished.end(),
+            [serial](const dispatch::finish_job& entry) { return entry.serial == serial; });
+        RC_ASSERT(!finished->nothingStarted || !mayHaveRun);
+        for (const auto& [index, starts] : job.startsWithoutProof)
+            RC_ASSERT(starts == 0 || answer.tasks[index].state != task_state::not_started);
         if (answer.result != outcome::done)
             return;
         RC_ASSERT(answer.tasks.size() == job.request.tasks.size());
--- a/tests/dispatch/engine_test.cpp
+++ b/tests/dispatch/engine_test.cpp
@@ -260,6 +260,20 @@
     BOOST_TEST(!finished.back().nothingStarted);
 }
 
+// Guards against a released claim, and so a second run through another VM, after a refusal of a later start.
+BOOST_FIXTURE_TEST_CASE(keeps_the_claim_if_the_last_start_was_refused_and_an_earlier_one_may_have_run, small_fleet)
+{
+    auto request = makeJob("idempotent", 1);
+    request.idempotent = true;
+    const auto job = submit(request);
+    fail(starts[0].lease, error_kind::worker_lost);
+    fail(starts[1].lease, error_kind::worker_refused);
+    cancel("idempotent");
+    BOOST_TEST((problemOf(job) == error_kind::cancelled_while_running));
+    BOOST_TEST((answerOf(job)->result == outcome::may_have_run));
+    BOOST_TEST(!finished.back().nothingStarted);
+}
+
 BOOST_FIXTURE_TEST_CASE(releases_the_claim_if_no_start_ran, small_fleet)
 {
     const auto job = submit("unreachable", 1);
