--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -115,6 +115,16 @@
     BOOST_TEST((decodeRefusal(500, "") == no_answer));
 }
 
+BOOST_AUTO_TEST_CASE(takes_an_unknown_refusal_for_no_answer)
+{
+    // Guards against a false refusal: a refusal that could not be read counted as lack of capacity, so that the task was started
+    // elsewhere at once. The reason may have been that the attempt is known to the worker.
+    using enum cells::order_failure;
+    BOOST_TEST((decodeRefusal(409, "") == no_answer));
+    BOOST_TEST((decodeRefusal(409, R"({"reason":"other"})") == no_answer));
+    BOOST_TEST((decodeRefusal(409, R"({"reason":"ticket"})") == needs_ticket));
+}
+
 BOOST_AUTO_TEST_CASE(parses_task_names_back_to_the_same_key)
 {
     BOOST_TEST(rc::check([](std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) {
