platform: Do not refuse jobs that were handed on when the VM stops

A VM that stops answers the requests that are still pending with the status of `shutdown_limit_reached`, 503. To clients of the platform 503 says that the job was not accepted and never runs. Jobs that arrive between the end of the router and the end of the client server had been sent to their owner, which may start them.

The server of the platform's client API now answers such requests with 504, as the error's outcome `may_have_run` demands. The status is an option of the HTTP server; other servers keep 503.

--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -204,7 +204,7 @@
     , peerService(listenerOptions(fmt::format("{}:{}", values.address, values.firstPeerPort)))
     , router(clock, owner, *this, [this] { return runTarget(); })
     , neighbors(clock, owner, *this, directory, cell, cellCount)
-    , clientServer(listenerOptions(values.clientListener), platform::clientHandler(*this))
+    , clientServer(platform::clientServerOptions(listenerOptions(values.clientListener)), platform::clientHandler(*this))
     , readinessServer(listenerOptions(values.readyListener), platform::readinessHandler(*this))
     , metricsServer(listenerOptions(fmt::format("{}:{}", values.address, metricsPort)),
           [this](const net::http_request&, const std::shared_ptr<net::responder>& responder) { replyWithMetrics(responder); })
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -281,8 +281,11 @@
                 unanswered.push_back(std::move(request));
         }
     }
+    http_response abandoned = shutdownResponse(error_kind::shutdown_limit_reached);
+    if (m_data->options.abandonedStatus > 0)
+        abandoned.status = m_data->options.abandonedStatus;
     for (const auto& request : unanswered)
-        request->reply(shutdownResponse(error_kind::shutdown_limit_reached));
+        request->reply(abandoned);
     unanswered.clear();
     m_data->waitForFinalResponses();
     // The daemon is stopped without quiescing it first: in libmicrohttpd 0.9.75, MHD_quiesce_daemon and the daemon's thread race
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -57,6 +57,9 @@
     std::chrono::seconds idleTimeout { 30 };
     /// Whether responses carry a Date header.
     bool dateHeader = true;
+    /// Status of the response to requests that are pending when the server stops; 0 for the one of `shutdown_limit_reached`. Set
+    /// it where that status would say that the request has not run.
+    int abandonedStatus = 0;
 };
 
 /// Serves HTTP until it is destroyed or stopped.
