--- a/tests/cells/handover_test.cpp
+++ b/tests/cells/handover_test.cpp
@@ -57,6 +57,8 @@
     }
 
     void append(jobs::append_request request, append_completion done) override { records.append(request, fault, done); }
+    using single_owner::start;
+    using single_owner::stop;
     void start() override { owner.setWorkers({}); }
     void stop() override { }
     void tick(time_point) override { }
