cells: Start tasks of a lost lease elsewhere only once the worker has ended them

Callers saw a task run twice for a few milliseconds when a worker stopped answering: the owner placed its tasks elsewhere at the moment by which the lease had ended on the worker's clock, as if the worker ended its runs in no time. The worker interface promises that a lease that expires ends everything, and gives kill_grace_ms (50 ms) for the end of a run; nothing says that a lease ends runs faster. The only margin was the 2 % for the worker's clock, 20 ms on a lease of 1 s. The limit was in the settings and was not used.

The owner now waits for the grace as well, both for a silent or deregistered worker and, after a takeover, for the leases of the earlier owner; the latter was found by reading. Tasks of a lost worker start up to 50 ms later.

--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -140,8 +140,9 @@
         return true;
     const bool allListed
         = workersKnown && std::all_of(sessions.begin(), sessions.end(), [](const auto& entry) { return entry.second.listed; });
-    const auto leaseLimit = std::chrono::milliseconds(
-        static_cast<std::int64_t>(static_cast<double>(settings.maxLease.count()) / (1.0 - maxClockDrift)));
+    const auto leaseLimit = settings.stopGrace
+        + std::chrono::milliseconds(
+            static_cast<std::int64_t>(static_cast<double>(settings.maxLease.count()) / (1.0 - maxClockDrift)));
     const auto limit = leaseLimit + (term.previousOwnerStopped ? pollTimeoutMargin : previousOwnerLimit);
     // Workers whose registration expired while the store was down are missing from the list for a while, so the term waits
     // for their leases to end even when all listed workers have answered.
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -75,15 +75,18 @@
 
 void cell_owner::data::pollWorkers(time_point now)
 {
+    // Once its lease has ended, a worker may take as long as for a stop to end its runs.
+    const time_point beforeGrace = now - settings.stopGrace;
     for (auto entry = sessions.begin(); entry != sessions.end();) {
         worker_session& session = entry->second;
-        if (session.deregistered && now >= session.leasesEnded(now) && !session.pollInFlight) {
+        const bool runsEnded = beforeGrace >= session.leasesEnded(beforeGrace);
+        if (session.deregistered && runsEnded && !session.pollInFlight) {
             dropRuns(session, time_point::max());
             entry = sessions.erase(entry);
             continue;
         }
-        if (session.failedPolls > 1 && !session.runs().empty() && now >= session.leasesEnded(now))
-            dropRuns(session, now);
+        if (session.failedPolls > 1 && !session.runs().empty() && runsEnded)
+            dropRuns(session, beforeGrace);
         const bool needed = !session.listed || !session.runs().empty() || session.durableEnd > session.acknowledgedEnd
             || session.lastEnd > session.durableEnd;
         if (needed && !session.pollInFlight && now >= session.nextPoll)
--- a/tests/cells/random_faults_test.cpp
+++ b/tests/cells/random_faults_test.cpp
@@ -138,6 +138,14 @@
             { 6, 1, 0, 257ms }, { 1, 0, 0, 25ms }, { 3, 0, 0, 48ms }, { 0, 0, 0, 129ms }, { 9, 0, 1, 237ms }, { 0, 0, 0, 110ms },
             { 1, 0, 0, 224ms }, { 0, 0, 0, 67ms }, { 1, 0, 0, 166ms }, { 3, 0, 0, 91ms }, { 0, 0, 0, 231ms }, { 0, 0, 0, 248ms },
             { 3, 0, 0, 174ms }, { 3, 0, 0, 70ms }, { 1, 0, 0, 234ms }, { 2, 0, 1, 0ms } } },
+    { "a task starts elsewhere while its worker ends the runs of a lease that is over",
+        { { 5, 1, 2, 106ms }, { 3, 0, 0, 0ms }, { 3, 0, 0, 0ms }, { 11, 1, 0, 340ms }, { 14, 1, 2, 128ms }, { 3, 0, 0, 0ms },
+            { 11, 0, 0, 238ms }, { 3, 0, 0, 0ms }, { 3, 0, 0, 0ms }, { 3, 0, 0, 136ms }, { 20, 1, 0, 318ms }, { 3, 0, 0, 0ms },
+            { 3, 0, 0, 99ms }, { 13, 1, 2, 71ms }, { 17, 1, 0, 354ms } } },
+    { "a task starts elsewhere while its worker, which also gets late orders, ends the runs of a lease that is over",
+        { { 3, 0, 0, 0ms }, { 3, 0, 0, 0ms }, { 3, 0, 0, 0ms }, { 3, 0, 0, 0ms }, { 6, 1, 0, 53ms }, { 18, 1, 2, 44ms },
+            { 3, 0, 0, 0ms }, { 3, 0, 0, 0ms }, { 3, 0, 0, 0ms }, { 3, 0, 0, 0ms }, { 17, 1, 2, 96ms }, { 13, 1, 1, 330ms },
+            { 11, 1, 2, 181ms } } },
 };
 
 } // namespace
