tests: Let no run on a fake worker end as done after its lease

The fake workers look for ended leases every 50 ms. A run whose own end fell between the end of its lease and that look was listed as done, which the platform rules out: "When the lease expires, everything is killed." (PROTOCOL.md, Running tasks). Such a run now ends as lapsed at the same time, so the check for concurrent runs is as strict as before.

--- a/tests/fakes/virtual_workers.cpp
+++ b/tests/fakes/virtual_workers.cpp
@@ -110,8 +110,11 @@
         m_loop.after(duration, [this, id = current.registration.id.value, boot = current.boot, order] {
             worker& target = m_workers.at(id);
             const auto found = target.running.find(order.task);
-            if (target.boot == boot && found != target.running.end() && found->second.attempt == order.attempt)
-                finish(target, order.task, target.faults.failsAll ? run_end_reason::failed : run_end_reason::done);
+            if (target.boot != boot || found == target.running.end() || found->second.attempt != order.attempt)
+                return;
+            // A run that the end of the lease kills can't end as done any more, although its end is noticed late.
+            const auto ownEnd = target.faults.failsAll ? run_end_reason::failed : run_end_reason::done;
+            finish(target, order.task, m_loop.now() >= target.leaseEnd ? run_end_reason::lapsed : ownEnd);
         });
     }
     checkLease(current);
