tests: Check single runs on disturbed paths apart from jobs that arrive in two domains

The property on disturbed paths sends the same unstored job to any domain, and still fails for jobs that arrive in both (KNOWN-RED.txt), so the whole check would not be run. It stays as it is. A second property plays the same schedules with jobs that return only to the domain where they arrived first, as the platform sends them while any VM of that domain is in rotation (PROTOCOL.md, Ingress), and is not listed.

--- a/tests/cells/random_faults_test.cpp
+++ b/tests/cells/random_faults_test.cpp
@@ -4,6 +4,7 @@
 #include <random>
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include "tests/fakes/fleet_checks.h"
@@ -52,11 +53,15 @@
     return tries;
 }
 
-void applyEvent(cell_fleet& fleet, const fault_event& event, std::uint64_t index)
+/// Where an unstored job arrives again under the id that it had.
+enum class resubmission { in_any_domain, in_its_domain };
+
+void applyEvent(cell_fleet& fleet, const fault_event& event, std::uint64_t index, resubmission repeats)
 {
     const auto seed = static_cast<std::uint32_t>(index * 8 + event.domain * 4 + event.number);
     const std::string vm = cell_fleet::vmName(event.domain, event.number);
     const std::string worker = cell_fleet::workerName(event.domain, event.number);
+    const std::string origin = repeats == resubmission::in_its_domain ? fmt::format("-of-{}", event.domain) : std::string();
     switch (event.kind) {
     case 0:
         fleet.kill(vm);
@@ -102,15 +107,15 @@
         break;
     default:
         if (fleet.isAlive(vm))
-            fleet.run(vm, std::to_string(index % 40), 1 + index % 4, std::chrono::milliseconds(50 + index % 7 * 300));
+            fleet.run(vm, std::to_string(index % 40) + origin, 1 + index % 4, std::chrono::milliseconds(50 + index % 7 * 300));
     }
 }
 
-void applyAll(cell_fleet& fleet, const std::vector<fault_event>& events)
+void applyAll(cell_fleet& fleet, const std::vector<fault_event>& events, resubmission repeats = resubmission::in_any_domain)
 {
     fleet.runFor(2s);
     for (std::uint64_t index = 0; index < events.size(); ++index) {
-        applyEvent(fleet, events[index], index);
+        applyEvent(fleet, events[index], index, repeats);
         fleet.runFor(events[index].pause);
     }
     fleet.runFor(5s);
@@ -197,17 +202,28 @@
     return found;
 }
 
-// Guards against second starts after tries of one order with different outcomes (issue 21).
-BOOST_AUTO_TEST_CASE(no_task_runs_twice_at_a_time_on_disturbed_paths)
+/// Returns whether no schedule on disturbed paths violates a guarantee.
+bool holdsOnDisturbedPaths(resubmission repeats)
 {
-    const bool holds = rc::check([] {
+    return rc::check([repeats] {
         const auto events = *eventsOnDisturbedPaths();
         cell_fleet fleet(2, 3, 3);
-        applyAll(fleet, events);
+        applyAll(fleet, events, repeats);
         for (const auto& violation : violationsOf(fleet))
             RC_FAIL(violation);
     });
-    BOOST_TEST(holds);
+}
+
+// Guards against second starts after tries of one order with different outcomes (issue 21).
+BOOST_AUTO_TEST_CASE(no_task_runs_twice_at_a_time_on_disturbed_paths)
+{
+    BOOST_TEST(holdsOnDisturbedPaths(resubmission::in_any_domain));
+}
+
+// Guards against second starts on disturbed paths (issue 21), apart from those of jobs that arrive in two domains.
+BOOST_AUTO_TEST_CASE(no_task_runs_twice_at_a_time_on_disturbed_paths_of_one_domain)
+{
+    BOOST_TEST(holdsOnDisturbedPaths(resubmission::in_its_domain));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
