cells: Wait for the earlier owner's leases if a worker left the list before it had answered

A new owner takes its workers' lists as complete once all of them have answered and the longest lease has passed. A worker that it could not reach and that was then deregistered no longer counted, so that a task which the earlier owner, cut off but alive, kept running there was started elsewhere 1 s after the takeover. That owner may go on for previousOwnerLimit. The short wait now holds only if no worker was removed before it had listed its runs. `a_deregistered_worker/may_run_tasks_for_as_long_as_the_earlier_owner_may_renew_its_lease` failed before: two concurrent runs. Found in review; a worker that is missing in the list from the start stays open.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -63,6 +63,7 @@
     ownerRecordInFlight = false;
     workersKnown = false;
     previousRunsKnown = false;
+    unlistedWorkerRemoved = false;
     jobTable.clear();
     sessions.clear();
     readyJobs.clear();
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -47,7 +47,8 @@
     std::vector<std::function<void()>> deferredCalls;
     std::function<void()> onTermSuperseded;
     neighbor_cells* neighbors = nullptr;
-    /// Jobs that were lent in an earlier term and that other cells have reported as running.
+    /// Jobs that were lent in an earlier term and that other cells have reported as running. `jobsLentUnanswered` holds those of
+    /// this term.
     lent_jobs jobsLentEarlier;
     /// Lent job that ended here without an answer of the other cell, and the time until which that is remembered.
     struct unanswered_job {
@@ -82,6 +83,8 @@
     bool workersKnown = false;
     /// Whether every run that the previous owner started is either listed by its worker or has certainly ended.
     bool previousRunsKnown = false;
+    /// Whether a worker was removed in this term before it had listed its runs, which may be those of the previous owner.
+    bool unlistedWorkerRemoved = false;
 
     cell_job_table jobTable;
     std::map<worker_id, worker_session> sessions;
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -138,8 +138,8 @@
 {
     if (previousRunsKnown)
         return true;
-    const bool allListed
-        = workersKnown && std::all_of(sessions.begin(), sessions.end(), [](const auto& entry) { return entry.second.listed; });
+    const bool allListed = workersKnown && !unlistedWorkerRemoved
+        && std::all_of(sessions.begin(), sessions.end(), [](const auto& entry) { return entry.second.listed; });
     const auto leaseLimit = settings.stopGrace
         + std::chrono::milliseconds(
             static_cast<std::int64_t>(static_cast<double>(settings.maxLease.count()) / (1.0 - maxClockDrift)));
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -46,8 +46,10 @@
 void cell_owner::data::removeWorker(const worker_id& id)
 {
     const auto found = sessions.find(id);
-    if (found != sessions.end())
-        found->second.deregistered = true;
+    if (found == sessions.end())
+        return;
+    found->second.deregistered = true;
+    unlistedWorkerRemoved = unlistedWorkerRemoved || !found->second.listed;
 }
 
 void cell_owner::data::dropRuns(worker_session& session, time_point startableAtMost)
