cells: Take a retry that is too late as proof about that retry alone

A refusal as too late after an unanswered try counted as the end of the attempt. The attempt is now stopped like after any other refusal. Found in review, no test of its own: the fake workers compare the order's own end. The decision about a failed start order stands in a statement of its own. test-cells passes.

--- a/cells/cell_owner_orders.cpp
+++ b/cells/cell_owner_orders.cpp
@@ -13,13 +13,6 @@
     /// Weight of the newest task in the moving average of the CPU need.
     constexpr double averageTaskCpuWeight = 0.02;
 
-    /// Returns whether a worker that refuses a start order for this reason refuses every later order of the same attempt too.
-    /// A retry never carries an earlier end of the lease, so a retry that is too late proves that earlier tries are too late.
-    bool closesAttempt(order_failure failure)
-    {
-        return failure == order_failure::attempt_too_old || failure == order_failure::too_late;
-    }
-
 } // namespace
 
 void cell_owner::data::start(open_job& job, const task_key& key, worker_session& session, time_point now)
@@ -87,7 +80,8 @@
     current->startInFlight = false;
     if (!answer) {
         const worker_run failed = *current;
-        reportFailedStart(addressee.id, key, failed, answer.error(), onStartFailed(session, key, *current, answer.error(), now));
+        const start_decision decision = onStartFailed(session, key, *current, answer.error(), now);
+        reportFailedStart(addressee.id, key, failed, answer.error(), decision);
         schedule(now);
         return;
     }
@@ -111,18 +105,19 @@
     if (current.confirmedAt)
         return start_decision::kept;
     current.uncertain = current.uncertain || failure == order_failure::no_answer;
-    if (current.uncertain && !closesAttempt(failure) && retryStart(session, key, current, now))
+    const bool attemptEnded = failure == order_failure::attempt_too_old;
+    if (current.uncertain && !attemptEnded && retryStart(session, key, current, now))
         return start_decision::sent_again;
     pauseStarts(session, failure, now);
     session.nextPoll = std::min(session.nextPoll, now);
-    if (!current.uncertain && failure != order_failure::attempt_too_old) {
+    if (!current.uncertain && !attemptEnded) {
         const std::uint64_t attempt = current.attempt;
         session.removeRun(key);
         requeue(key, session.registration().id, attempt);
         return start_decision::requeued;
     }
-    // The worker executes no later order of a closed attempt, so the next poll lists the run or its end, if there is one.
-    if (closesAttempt(failure))
+    // The worker does not start an attempt again that has ended there, so the next poll shows its end, if it has run.
+    if (attemptEnded)
         current.answeredAt = now;
     if (open_job* job = jobTable.find(key.jobId); job && job->contains(key))
         job->task(key).failedOn = session.registration().id;
