cells: Tell the other cell that a job it has reported may have been started

A new owner lends a job again to the cell that reports it as running. If the job had come from a VM that took it for a first submission, the request said so too; an owner of the other cell that did not know the job yet would have counted it as new, started it beside its runs, or refused it as not run. The request now tells that the job may have been started, as for other jobs that are lent again. Found in review, by reading; no test shows it. test-cells passes.

--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -166,8 +166,11 @@
     lentJobsComplete = complete;
     for (const auto& [id, cell] : lent) {
         open_job* job = jobTable.find(id);
-        if (job && !job->started && !job->ended && !job->lentBy)
-            lendTo(cell, *job, now);
+        if (!job || job->started || job->ended || job->lentBy)
+            continue;
+        // The other cell reports the job as running, also to an owner of that cell that does not know it yet.
+        job->offset = 0;
+        lendTo(cell, *job, now);
     }
     schedule(now);
 }
