cells: Name the removal of a worker as a proof of its own

Runs of a worker that is no longer registered were logged and counted as "leases ended", although runs that its next boot may start are requeued as well, on the word of the platform that such a worker has gone.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -13,7 +13,7 @@
 std::string_view nameOf(run_end_proof value)
 {
     constexpr std::array<std::string_view, runEndProofCount> names { "not_listed", "order_expired", "leases_ended",
-        "worker_restarted" };
+        "worker_restarted", "worker_gone" };
     return names[static_cast<std::size_t>(value)];
 }
 
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -66,12 +66,14 @@
     order_expired,
     /// Every lease that the worker was granted has ended.
     leases_ended,
-    /// The worker process has restarted.
+    /// The worker process has restarted, and no start order of the run can reach the new one.
     worker_restarted,
+    /// The worker is no longer registered, and every lease that it was granted has ended.
+    worker_gone,
 };
 
 /// Number of values of `run_end_proof`.
-inline constexpr std::size_t runEndProofCount = static_cast<std::size_t>(run_end_proof::worker_restarted) + 1;
+inline constexpr std::size_t runEndProofCount = static_cast<std::size_t>(run_end_proof::worker_gone) + 1;
 
 /// Returns the name of a value, as used in logs and metrics.
 std::string_view nameOf(run_end_proof value);
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -249,7 +249,7 @@
     void updateWorker(worker_registration registration, time_point now);
     void removeWorker(const worker_id& id);
     /// Requeues the runs that the worker can no longer start after `startableAtMost`. The leases of the worker must have ended.
-    void dropRuns(worker_session& session, time_point startableAtMost);
+    void dropRuns(worker_session& session, time_point startableAtMost, run_end_proof proof);
     /// Requeues a task whose run has ended, as `proof` shows, although its worker has not reported the end.
     void requeueLostRun(const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof);
     void pollWorkers(time_point now);
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -52,7 +52,7 @@
     unlistedWorkerRemoved = unlistedWorkerRemoved || !found->second.listed;
 }
 
-void cell_owner::data::dropRuns(worker_session& session, time_point startableAtMost)
+void cell_owner::data::dropRuns(worker_session& session, time_point startableAtMost, run_end_proof proof)
 {
     std::vector<task_key> dropped;
     for (const auto& [key, current] : session.runs()) {
@@ -60,7 +60,7 @@
             dropped.push_back(key);
     }
     for (const auto& key : dropped)
-        requeueLostRun(session, key, session.removeRun(key).value(), run_end_proof::leases_ended);
+        requeueLostRun(session, key, session.removeRun(key).value(), proof);
 }
 
 void cell_owner::data::requeueLostRun(
@@ -83,12 +83,13 @@
         worker_session& session = entry->second;
         const bool runsEnded = beforeGrace >= session.leasesEnded(beforeGrace);
         if (session.deregistered && runsEnded && !session.pollInFlight) {
-            dropRuns(session, time_point::max());
+            // The platform says that a worker without a registration has gone, and all its runs with it.
+            dropRuns(session, time_point::max(), run_end_proof::worker_gone);
             entry = sessions.erase(entry);
             continue;
         }
         if (session.failedPolls > 1 && !session.runs().empty() && runsEnded)
-            dropRuns(session, beforeGrace);
+            dropRuns(session, beforeGrace, run_end_proof::leases_ended);
         const bool needed = !session.listed || !session.runs().empty() || session.durableEnd > session.acknowledgedEnd
             || session.lastEnd > session.durableEnd;
         if (needed && !session.pollInFlight && now >= session.nextPoll)
