--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -39,6 +39,7 @@
     time_point startableUntil;
     /// Number of times that the start order was sent.
     int tries = 0;
+    /// Whether a try of the start order has neither been answered nor failed yet.
     bool startInFlight = false;
     /// Whether a try of the start order had no answer and the run is not confirmed: the worker may have executed that try, or may
     /// still do so until `startableUntil`.
