cells: Tell runs that counted as ended and are still listed by their worker

An owner that takes a run as ended and starts the task elsewhere did not notice when the worker listed the run again: the line "unknown run found on worker" is the same for runs of earlier owners, which are expected. A run of the own term in a poll, without an entry in its session, shows that the proof was false. It now has a line of its own and is counted in runs_found_again_total. The lines for restarts name both boots and addresses, and deregistrations have a line, so that the proofs can be told apart.

--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -88,6 +88,8 @@
     std::uint64_t cancelledJobs = 0;
     /// Runs that ended without a reported end, indexed by `run_end_proof`.
     std::array<std::uint64_t, runEndProofCount> lostRuns {};
+    /// Runs of this term that counted as ended and that their worker listed afterwards.
+    std::uint64_t runsFoundAgain = 0;
     /// Start orders that failed, indexed by `order_failure`.
     std::array<std::uint64_t, orderFailureCount> startFailures {};
     /// Decisions about these orders, indexed by `start_decision`.
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -224,6 +224,8 @@
     cell_load currentLoad() const;
 
     // Start and stop orders: cell_owner_orders.cpp.
+    /// Returns whether the attempt was numbered in this ownership term.
+    bool isOfThisTerm(std::uint64_t attempt) const;
     void start(open_job& job, const task_key& key, worker_session& session, time_point now);
     void sendStart(open_job& job, const task_key& key, worker_session& session, time_point now);
     bool retryStart(worker_session& session, const task_key& key, const worker_run& current, time_point now);
--- a/cells/cell_owner_orders.cpp
+++ b/cells/cell_owner_orders.cpp
@@ -8,13 +8,16 @@
 
 namespace {
 
-    /// Number of attempts reserved for each epoch, so that every attempt of an epoch is higher than all of earlier epochs.
-    constexpr std::uint64_t attemptsPerEpoch = 100000;
     /// Weight of the newest task in the moving average of the CPU need.
     constexpr double averageTaskCpuWeight = 0.02;
 
 } // namespace
 
+bool cell_owner::data::isOfThisTerm(std::uint64_t attempt) const
+{
+    return attempt > (term.epoch - 1) * attemptsPerEpoch && attempt <= term.epoch * attemptsPerEpoch;
+}
+
 void cell_owner::data::start(open_job& job, const task_key& key, worker_session& session, time_point now)
 {
     const jobs::step& step = job.accepted.work.steps[key.step];
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -34,7 +34,10 @@
         session.update(std::move(registration));
         return;
     }
-    writeLog(log_level::info, "cell", "worker restarted", { { "worker", registration.id.value } });
+    writeLog(log_level::info, "cell", "worker restarted",
+        { { "worker", registration.id.value }, { "boot", fmt::to_string(registration.bootTime) },
+            { "earlier_boot", fmt::to_string(session.registration().bootTime) }, { "address", registration.address },
+            { "earlier_address", session.registration().address }, { "runs", fmt::to_string(session.runs().size()) } });
     worker_session next(std::move(registration), now);
     next.pollInFlight = session.pollInFlight;
     const auto ended = next.inheritUncertainRuns(session, settings.maxLease, now);
@@ -48,6 +51,9 @@
     const auto found = sessions.find(id);
     if (found == sessions.end())
         return;
+    if (!found->second.deregistered)
+        writeLog(log_level::info, "cell", "worker deregistered",
+            { { "worker", id.value }, { "runs", fmt::to_string(found->second.runs().size()) } });
     found->second.deregistered = true;
     unlistedWorkerRemoved = unlistedWorkerRemoved || !found->second.listed;
 }
@@ -290,6 +296,13 @@
         shouldAdopt          ? "adopted"
             : added.orphaned ? "kept until its job is resubmitted"
                              : "stopped");
+    if (isOfThisTerm(listed.attempt)) {
+        ++counters.runsFoundAgain;
+        writeLog(log_level::error, "cell", "a run that counted as ended is still running",
+            { { "job", listed.task.jobId }, { "step", fmt::to_string(listed.task.step) },
+                { "task", fmt::to_string(listed.task.index) }, { "attempt", fmt::to_string(listed.attempt) },
+                { "worker", id.value } });
+    }
     if (added.orphaned)
         return;
     if (!shouldAdopt) {
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace coriandermount::cells {
 
@@ -15,6 +16,8 @@
     std::chrono::milliseconds finishedRetention { 180000 };
 };
 
+/// Number of attempts reserved for each epoch, so that every attempt of an epoch is higher than all of earlier epochs.
+inline constexpr std::uint64_t attemptsPerEpoch = 100000;
 /// Fraction by which the clock of a worker may run slow, as the worker interface specifies it.
 inline constexpr double maxClockDrift = 0.02;
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -383,7 +383,7 @@
         { "jobs_ended_total", "cancelled", cellCounters.cancelledJobs }, { "store_calls_total", "append", calls.appends },
         { "store_calls_total", "read", calls.reads }, { "store_calls_total", "refused", calls.refused },
         { "store_calls_total", "unanswered", calls.unanswered }, { "cell_owned", {}, member.isOwner() ? 1U : 0U },
-        { "log_lines_dropped_total", {}, droppedLogLines() } };
+        { "runs_found_again_total", {}, cellCounters.runsFoundAgain }, { "log_lines_dropped_total", {}, droppedLogLines() } };
     for (std::size_t failure = 0; failure < cells::orderFailureCount; ++failure)
         samples.push_back({ "start_failures_total", cells::nameOf(static_cast<cells::order_failure>(failure)),
             cellCounters.startFailures[failure] });
