--- /dev/null
+++ b/tests/cells/superseded_owner_test.cpp
@@ -0,0 +1,127 @@
+// Checks that an owner that has been superseded without knowing it starts no task that its successor keeps running.
+#include <boost/test/unit_test.hpp>
+
+#include "tests/fakes/single_owner.h"
+
+using namespace coriandermount;
+using namespace coriandermount::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t epoch = 2;
+
+/// An owner whose task runs on one of two workers. A successor takes over, which the owner does not hear: its reads of records
+/// are slow, and the successor has reached only the worker that runs the task, whose answers to the owner are lost from then on.
+struct superseded_owner : single_owner {
+    superseded_owner()
+    {
+        workers.add("worker-1", "0", 16000);
+        workers.add("worker-2", "0", 16000);
+        owner.takeOver({ epoch, false });
+        owner.setWorkers(workers.registrations("0"));
+        runFor(4s);
+    }
+
+    /// Runs a task and waits until it has started.
+    void startTask(jobs::run_request submitted)
+    {
+        run(std::move(submitted));
+        runFor(400ms);
+        BOOST_REQUIRE(workers.runs().size() == 1);
+        runsOn = workers.runs()[0].worker;
+    }
+
+    /// Starts the term of the successor: its record is stored, and it polls the worker that runs the task.
+    void supersede()
+    {
+        recordsAreSlow = true;
+        answersAreLost = true;
+        jobs::append_request mark;
+        mark.stream = { "jobs", 0 };
+        mark.records.push_back({ jobs::ownerKey(), jobs::encodeOwner(epoch + 1), 0 });
+        mark.from = jobs::writer { "owner", epoch + 1, 0 };
+        records.append(mark, store_fault::none, [](const auto&) {});
+        loop.runFor(10ms);
+        renewLease();
+    }
+
+    /// Renews the lease of the worker that runs the task, as the successor does, and acknowledges `acknowledged` ends.
+    void renewLease(std::uint64_t acknowledged = 0)
+    {
+        const auto workerClock = std::chrono::duration_cast<cells::worker_time>(loop.now() - startedAt);
+        workers.poll(runsOn, { epoch + 1, acknowledged, workerClock + 1000ms, true, 0ms }, [](const auto&) {});
+    }
+
+    void read(
+        const jobs::record_stream& stream, std::uint64_t from, std::chrono::milliseconds wait, read_completion done) override
+    {
+        records.read(stream, from, wait, store_fault::none, [this, done](const result<jobs::record_batch>& answer) {
+            if (!recordsAreSlow)
+                done(answer);
+            else
+                loop.after(slowRead, [done] { done(fail(error_kind::log_unavailable, "no answer in time")); });
+        });
+    }
+
+    void poll(
+        const cells::worker_registration& worker, const cells::poll_order& order, completion<cells::poll_answer> done) override
+    {
+        constexpr auto pollTimeout = 600ms;
+        workers.poll(worker.id, order, [this, id = worker.id, done](const auto& answer) {
+            if (!answersAreLost || id != runsOn)
+                done(answer);
+            else
+                loop.after(pollTimeout, [done] { done(tl::unexpected(cells::order_failure::no_answer)); });
+        });
+    }
+
+    void expectNoSecondStart()
+    {
+        for (const auto& violation : workers.violations())
+            BOOST_ERROR(violation);
+        BOOST_TEST(workers.runs().size() == 1);
+    }
+
+    static constexpr auto slowRead = 3s;
+    const time_point startedAt = loop.now();
+    worker_id runsOn;
+    bool recordsAreSlow = false;
+    bool answersAreLost = false;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(at_most_once)
+
+BOOST_FIXTURE_TEST_SUITE(when_an_owner_does_not_know_its_successor, superseded_owner)
+
+// Guards against attempt 2 beside attempt 1 (issue 24): the owner took the end of the leases that it had granted as proof that
+// the run had ended, although the successor had renewed the lease of the worker.
+BOOST_AUTO_TEST_CASE(a_run_whose_lease_the_successor_renews_is_not_started_again)
+{
+    startTask(request(epoch, "a", 1, 6s));
+    supersede();
+    for (int renewal = 0; renewal < 25; ++renewal) {
+        runFor(100ms);
+        renewLease();
+    }
+    expectNoSecondStart();
+}
+
+// Guards against attempt 2 beside attempt 1 (issue 24): the same for a worker that has left the list of workers.
+BOOST_AUTO_TEST_CASE(a_run_on_a_deregistered_worker_whose_lease_the_successor_renews_is_not_started_again)
+{
+    startTask(request(epoch, "a", 1, 6s));
+    supersede();
+    owner.removeWorker(runsOn);
+    for (int renewal = 0; renewal < 25; ++renewal) {
+        runFor(100ms);
+        renewLease();
+    }
+    expectNoSecondStart();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
