cells: Requeue a lost run only after the ownership is verified

Cause: an owner that is superseded without knowing it (a VM out of processor time, in a freeze, or cut off from its peers) took the end of the leases that it had granted itself as proof that a run had ended, for silent workers (leases_ended) and for workers that had left the list (worker_gone). The successor polls the same workers and renews their leases, so the runs go on. Until the successor has reached every worker, the higher token does not stop the second start.

Evidence: in the record both tasks of the job are started again in one tick, about the length of a lease after their start, and all later runs end as stopped from 0.8 s on, when a new owner ends orphaned runs.

Fix: a proof about a run that the worker has not reported now needs the knowledge that no other owner had taken over before it. A new owner stores its owner record before its first order, so that a read of the stream that is sent after the proof shows it. The tail of the records gives this for free; if it is behind, one read without a wait is sent. Until then the task stays placed, no other start of it is possible, and the run is taken back if its worker lists it again. A restart of the worker needs no verification for unstored jobs: no owner can renew the lease of a run that its process has not survived.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -37,6 +37,7 @@
     phase = owner_phase::fencing;
     takenOverAt = clock.now();
     recordsAsOf = {};
+    ownershipVerifiedAt = {};
     nextOwnerRecord = takenOverAt;
     writeLog(log_level::info, "cell", "ownership term started",
         { { "epoch", fmt::to_string(term.epoch) }, { "previous_stopped", term.previousOwnerStopped ? "yes" : "no" } });
@@ -64,6 +65,10 @@
     workersKnown = false;
     previousRunsKnown = false;
     unlistedWorkerRemoved = false;
+    unverifiedLosses.clear();
+    verificationInFlight = false;
+    nextVerification = {};
+    nextRecord = 0;
     jobTable.clear();
     sessions.clear();
     readyJobs.clear();
@@ -138,6 +143,7 @@
     if (!givesOrders())
         return;
     pollWorkers(now);
+    verifyOwnership(now);
     schedule(now);
     checkUnstoredJobs(now);
     if (lentJobsQueryCompleted && !lentJobsComplete && now >= nextLentJobsQuery)
@@ -199,6 +205,8 @@
                 ids.push_back(key.jobId);
         }
     }
+    for (const auto& lost : m_data->unverifiedLosses)
+        ids.push_back(lost.task.jobId);
     return ids;
 }
 
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -117,6 +117,23 @@
     /// Tasks that completed before their unstored job was resubmitted to the new owner, by job.
     std::map<std::string, std::vector<task_key>> orphanedEnds;
 
+    /// A run that has ended without a report of its worker, as a proof shows.
+    struct lost_run {
+        task_key task;
+        worker_id worker;
+        std::uint64_t attempt = 0;
+        /// Time of the proof, which covers the orders of this owner only.
+        time_point provedAt;
+    };
+    /// Lost runs whose tasks may not start again yet, because another owner may have taken over before the proof.
+    std::vector<lost_run> unverifiedLosses;
+    /// No other owner has given orders in the cell before this time: its owner record would have been read.
+    time_point ownershipVerifiedAt;
+    bool verificationInFlight = false;
+    time_point nextVerification;
+    /// Offset after the last record that was read.
+    std::uint64_t nextRecord = 0;
+
     cell_counters counters;
 
     data(jobs::record_store& target, worker_link& orders, const clock_source& time, jobs::record_stream source,
@@ -175,6 +192,18 @@
     void sendFlush(time_point now);
     void onFlush(const result<std::uint64_t>& answer);
 
+    // Verification of the ownership: cell_owner_verification.cpp.
+    /// Requeues the task of a lost run, at once if the proof holds whoever owns the cell, otherwise after the ownership is
+    /// verified.
+    void requeueVerified(const lost_run& lost, run_end_proof proof);
+    /// Returns whether a lost run of the task has not been verified yet.
+    bool hasUnverifiedLoss(const task_key& key) const;
+    /// Reads whether another owner has taken over, if a lost run has to be verified.
+    void verifyOwnership(time_point now);
+    void onVerificationAnswer(time_point requestedAt, const result<jobs::record_batch>& answer);
+    /// Notes that no other owner had taken over at `time`, and requeues the tasks whose runs were lost before.
+    void noteOwnershipVerified(time_point time);
+
     // Unstored jobs and lent jobs: cell_owner_runs.cpp.
     void run(jobs::run_request request, job_completion done);
     void addRun(jobs::run_request request, job_completion done, time_point now);
@@ -252,8 +281,8 @@
     void removeWorker(const worker_id& id);
     /// Requeues the runs that the worker can no longer start after `startableAtMost`. The leases of the worker must have ended.
     void dropRuns(worker_session& session, time_point startableAtMost, run_end_proof proof);
-    /// Requeues a task whose run has ended, as `proof` shows, although its worker has not reported the end.
-    void requeueLostRun(const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof);
+    /// Handles a run that has ended, as `proof` shows, although its worker has not reported the end.
+    void handleLostRun(const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof);
     void pollWorkers(time_point now);
     void poll(worker_session& session, time_point now);
     void onPollAnswer(
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -187,7 +187,8 @@
 
 bool cell_owner::data::runsOnAnyWorker(const task_key& key) const
 {
-    return std::any_of(sessions.begin(), sessions.end(), [&key](const auto& entry) { return entry.second.runs().contains(key); });
+    return hasUnverifiedLoss(key)
+        || std::any_of(sessions.begin(), sessions.end(), [&key](const auto& entry) { return entry.second.runs().contains(key); });
 }
 
 bool cell_owner::data::scheduleJob(open_job& job, time_point now)
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -58,6 +58,7 @@
         for (const auto* current : ordered) {
             if (phase == owner_phase::idle)
                 return;
+            nextRecord = std::max(nextRecord, current->offset + 1);
             if (phase == owner_phase::replaying)
                 replay(*current, now);
             else
@@ -78,8 +79,10 @@
 void cell_owner::data::onRecord(const jobs::record& current)
 {
     locked([&] {
-        if (phase != owner_phase::idle)
-            apply(current, clock.now());
+        if (phase == owner_phase::idle)
+            return;
+        nextRecord = std::max(nextRecord, current.offset + 1);
+        apply(current, clock.now());
     });
 }
 
@@ -87,6 +90,7 @@
 {
     locked([&] {
         recordsAsOf = std::max(recordsAsOf, requestedAt);
+        noteOwnershipVerified(requestedAt);
         if (givesOrders())
             schedule(clock.now());
     });
--- /dev/null
+++ b/cells/cell_owner_verification.cpp
@@ -0,0 +1,70 @@
+#include "cells/cell_owner_data.h"
+
+#include <algorithm>
+
+namespace coriandermount::cells {
+
+void cell_owner::data::requeueVerified(const lost_run& lost, run_end_proof proof)
+{
+    const open_job* job = jobTable.find(lost.task.jobId);
+    const bool stored = job && !job->accepted.work.answeredAtEnd;
+    // No owner can renew the lease of a run that its worker process has not survived. A stored task may have ended as done
+    // before.
+    if (proof == run_end_proof::worker_restarted && !stored) {
+        requeue(lost.task, lost.worker, lost.attempt);
+        return;
+    }
+    unverifiedLosses.push_back(lost);
+    verifyOwnership(lost.provedAt);
+}
+
+bool cell_owner::data::hasUnverifiedLoss(const task_key& key) const
+{
+    return std::any_of(
+        unverifiedLosses.begin(), unverifiedLosses.end(), [&key](const lost_run& lost) { return lost.task == key; });
+}
+
+void cell_owner::data::verifyOwnership(time_point now)
+{
+    if (unverifiedLosses.empty() || verificationInFlight || now < nextVerification)
+        return;
+    verificationInFlight = true;
+    nextVerification = now + verificationPause;
+    deferredCalls.emplace_back([self = shared_from_this(), from = nextRecord, now, number = termNumber] {
+        self->store.read(self->stream, from, std::chrono::milliseconds(0), [self, number, now](const auto& answer) {
+            self->locked([&] {
+                if (number == self->termNumber)
+                    self->onVerificationAnswer(now, answer);
+            });
+        });
+    });
+}
+
+void cell_owner::data::onVerificationAnswer(time_point requestedAt, const result<jobs::record_batch>& answer)
+{
+    verificationInFlight = false;
+    if (!answer)
+        return;
+    const auto number = termNumber;
+    for (const auto& current : answer->records) {
+        if (current.value && jobs::recordKindOf(current.key) == jobs::record_kind::owner)
+            applyOwner(*current.value);
+        if (number != termNumber)
+            return;
+    }
+    noteOwnershipVerified(requestedAt);
+    schedule(clock.now());
+}
+
+void cell_owner::data::noteOwnershipVerified(time_point time)
+{
+    ownershipVerifiedAt = std::max(ownershipVerifiedAt, time);
+    const auto isVerified = [this](const lost_run& lost) { return lost.provedAt <= ownershipVerifiedAt; };
+    const auto first = std::stable_partition(unverifiedLosses.begin(), unverifiedLosses.end(), std::not_fn(isVerified));
+    const std::vector<lost_run> verified(first, unverifiedLosses.end());
+    unverifiedLosses.erase(first, unverifiedLosses.end());
+    for (const auto& lost : verified)
+        requeue(lost.task, lost.worker, lost.attempt);
+}
+
+} // namespace coriandermount::cells
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -16,6 +16,14 @@
                 { "attempt", fmt::to_string(attempt) }, { "worker", worker.value }, { "outcome", std::string(outcome) } });
     }
 
+    /// Returns whether a run that was not known may continue: its task waits, or is still placed there because the loss of the
+    /// run was not verified.
+    bool mayAdopt(const task_state& task, const running_task& listed, const worker_id& worker)
+    {
+        return task.phase == task_phase::waiting
+            || (task.phase == task_phase::placed && task.runsOn == worker && task.attempt == listed.attempt);
+    }
+
 } // namespace
 
 void cell_owner::data::updateWorker(worker_registration registration, time_point now)
@@ -43,7 +51,7 @@
     const auto ended = next.inheritUncertainRuns(session, settings.maxLease, now);
     session = std::move(next);
     for (const auto& [key, current] : ended)
-        requeueLostRun(session, key, current, run_end_proof::worker_restarted);
+        handleLostRun(session, key, current, run_end_proof::worker_restarted);
 }
 
 void cell_owner::data::removeWorker(const worker_id& id)
@@ -66,19 +74,18 @@
             dropped.push_back(key);
     }
     for (const auto& key : dropped)
-        requeueLostRun(session, key, session.removeRun(key).value(), proof);
+        handleLostRun(session, key, session.removeRun(key).value(), proof);
 }
 
-void cell_owner::data::requeueLostRun(
+void cell_owner::data::handleLostRun(
     const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof)
 {
     const worker_id id = session.registration().id;
     ++counters.lostRuns[static_cast<std::size_t>(proof)];
     writeLog(log_level::info, "cell", "run lost",
         { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
-            { "attempt", fmt::to_string(lost.attempt) }, { "worker", id.value }, { "outcome", "requeued" },
-            { "proof", std::string(nameOf(proof)) } });
-    requeue(key, id, lost.attempt);
+            { "attempt", fmt::to_string(lost.attempt) }, { "worker", id.value }, { "proof", std::string(nameOf(proof)) } });
+    requeueVerified({ key, id, lost.attempt, clock.now() }, proof);
 }
 
 void cell_owner::data::pollWorkers(time_point now)
@@ -291,7 +298,9 @@
         added.longRunning = job->accepted.work.steps[listed.task.step].longRunning;
     }
     session.addRun(listed.task, added);
-    const bool shouldAdopt = known && !job->ended && job->task(listed.task).phase == task_phase::waiting;
+    std::erase_if(unverifiedLosses,
+        [&](const lost_run& lost) { return lost.task == listed.task && lost.worker == id && lost.attempt == listed.attempt; });
+    const bool shouldAdopt = known && !job->ended && mayAdopt(job->task(listed.task), listed, id);
     logOrder("unknown run found on worker", listed.task, listed.attempt, id,
         shouldAdopt          ? "adopted"
             : added.orphaned ? "kept until its job is resubmitted"
@@ -310,7 +319,8 @@
         return;
     }
     task_state& task = job->task(listed.task);
-    std::erase(job->steps[listed.task.step].waiting, listed.task.index);
+    if (task.phase == task_phase::waiting)
+        std::erase(job->steps[listed.task.step].waiting, listed.task.index);
     task.phase = task_phase::placed;
     task.runsOn = id;
     task.attempt = std::max(task.attempt, listed.attempt);
@@ -332,7 +342,7 @@
         const bool expired = current.uncertain && current.startableUntil + lateStartMargin < sentAt;
         if (answered || expired) {
             session.removeRun(key);
-            requeueLostRun(session, key, current, answered ? run_end_proof::not_listed : run_end_proof::order_expired);
+            handleLostRun(session, key, current, answered ? run_end_proof::not_listed : run_end_proof::order_expired);
         } else if (current.uncertain && !current.startInFlight
             && (!current.stopSentAt || now - *current.stopSentAt > stopRetryDelay)) {
             stopRun(session, key, now);
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -48,6 +48,8 @@
 inline constexpr std::chrono::milliseconds flushInterval { 40 };
 /// Pause before a failed write to the store is repeated.
 inline constexpr std::chrono::milliseconds flushRetry { 100 };
+/// Pause between two reads that verify the ownership of the cell.
+inline constexpr std::chrono::milliseconds verificationPause { 50 };
 /// Number of records after which no more jobs are added to a write; well below the platform's limit for one call.
 inline constexpr std::size_t maxFlushedRecords = 2000;
 /// Time after a takeover within which other VMs resubmit the unstored jobs whose callers they serve: two heartbeat intervals
