cells: Report completed lent jobs to the next owner of their home cell

Callers saw a licence check or a transfer carried out again seconds after it had been done: one cell ran a job to its end on behalf of another, and the next owner of the home cell started it again.

Cause: a new owner asks the other cells which of its jobs they run. They named open jobs and runs that had not stopped, not jobs that had ended, so an end whose answer the earlier owner of the home cell had not passed on was taken as "never started".

Evidence: in the record both tasks end as done under a VM of nemea-b, and a VM of korinthos starts them 2.3 s later under the first attempt of its own term.

Fix: the answer names jobs that have ended in the last five seconds as well. The home owner sends such a job to that cell again, which answers with its state and runs nothing. The time is that for which ends of unstored jobs are remembered anyway.

--- a/cells/cell_job_table.cpp
+++ b/cells/cell_job_table.cpp
@@ -79,8 +79,21 @@
 
 void cell_job_table::finish(const std::string& id, jobs::job_state state, time_point now)
 {
-    m_open.erase(id);
-    m_finished.insert_or_assign(id, finished_entry { state, now });
+    const auto open = m_open.find(id);
+    const auto lentBy = open == m_open.end() ? std::nullopt : open->second.lentBy;
+    if (open != m_open.end())
+        m_open.erase(open);
+    m_finished.insert_or_assign(id, finished_entry { state, now, lentBy });
+}
+
+std::vector<std::string> cell_job_table::finishedFor(cell_number home) const
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, entry] : m_finished) {
+        if (entry.lentBy == home)
+            ids.push_back(id);
+    }
+    return ids;
 }
 
 void cell_job_table::expire(time_point oldest)
--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -114,6 +114,8 @@
     /// Moves a job from the open to the finished jobs; `now` is the time of its end.
     void finish(const std::string& id, jobs::job_state state, time_point now);
     bool isFinished(const std::string& id) const { return m_finished.contains(id); }
+    /// Returns the ids of the finished jobs that the cell `home` had lent to this one.
+    std::vector<std::string> finishedFor(cell_number home) const;
 
     /// Removes jobs that finished before `oldest`.
     void expire(time_point oldest);
@@ -130,6 +132,8 @@
     struct finished_entry {
         jobs::job_state state;
         time_point at;
+        /// Home cell of the job if that cell had lent it.
+        std::optional<cell_number> lentBy;
     };
 
     std::map<std::string, open_job> m_open;
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -186,12 +186,13 @@
 
 std::optional<std::vector<std::string>> cell_owner::jobsLentBy(jobs::lender home)
 {
-    std::vector<std::string> ids;
     const std::scoped_lock lock(m_data->mutex);
     auto& known = m_data->lenderEpochs[home.cell];
     known = std::max(known, home.epoch);
     if (!m_data->givesOrders() || !m_data->knowsPreviousRuns(m_data->clock.now()))
         return std::nullopt;
+    // The answer to an ended job may not have reached the earlier owner of the home cell.
+    std::vector<std::string> ids = m_data->jobTable.finishedFor(home.cell);
     for (const auto& [id, job] : m_data->jobTable.open()) {
         if (job.lentBy == home.cell)
             ids.push_back(id);
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -122,8 +122,9 @@
     /// Sets the cells that may run jobs for this one; none by default. `neighbors` is not used after the owner is destroyed.
     void setNeighbors(neighbor_cells& neighbors);
 
-    /// Returns the ids of the jobs that this cell may be running for the cell of `home`, or nothing while this cell does not
-    /// know all runs on its workers. Afterwards requests of earlier terms of that cell are refused.
+    /// Returns the ids of the jobs that this cell may be running for the cell of `home`, and of those that it has completed in
+    /// the last seconds, or nothing while this cell does not know all runs on its workers. Afterwards requests of earlier terms
+    /// of that cell are refused.
     std::optional<std::vector<std::string>> jobsLentBy(jobs::lender home);
 
     /// Sets the function that is called when the store or a worker has seen a higher epoch.
