cells: Hand the ends of unstored jobs over to the next owner

Callers whose VM or connection was lost before they had the answer submitted their job again, and it ran again although it had been completed, when the owner of the cell had stopped in between.

Cause: the ends of unstored jobs are kept in the memory of the owner for five seconds, and an owner that hands its cell over took them with it. The next owner took such a job as never started. The same happened to lent jobs whose home was not answered yet when the owner of the other cell changed.

Fix: an owner that hands over stores the list of these ends first, under the key of finished jobs that the next owner replays; one append a handover. An owner that is lost or superseded stores nothing; its unstored jobs may run again, as the platform allows.

--- a/cells/cell_job_table.cpp
+++ b/cells/cell_job_table.cpp
@@ -80,10 +80,23 @@
 void cell_job_table::finish(const std::string& id, jobs::job_state state, time_point now)
 {
     const auto open = m_open.find(id);
-    const auto lentBy = open == m_open.end() ? std::nullopt : open->second.lentBy;
-    if (open != m_open.end())
+    finished_entry finished { state, now, std::nullopt, true };
+    if (open != m_open.end()) {
+        finished.lentBy = open->second.lentBy;
+        finished.stored = !open->second.accepted.work.answeredAtEnd;
         m_open.erase(open);
-    m_finished.insert_or_assign(id, finished_entry { state, now, lentBy });
+    }
+    m_finished.insert_or_assign(id, finished);
+}
+
+std::vector<jobs::finished_job> cell_job_table::finishedUnstored() const
+{
+    std::vector<jobs::finished_job> finished;
+    for (const auto& [id, entry] : m_finished) {
+        if (!entry.stored)
+            finished.push_back({ id, entry.state });
+    }
+    return finished;
 }
 
 std::vector<std::string> cell_job_table::finishedFor(cell_number home) const
--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -117,6 +117,9 @@
     /// Returns the ids of the finished jobs that the cell `home` had lent to this one.
     std::vector<std::string> finishedFor(cell_number home) const;
 
+    /// Returns the finished jobs that are not stored and that are remembered still.
+    std::vector<jobs::finished_job> finishedUnstored() const;
+
     /// Removes jobs that finished before `oldest`.
     void expire(time_point oldest);
 
@@ -134,6 +137,7 @@
         time_point at;
         /// Home cell of the job if that cell had lent it.
         std::optional<cell_number> lentBy;
+        bool stored = true;
     };
 
     std::map<std::string, open_job> m_open;
--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -233,7 +233,7 @@
     request.from = jobs::writer { "owner", record.epoch, livenessSequence };
     deferredCalls.emplace_back([self = shared_from_this()] {
         self->workers.stop();
-        self->owner.stepDown();
+        self->owner.handOver();
     });
     appendRecords(std::move(request), [](const result<std::uint64_t>&) {});
 }
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -165,6 +165,16 @@
     });
 }
 
+void cell_owner::handOver()
+{
+    m_data->locked([&] {
+        if (m_data->phase == owner_phase::idle)
+            return;
+        m_data->storeUnstoredEnds(m_data->clock.now());
+        m_data->endTerm();
+    });
+}
+
 void cell_owner::pause()
 {
     m_data->locked([&] {
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -114,6 +114,9 @@
     void takeOver(const ownership_term& term);
     /// Ends the term. Afterwards the owner sends no orders and writes no records.
     void stepDown();
+    /// Ends the term like `stepDown`. Before, stores the ends of the jobs that are not stored and that have just ended, so that
+    /// the next owner can answer callers that submit these jobs again.
+    void handOver();
     /// Suspends orders and lease renewals until `resume`, because another VM may own the cell by now.
     void pause();
     /// Allows orders and lease renewals again.
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -188,6 +188,8 @@
     bool writeJobs(jobs::append_request& request, time_point now);
     void writeFinishedJob(const std::string& id, const open_job& job, jobs::append_request& request);
     void dropOldRecords(jobs::append_request& request, time_point now);
+    /// Stores the ends of unstored jobs for the next owner, without waiting for the answer of the store.
+    void storeUnstoredEnds(time_point now);
     void markEndsDurable();
     void sendFlush(time_point now);
     void onFlush(const result<std::uint64_t>& answer);
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -254,6 +254,33 @@
     jobTable.expire(now - settings.finishedRetention);
 }
 
+void cell_owner::data::storeUnstoredEnds(time_point now)
+{
+    if (phase != owner_phase::serving)
+        return;
+    // Ends that `tick` has not moved to the table of finished jobs yet.
+    checkUnstoredJobs(now);
+    const auto finished = jobTable.finishedUnstored();
+    if (finished.empty())
+        return;
+    // The lists hold whoever owns the cell, so they name no writer and can't be fenced.
+    jobs::append_request request;
+    request.stream = stream;
+    for (auto first = finished.begin(); first != finished.end();) {
+        const auto last = first + std::min<std::ptrdiff_t>(finished.end() - first, maxFinishedPerRecord);
+        const jobs::finished_list list { clock.wallNow(), { first, last } };
+        request.records.push_back({ jobs::finishedKey(term.epoch, ++flushNumber), jobs::encodeFinished(list), 0 });
+        first = last;
+    }
+    deferredCalls.emplace_back([self = shared_from_this(), request = std::move(request)] {
+        self->store.append(request, [](const result<std::uint64_t>& answer) {
+            if (!answer)
+                writeLog(log_level::warning, "cell", "the ends of unstored jobs could not be stored for the next owner",
+                    { { "detail", answer.error().detail } });
+        });
+    });
+}
+
 void cell_owner::data::prepareFlush(time_point now)
 {
     if (flush || now < nextFlush)
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace coriandermount::cells {
@@ -46,6 +47,8 @@
 inline constexpr int failuresUntilQuarantine = 2;
 /// Time between writes of ended tasks; bounds the progress that an outage of all VMs can lose.
 inline constexpr std::chrono::milliseconds flushInterval { 40 };
+/// Largest number of jobs in one stored list of finished jobs; keeps the record below the platform's limit of 256 KB.
+inline constexpr std::ptrdiff_t maxFinishedPerRecord = 4000;
 /// Pause before a failed write to the store is repeated.
 inline constexpr std::chrono::milliseconds flushRetry { 100 };
 /// Pause between two reads that verify the ownership of the cell.
