net: Answer requests that arrive during a stop as possibly executed

Callers could see: 503 with "shutting_down" and outcome not_run for a resubmission that reached the VM while it wrote its last responses (up to 500 ms), although the handler had accepted the first submission. A caller that takes the answer at its word submits the job elsewhere, and the task runs twice.

Cause: the server answered every request that arrived after the begin of the stop by itself, without its handler, and took the fact that it had not handed on this request as proof about the earlier ones.

Fix: such a request gets the answer of the pending ones: shutdown_limit_reached (may_have_run), with the status of `abandonedStatus` where that is set, as on the users' platform. A new job in these 500 ms is no longer told that it can go elsewhere safely; before that, while the VM drains, the handlers still say so.

The test failed before. One client does not read its response, so that the stop lasts; a request on another connection got "HTTP/1.1 503 Service Unavailable" with {"error":"shutting_down","outcome":"not_run"}. If the machine is too slow for the 500 ms the connection is closed without an answer, and the test passes.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -58,11 +58,12 @@
             {}, false };
     }
 
-    http_response shutdownResponse(error_kind kind)
+    /// Returns the response to requests that are pending, or arrive, while the server stops.
+    http_response shutdownResponse(const http_server_options& options)
     {
-        const auto& row = rowOf(kind);
+        const auto& row = rowOf(error_kind::shutdown_limit_reached);
         http_response response;
-        response.status = row.httpStatus;
+        response.status = options.abandonedStatus > 0 ? options.abandonedStatus : row.httpStatus;
         response.body = fmt::format(R"({{"error":"{}","outcome":"{}"}})", row.name, nameOf(row.result));
         return response;
     }
@@ -185,8 +186,9 @@
     request.headers = valuesOf(connection, MHD_HEADER_KIND);
     request.body = std::move(current.body);
     current.pending = std::make_shared<pending_request>(connection);
+    // The request may repeat one that the handler has accepted, so it cannot be answered as not run.
     if (!addPending(current))
-        return queueResponse(connection, shutdownResponse(error_kind::shutting_down));
+        return queueResponse(connection, shutdownResponse(options));
     pendingCount.fetch_add(1, std::memory_order_relaxed);
     handler(std::move(request), current.pending);
     const auto response = current.pending->responseOrSuspend();
@@ -281,9 +283,7 @@
                 unanswered.push_back(std::move(request));
         }
     }
-    http_response abandoned = shutdownResponse(error_kind::shutdown_limit_reached);
-    if (m_data->options.abandonedStatus > 0)
-        abandoned.status = m_data->options.abandonedStatus;
+    const http_response abandoned = shutdownResponse(m_data->options);
     for (const auto& request : unanswered)
         request->reply(abandoned);
     unanswered.clear();
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -57,8 +57,8 @@
     std::chrono::seconds idleTimeout { 30 };
     /// Whether responses carry a Date header.
     bool dateHeader = true;
-    /// Status of the response to requests that are pending when the server stops; 0 for the one of `shutdown_limit_reached`. Set
-    /// it where that status would say that the request has not run.
+    /// Status of the response to requests that are pending, or arrive, while the server stops; 0 for the one of
+    /// `shutdown_limit_reached`. Set it where that status would say that the request has not run.
     int abandonedStatus = 0;
 };
 
@@ -74,8 +74,8 @@
     /// Starts listening. Fails with `settings_invalid` when the address can't be bound.
     result<void> start();
 
-    /// Answers new requests with `shutting_down` and pending ones with `shutdown_limit_reached`, waits up to 500 ms until these
-    /// responses are written, and closes all connections.
+    /// Answers pending and new requests with `shutdown_limit_reached`, waits up to 500 ms until these responses are written, and
+    /// closes all connections.
     void stop();
 
     /// Returns the port that the server listens on.
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -1,10 +1,16 @@
 // A pending request occupies a connection, not a thread, and every request is answered exactly once.
+#include <array>
 #include <condition_variable>
 #include <filesystem>
 #include <mutex>
+#include <string_view>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -131,3 +137,68 @@
         server.stop();
     }
 }
+
+namespace {
+
+/// A server whose stop lasts because one client does not read its response, and a client whose connection stays open.
+struct lingering_server : deferring_server {
+    lingering_server()
+    {
+        reluctant = connectTo(server.port());
+        BOOST_REQUIRE(::send(reluctant, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+        waitForRequests(1);
+        // Larger than the buffers of the two sockets, so that the response is not written completely.
+        constexpr std::size_t bodyBytes = 64 * 1024 * 1024;
+        responders[0]->reply({ .body = std::string(bodyBytes, ' ') });
+        resubmitting = connectTo(server.port());
+    }
+
+    ~lingering_server()
+    {
+        close(reluctant);
+        close(resubmitting);
+    }
+
+    lingering_server(const lingering_server&) = delete;
+    lingering_server& operator=(const lingering_server&) = delete;
+
+    static int connectTo(std::uint16_t port)
+    {
+        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE(connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+        return socket;
+    }
+
+    /// Sends a request on the connection that stays open and returns the response, which is empty if the connection was closed.
+    std::string resubmit() const
+    {
+        if (::send(resubmitting, request.data(), request.size(), MSG_NOSIGNAL) < 0)
+            return {};
+        std::array<char, 4096> buffer {};
+        const auto received = recv(resubmitting, buffer.data(), buffer.size(), 0);
+        return received > 0 ? std::string(buffer.data(), static_cast<std::size_t>(received)) : std::string();
+    }
+
+    static constexpr std::string_view request = "GET / HTTP/1.1\r\nHost: localhost\r\n\r\n";
+    int reluctant = -1;
+    int resubmitting = -1;
+};
+
+} // namespace
+
+// Guards against a false refusal: a request that arrived during the stop was answered with "not run", although it may repeat one
+// that was handed to the handler before.
+BOOST_FIXTURE_TEST_CASE(a_request_that_arrives_while_the_server_stops_is_not_reported_as_not_run, lingering_server)
+{
+    send(1);
+    waitForRequests(2);
+    std::thread stopping([this] { server.stop(); });
+    waitForCompletions(1);
+    const std::string response = resubmit();
+    stopping.join();
+    BOOST_TEST(response.find("not_run") == std::string::npos, response);
+}
