claims: Vote only for keys whose home is the own failure domain

Callers could see: a job that is submitted through two VMs, of which one does not know all failure domains yet, runs twice.

Cause: the home domain of a key that the caller chose is the best of the domains that the VM of the submission knows. `fleet.domains` may be empty, and the others are then discovered. A VM that has just started, or that was started while a whole domain was down, lacks a domain, takes another one for the home of that domain's keys, and the members of that other domain granted the claim: each domain decides on what its own members have recorded.

Fix: a coordinator and a voter refuse a key whose home, by all domains that they know, is not their own.

Both tests failed before: the vote was recorded (`core.records() == 0U has failed [1 != 0]`), and the coordinator claimed the key.

--- a/claims/claim_coordinator.cpp
+++ b/claims/claim_coordinator.cpp
@@ -23,12 +23,14 @@
 claim_coordinator::claim_coordinator(const claim_core_options& options, const view_tracker& views)
     : m_options(options)
     , m_views(views)
+    , m_domains { options.domain }
 {
 }
 
-bool claim_coordinator::acceptsIssueTime(const job_key& key, wall_time wall) const
+bool claim_coordinator::accepts(const job_key& key, wall_time wall) const
 {
-    return key.issuedAt <= wall + m_options.maxClockSkew && wall <= key.issuedAt + m_options.resubmissionWindow;
+    return key.issuedAt <= wall + m_options.maxClockSkew && wall <= key.issuedAt + m_options.resubmissionWindow
+        && homeDomainOf(key, m_domains) == m_options.domain;
 }
 
 void claim_coordinator::reply(const claim_call& call, claim_status status, std::uint64_t epoch,
@@ -45,7 +47,7 @@
         forward(call, at, out);
         return;
     }
-    if (!acceptsIssueTime(call.key, at.wall))
+    if (!accepts(call.key, at.wall))
         return;
     if (issued && issued->isIssuerOnly()) {
         handleIssuerOnly(call, *issued, out);
@@ -241,7 +243,7 @@
 {
     vote_reply voteReply { m_options.self, call.view, call.key, call.record.holder, vote_status::recorded, std::nullopt };
     const auto held = m_records.find(call.key);
-    if (!m_views.votesIn(call.view, at) || !acceptsIssueTime(call.key, at.wall)) {
+    if (!m_views.votesIn(call.view, at) || !accepts(call.key, at.wall)) {
         voteReply.status = vote_status::stale;
     } else if (held && !held->holder.sameAttempt(call.record.holder) && !contains(call.givenUp, held->holder)) {
         voteReply.status = vote_status::held;
--- a/claims/claim_coordinator.h
+++ b/claims/claim_coordinator.h
@@ -17,6 +17,9 @@
     claim_coordinator(const claim_core_options& options, const view_tracker& views);
 
     /// Starts a round for a claim, or forwards the claim to the owner of its key when this VM can't decide on the claim.
+    /// Replaces the failure domains that this VM knows, its own among them.
+    void setDomains(std::vector<failure_domain_id> domains) { m_domains = std::move(domains); }
+
     void handle(const claim_call& call, const input_time& at, outputs& out);
     void handle(const vote_call& call, const input_time& at, outputs& out);
     void handle(const vote_reply& reply, const input_time& at, outputs& out);
@@ -55,12 +58,15 @@
     bool canReadClosedViews(const round& current, const input_time& at) const;
     void grantIfComplete(const job_key& key, outputs& out);
     void endRound(const job_key& key, claim_status status, const std::optional<claim_record>& holder, outputs& out);
-    bool acceptsIssueTime(const job_key& key, wall_time wall) const;
+    /// Returns whether the issue time of a key allows a claim, and this failure domain is the home of the key. The sender of a
+    /// claim may know fewer domains than this VM.
+    bool accepts(const job_key& key, wall_time wall) const;
     void reply(const claim_call& call, claim_status status, std::uint64_t epoch, const std::optional<claim_record>& holder,
         outputs& out) const;
 
     const claim_core_options& m_options;
     const view_tracker& m_views;
+    std::vector<failure_domain_id> m_domains;
     record_table m_records;
     std::unordered_map<job_key, round> m_rounds;
     time_point m_nextSweep {};
--- a/claims/claim_core.cpp
+++ b/claims/claim_core.cpp
@@ -121,6 +121,10 @@
 
 void claim_core::setFleet(fleet_contacts contacts)
 {
+    std::vector<failure_domain_id> domains { m_data->options.domain };
+    for (const auto& contact : contacts.otherDomains)
+        domains.push_back(contact.domain);
+    m_data->coordinator.setDomains(std::move(domains));
     m_data->views.setPeers(std::move(contacts.ownDomain));
     m_data->runner.setContacts(std::move(contacts.otherDomains));
 }
--- a/claims/message.h
+++ b/claims/message.h
@@ -81,7 +81,7 @@
     std::vector<attempt_ref> givenUp;
 };
 
-/// Outcome of a vote; `stale` means that the voter does not vote in that view or refuses the key's issue time.
+/// Outcome of a vote; `stale` means that the voter does not vote in that view or refuses the key.
 enum class vote_status { recorded, held, stale };
 
 /// Reply of a voter to a `vote_call`.
--- a/tests/claims/claim_core_test.cpp
+++ b/tests/claims/claim_core_test.cpp
@@ -138,3 +138,41 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// The VMs of domain "d" know another failure domain, which is the home of `key`.
+struct member_that_knows_another_domain : member_of_three {
+    member_that_knows_another_domain()
+    {
+        core.setFleet({ { { { "a" }, "a" }, { { "b" }, "b" }, { { "c" }, "c" } }, { { { "e" }, { "x" } } } });
+        const std::vector<failure_domain_id> domains { { "d" }, { "e" } };
+        for (int number = 0; homeDomainOf(key, domains).value != "e" || rankMembers(first, key)[0].vm.id.value != "a"; ++number)
+            key.name = "job" + std::to_string(number);
+    }
+
+    job_key key { { "kellari" }, "job", at.wall };
+    const claim_record record { { memberOf("b").vm, 1 }, 5 };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_key_whose_home_is_another_domain, member_that_knows_another_domain)
+
+// Guards against a second start: a VM that had not heard of the home yet took its own domain for it, and the members of that
+// domain voted although they knew better.
+BOOST_AUTO_TEST_CASE(gets_no_vote_for_a_vm_that_does_not_know_the_home)
+{
+    const outputs out = core.receive(vote_call { memberOf("b").vm, 1, key, record, {} }, at);
+    BOOST_REQUIRE_EQUAL(out.messages.size(), 1U);
+    BOOST_TEST((std::get<vote_reply>(out.messages[0].body).status == vote_status::stale));
+    BOOST_TEST(core.records() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_claimed_for_a_vm_that_does_not_know_the_home)
+{
+    BOOST_TEST(core.receive(claim_call { key, record, {}, false }, at).messages.empty());
+    BOOST_TEST(core.records() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
