cells: Lend no job that own workers may still run

Callers could see: a task that must run once runs twice at the same time, in two failure domains, when they submit a job again after its time limit.

Cause: a job that reached the time limit of its caller is stopped and forgotten. Its runs go on until the workers have executed the stop orders, which may be lost or late. The start of a task waits for such runs (`runsOnAnyWorker`), but `lend` did not look at them: a resubmission, which does not say that it is one, was sent to another cell when this one had too little free capacity, and the other cell knows nothing of the runs here.

Fix: a job is not lent while a worker of this cell holds a run of it, also one that an earlier owner has started and that has no job here. It then waits here, where its tasks start as soon as the runs have ended.

The test failed before: lentJobs == 0U has failed [1 != 0], "given-up.0 has two concurrent runs", "given-up.1 has two concurrent runs".

--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -183,6 +183,8 @@
     void adoptOrphans(open_job& job);
     /// Lends a job to a cell that has free capacity when this one has too little; returns whether the job was lent.
     bool lend(open_job& job, time_point now);
+    /// Returns whether any worker of this cell may still run a task of the job.
+    bool hasRunsOf(const std::string& jobId) const;
     /// Returns the cell that may run the job because it was lent before; empty if no such cell is known.
     std::optional<cell_number> earlierBorrower(const std::string& id) const;
     void lendTo(cell_number cell, open_job& job, time_point now);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -91,6 +91,14 @@
     return idle;
 }
 
+bool cell_owner::data::hasRunsOf(const std::string& jobId) const
+{
+    return std::any_of(sessions.begin(), sessions.end(), [&jobId](const auto& entry) {
+        const auto& runs = entry.second.runs();
+        return std::any_of(runs.begin(), runs.end(), [&jobId](const auto& run) { return run.first.jobId == jobId; });
+    });
+}
+
 std::optional<cell_number> cell_owner::data::earlierBorrower(const std::string& id) const
 {
     if (const auto before = jobsLentUnanswered.find(id); before != jobsLentUnanswered.end())
@@ -113,6 +121,9 @@
         need = std::max(need, step.need.cpuMillis * step.taskCount);
     if (job.offset != newestOffset || !lentJobsQueryCompleted || need <= idleCpu(job.accepted.service, now))
         return false;
+    // Runs of an earlier submission may not have stopped yet, and the other cell does not know them.
+    if (hasRunsOf(job.accepted.work.id))
+        return false;
     const auto cell = neighbors->reserveCapacity(job.accepted.service, need);
     if (!cell)
         return false;
