cells: Count the lease of an earlier owner for the runs that a worker lists

Callers could see: a task runs twice at the same time after a change of the owner, when its worker leaves the list right after it has answered the new owner, and is alive.

Cause: `leasesEnded` counted the leases that this term granted. A run that the first poll lists may hold a lease that the earlier owner renewed a moment before; until the next poll was sent, 25 ms later, its session had no lease at all. A worker that was deregistered in between counted as gone once a poll had failed, its run as ended.

Fix: a run that this owner has not started counts as holding a lease of full length from the reading of the worker's clock in the answer that lists it. The earlier owner cannot grant a later one, because the poll has fenced it.

The test failed before: "a.0 has two concurrent runs".

--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -285,6 +285,7 @@
         added.longRunning = job->accepted.work.steps[listed.task.step].longRunning;
     }
     session.addRun(listed.task, added);
+    session.noteEarlierLease(settings.maxLease);
     const bool shouldAdopt = known && !job->ended && job->task(listed.task).phase == task_phase::waiting;
     logOrder("unknown run found on worker", listed.task, listed.attempt, id,
         shouldAdopt          ? "adopted"
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -1,6 +1,7 @@
 /// State that the owner of a cell keeps for one worker.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -74,6 +75,9 @@
     /// granted. Never returns an earlier end than before. Returns 0 while the worker's clock is not known.
     worker_time extendLease(std::chrono::milliseconds maxLease, time_point now);
 
+    /// Records that an earlier owner may have granted a lease of length `maxLease` until the last reading of the worker's clock.
+    void noteEarlierLease(std::chrono::milliseconds maxLease) { m_leaseEnd = std::max(m_leaseEnd, m_clock + maxLease); }
+
     /// Returns the earliest time by which every granted lease has certainly ended on the worker's clock.
     time_point leasesEnded(time_point now) const;
 
--- a/tests/cells/other_owners_test.cpp
+++ b/tests/cells/other_owners_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "tests/fakes/fleet_checks.h"
+#include "tests/fakes/single_owner.h"
 
 using namespace coriandermount;
 using namespace coriandermount::fakes;
@@ -39,6 +40,69 @@
     std::string home;
 };
 
+constexpr std::uint64_t epoch = 2;
+
+/// Two workers, of which the first runs a task that an earlier owner has started.
+struct run_of_an_earlier_owner : single_owner {
+    run_of_an_earlier_owner()
+    {
+        workers.add(first.value, "0", 16000);
+        workers.add("worker-2", "0", 16000);
+        workers.start(first, earlierOrder, [](const auto&) {});
+        loop.runFor(5ms);
+        owner.takeOver({ epoch, false });
+        owner.setWorkers(workers.registrations("0"));
+    }
+
+    /// Renews the lease on behalf of the earlier owner, as long as the worker has not seen the token of the new one.
+    void renewLease()
+    {
+        const auto workerClock = std::chrono::duration_cast<cells::worker_time>(loop.now() - startedAt);
+        workers.poll(first, { epoch - 1, 0, workerClock + leaseLength, true, 0ms }, [](const auto&) {});
+    }
+
+    void resubmit()
+    {
+        auto resubmitted = request(epoch, "a", 1, 6s);
+        resubmitted.mayHaveStarted = true;
+        resubmitted.timeLeft = 20s;
+        run(resubmitted);
+    }
+
+    void expectNoConcurrentRuns() const
+    {
+        for (const auto& violation : workers.violations())
+            BOOST_ERROR(violation);
+    }
+
+    static constexpr std::chrono::milliseconds leaseLength { 1000 };
+    const worker_id first { "worker-1" };
+    const time_point startedAt = loop.now();
+    const cells::start_order earlierOrder { { "a", 0, 0, 0 }, 1, "6000", leaseLength, epoch - 1, {} };
+};
+
+/// The new owner reaches the first worker once only; the worker is removed right after that.
+struct worker_that_answers_once : run_of_an_earlier_owner {
+    void poll(
+        const cells::worker_registration& worker, const cells::poll_order& order, completion<cells::poll_answer> done) override
+    {
+        constexpr auto pollTimeout = 300ms;
+        if (worker.id != first) {
+            workers.poll(worker.id, order, done);
+        } else if (!reachable) {
+            loop.after(pollTimeout, [done] { done(tl::unexpected(cells::order_failure::no_answer)); });
+        } else {
+            reachable = false;
+            workers.poll(worker.id, order, [this, done](const auto& answer) {
+                done(answer);
+                loop.after(1ms, [this] { owner.removeWorker(first); });
+            });
+        }
+    }
+
+    bool reachable = false;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(other_owners)
@@ -55,4 +119,23 @@
     expectNoViolation(fleet);
 }
 
+// Guards against a second start: the lease that the earlier owner had granted did not count, so that the run was taken as ended
+// as soon as its worker had left the list.
+BOOST_FIXTURE_TEST_CASE(an_adopted_run_may_hold_a_lease_of_the_earlier_owner, worker_that_answers_once)
+{
+    constexpr int renewals = 15;
+    for (int number = 0; number < renewals; ++number) {
+        renewLease();
+        if (number == 1)
+            resubmit();
+        runFor(100ms);
+    }
+    renewLease();
+    reachable = true;
+    runFor(15s);
+    expectNoConcurrentRuns();
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0] == jobs::job_state::completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
