cells: Keep an adopted run when its worker restarts

Callers could see: a task runs twice at the same time after a change of the owner and a restart of the worker that ran it.

Cause: when a worker restarts, a listed run counts as ended with the boot unless its start order was sent more than once, because another try may reach the next boot. The number of tries is that of this owner. For a run that the owner has adopted it is 0, although the earlier owner may have sent the order up to three times; a late try of it starts the task in the next boot, which has not seen the token of the new owner yet.

Fix: only a run of which this owner has sent exactly one order ends with the boot. An adopted one is carried over and stopped by attempt in the new boot, as the other uncertain runs are; the answer to that stop, which carries the new token, rules out later tries. The task waits for one stop and one poll more, and as long as the new boot does not answer and stays registered.

The test failed before: "a.0 has two concurrent runs".

--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -49,8 +49,9 @@
 {
     std::map<task_key, worker_run> ended;
     for (const auto& [key, current] : earlier.m_runs) {
-        // A listed run shows that one try of its order arrived; the others may still arrive.
-        if (current.listed && current.tries <= 1) {
+        // A listed run shows that one try of its order arrived; the others may still arrive. How often an earlier owner sent the
+        // order of an adopted run is not known.
+        if (current.listed && current.tries == 1) {
             ended.emplace(key, current);
             continue;
         }
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -81,8 +81,8 @@
     /// Returns the earliest time by which every granted lease has certainly ended on the worker's clock.
     time_point leasesEnded(time_point now) const;
 
-    /// Takes over the runs of the previous boot of which a start order may reach this boot: those that no poll has listed, and
-    /// those whose order was sent more than once.
+    /// Takes over the runs of the previous boot of which a start order may reach this boot: those that no poll has listed, those
+    /// whose order was sent more than once, and those that an earlier owner has started.
     /// Returns the other runs, which ended with the previous boot.
     std::map<task_key, worker_run> inheritUncertainRuns(
         const worker_session& earlier, std::chrono::milliseconds maxLease, time_point now);
--- a/tests/cells/other_owners_test.cpp
+++ b/tests/cells/other_owners_test.cpp
@@ -138,4 +138,23 @@
     BOOST_TEST((answers[0] == jobs::job_state::completed));
 }
 
+// Guards against a second start: a run that the owner had adopted was taken as ended with its worker's boot, although the earlier
+// owner may have sent the start order more than once.
+BOOST_FIXTURE_TEST_CASE(an_adopted_run_may_be_started_again_by_a_late_try_of_the_earlier_owner, run_of_an_earlier_owner)
+{
+    runFor(100ms);
+    resubmit();
+    runFor(4s);
+    // A pending poll, which carries the token of the new owner, reaches the next boot only after the late order.
+    loop.runFor(2ms);
+    auto registration = workers.restart(first.value);
+    registration.draining = true;
+    owner.updateWorker(registration);
+    workers.start(first, earlierOrder, [](const auto&) {});
+    runFor(15s);
+    expectNoConcurrentRuns();
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0] == jobs::job_state::completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
