cells: Refuse jobs that a superseded owner lends to a new owner of the other cell

Callers could see: a job that was submitted again runs in two cells, when the home cell and the cell that it lends to change their owners one after the other.

Cause: an owner that is asked by the owner of another cell for its lent jobs refuses requests of that cell's earlier terms from then on. It kept the epoch in memory for its own term: its successor did not know it, and accepted a job from the earlier home owner, which did not know yet that it was superseded, while the next home owner had been told that no such job runs here.

Fix: the epoch that the heartbeats have named for the home cell counts as well. Heartbeats name the owner of a cell and are relayed between VMs. A successor that none from the newer owner has reached still accepts the job.

The test failed before: "critical check !answers[0] has failed" (the job was run).

--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -29,8 +29,10 @@
         return false;
     if (!request.lentBy)
         return true;
+    // An earlier owner of this cell may have been queried by a newer owner of the home cell.
+    const auto announced = neighbors ? neighbors->announcedEpoch(request.lentBy->cell) : 0;
     const auto known = lenderEpochs.find(request.lentBy->cell);
-    return known == lenderEpochs.end() || request.lentBy->epoch >= known->second;
+    return request.lentBy->epoch >= std::max(announced, known == lenderEpochs.end() ? 0 : known->second);
 }
 
 void cell_owner::data::run(jobs::run_request request, job_completion done)
--- a/cells/neighbor_cells.h
+++ b/cells/neighbor_cells.h
@@ -32,6 +32,9 @@
     /// `complete` is true if every cell has an owner that answered and that knows all its running jobs.
     virtual void queryLentJobs(std::uint64_t epoch, std::function<void(const lent_jobs& lent, bool complete)> done) = 0;
 
+    /// Returns the highest epoch that an owner of another cell has announced; 0 if none has.
+    virtual std::uint64_t announcedEpoch(cell_number cell) const = 0;
+
     /// Discards the lent jobs without an answer: the ownership term of this cell has ended, and its next owner queries them.
     virtual void forgetLentJobs() = 0;
 };
--- a/cells/vm_directory.cpp
+++ b/cells/vm_directory.cpp
@@ -254,6 +254,13 @@
         found->second.heartbeatAt };
 }
 
+std::uint64_t vm_directory::highestEpoch(cell_number cell) const
+{
+    const std::scoped_lock lock(m_data->mutex);
+    const auto found = m_data->owners.find(cell);
+    return found == m_data->owners.end() ? 0 : found->second.epoch;
+}
+
 std::string vm_directory::address(const vm_id& vm) const
 {
     const std::scoped_lock lock(m_data->mutex);
--- a/cells/vm_directory.h
+++ b/cells/vm_directory.h
@@ -62,6 +62,9 @@
     /// Returns the owner of a cell; empty if no recent heartbeat names one or if it is not registered.
     std::optional<reported_owner> owner(cell_number cell) const;
 
+    /// Returns the highest epoch that heartbeats have named for a cell, also if they are not recent; 0 if none has.
+    std::uint64_t highestEpoch(cell_number cell) const;
+
     /// Returns the address of a VM; empty if it is not registered.
     std::string address(const vm_id& vm) const;
 
--- a/tests/cells/other_owners_test.cpp
+++ b/tests/cells/other_owners_test.cpp
@@ -103,6 +103,40 @@
     bool reachable = false;
 };
 
+/// Other cells without free capacity, whose owners have announced their epochs.
+struct announced_epochs : cells::neighbor_cells {
+    std::optional<cells::cell_number> reserveCapacity(const service_id&, std::int64_t) override { return std::nullopt; }
+    void run(cells::cell_number, jobs::run_request, cells::job_completion) override { }
+    void queryLentJobs(std::uint64_t, std::function<void(const cells::lent_jobs&, bool)> done) override { done({}, true); }
+    void forgetLentJobs() override { }
+    std::uint64_t announcedEpoch(cells::cell_number cell) const override { return epochs.at(cell); }
+
+    std::map<cells::cell_number, std::uint64_t> epochs;
+};
+
+/// Owner that has not been asked for lent jobs since its takeover.
+struct next_owner_of_a_borrowing_cell : single_owner {
+    next_owner_of_a_borrowing_cell()
+    {
+        workers.add("worker", "0", 16000);
+        owner.setNeighbors(neighbors);
+        owner.takeOver({ epoch, false });
+        owner.setWorkers(workers.registrations("0"));
+        runFor(4s);
+    }
+
+    void runLent(jobs::lender home)
+    {
+        auto lent = request(epoch, "a", 1, 100ms);
+        lent.lentBy = home;
+        run(lent);
+        runFor(1s);
+        BOOST_REQUIRE(answers.size() == 1);
+    }
+
+    announced_epochs neighbors;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(other_owners)
@@ -157,4 +191,22 @@
     BOOST_TEST((answers[0] == jobs::job_state::completed));
 }
 
+// Guards against a second start: the next owner of the borrowing cell did not know that the lender had been superseded, since
+// only its predecessor had been asked for the lent jobs.
+BOOST_FIXTURE_TEST_CASE(a_job_lent_by_a_superseded_owner_is_refused, next_owner_of_a_borrowing_cell)
+{
+    neighbors.epochs = { { 1, 7 } };
+    runLent({ 1, 6 });
+    BOOST_REQUIRE(!answers[0]);
+    BOOST_TEST((answers[0].error().kind == error_kind::claim_unavailable));
+    BOOST_TEST(workers.runs().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_job_lent_by_the_newest_owner_is_run, next_owner_of_a_borrowing_cell)
+{
+    neighbors.epochs = { { 1, 7 } };
+    runLent({ 1, 7 });
+    BOOST_TEST((answers[0] == jobs::job_state::completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
