cells: Show that a lent job may run twice when the owners of both cells are lost

Callers could see: a task runs twice at the same time, in two failure domains.

Cause: the VM that owns the home cell and serves the caller is lost while another cell runs the job. The caller submits the job again through another VM after 1.3 s; the request looks new, because that VM does not know the first one. The next home owner starts a new job as soon as its first query for lent jobs has ended, even if a cell did not report: it is cut off, has no owner, or has a new one that does not know all runs of its cell yet. Only jobs that are known to be resubmitted wait for the reports of all cells. For runs of the own cell the wait of 1.3 s is long enough, because their leases end after 1.02 s; a lent run is renewed by the owner of the other cell for as long as it likes, and by its successor for 0.8 s more.

Not fixed: letting all new jobs wait for the reports would stop the cell for as long as another one is cut off. A lent job needs a lease of its own: the other cell stops it when the home owner that lent it has not renewed it in time, and the next home owner lets new jobs wait for that time, or for the reports of all cells.

--- a/tests/cells/other_owners_test.cpp
+++ b/tests/cells/other_owners_test.cpp
@@ -137,6 +137,24 @@
     announced_epochs neighbors;
 };
 
+/// Two cells, the first of which has lent a job to the second. The owners of both are lost at the same time.
+struct lent_job_whose_owners_are_lost {
+    lent_job_whose_owners_are_lost()
+    {
+        fleet.runFor(2s);
+        const std::string home = fleet.owner(0);
+        fleet.run(home, "long", 6, 900ms);
+        fleet.runFor(300ms);
+        fleet.run(home, "lent", 2, 5s);
+        fleet.runFor(200ms);
+        BOOST_REQUIRE(fleet.counterValues(home).lentJobs == 1);
+        fleet.kill(home);
+        fleet.kill(fleet.owner(1));
+    }
+
+    cell_fleet fleet { 2, 3, 3 };
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(other_owners)
@@ -209,4 +227,14 @@
     BOOST_TEST((answers[0] == jobs::job_state::completed));
 }
 
+// Guards against a second start: a caller that submits a job again to another VM does not say so, and the next owner of the home
+// cell started the job before the borrowing cell had reported its runs.
+BOOST_FIXTURE_TEST_CASE(a_lent_job_may_still_run_when_its_caller_resubmits_it, lent_job_whose_owners_are_lost)
+{
+    fleet.runFor(resubmissionDelay);
+    fleet.run(fleet.owner(0), "lent", 2, 5s);
+    fleet.runFor(10s);
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
