--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -29,8 +29,10 @@
         return false;
     if (!request.lentBy)
         return true;
+    // An earlier owner of this cell may have been queried by a newer owner of the home cell.
+    const auto announced = neighbors ? neighbors->announcedEpoch(request.lentBy->cell) : 0;
     const auto known = lenderEpochs.find(request.lentBy->cell);
-    return known == lenderEpochs.end() || request.lentBy->epoch >= known->second;
+    return request.lentBy->epoch >= std::max(announced, known == lenderEpochs.end() ? 0 : known->second);
 }
 
 void cell_owner::data::run(jobs::run_request request, job_completion done)
@@ -91,6 +93,16 @@
     return idle;
 }
 
+bool cell_owner::data::hasRunsOf(const std::string& jobId) const
+{
+    const bool lost = std::any_of(
+        unverifiedLosses.begin(), unverifiedLosses.end(), [&jobId](const lost_run& run) { return run.task.jobId == jobId; });
+    return lost || std::any_of(sessions.begin(), sessions.end(), [&jobId](const auto& entry) {
+        const auto& runs = entry.second.runs();
+        return std::any_of(runs.begin(), runs.end(), [&jobId](const auto& run) { return run.first.jobId == jobId; });
+    });
+}
+
 std::optional<cell_number> cell_owner::data::earlierBorrower(const std::string& id) const
 {
     if (const auto before = jobsLentUnanswered.find(id); before != jobsLentUnanswered.end())
@@ -113,6 +125,9 @@
         need = std::max(need, step.need.cpuMillis * step.taskCount);
     if (job.offset != newestOffset || !lentJobsQueryCompleted || need <= idleCpu(job.accepted.service, now))
         return false;
+    // Runs of an earlier submission may not have stopped yet, and the other cell does not know them.
+    if (hasRunsOf(job.accepted.work.id))
+        return false;
     const auto cell = neighbors->reserveCapacity(job.accepted.service, need);
     if (!cell)
         return false;
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -298,6 +298,7 @@
         added.longRunning = job->accepted.work.steps[listed.task.step].longRunning;
     }
     session.addRun(listed.task, added);
+    session.noteEarlierLease(settings.maxLease);
     std::erase_if(unverifiedLosses,
         [&](const lost_run& lost) { return lost.task == listed.task && lost.worker == id && lost.attempt == listed.attempt; });
     const bool shouldAdopt = known && !job->ended && mayAdopt(job->task(listed.task), listed, id);
