cells: Give up jobs whose tasks crash the workers that start them

Callers saw: a task that crashes its worker was started again about every 1.2 s, on worker after worker, for as long as its job was open.

Cause: a run that is lost with its worker is requeued, and neither the task nor the stored progress of its job counts the loss.

An owner now counts, for each task, the workers that crashed while they ran it or may have run it. A silent worker has crashed if a later boot is registered under its id or at its address, and has not if it answers in the same boot; after 10 s without either it counts as a possible crash. A job with such a task starts its tasks only on a worker that is reserved for it, beside no young run of another job. So the next crash tells whether the job is the cause, and a task that merely ran beside a deadly one ends and is cleared. The job fails after two crashes (three if a worker had not confirmed the run) when only it can be the cause of the last one, and after four in any case; the platform breaks off at the sixth start. The counts are stored with the progress of the job, in a field that older records lack. Suspected jobs hold at most one in four workers of a service and do not block the queue.

Weighed against this: giving up after any two losses (fails harmless neighbours and tasks on cut-off workers), and a record of each start (a store call for each task).

Not shown: an owner that dies between a start and the loss leaves no count of that start.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -50,6 +50,7 @@
     failWaiters("the ownership term ended before the job");
     endedUnstoredJobs.clear();
     orphanedEnds.clear();
+    suspicion.clear();
     jobsLentEarlier.clear();
     jobsLentUnanswered.clear();
     lentJobsQueryCompleted = false;
@@ -138,6 +139,7 @@
     if (!givesOrders())
         return;
     pollWorkers(now);
+    checkSuspicions(now);
     schedule(now);
     checkUnstoredJobs(now);
     if (lentJobsQueryCompleted && !lentJobsComplete && now >= nextLentJobsQuery)
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -86,6 +86,10 @@
     std::uint64_t completedJobs = 0;
     std::uint64_t failedJobs = 0;
     std::uint64_t cancelledJobs = 0;
+    /// Crashes of workers, counted for each task that may have caused them.
+    std::uint64_t workerCrashes = 0;
+    /// Jobs that failed because a task of theirs crashes the workers that start it.
+    std::uint64_t jobsGivenUp = 0;
     /// Runs that ended without a reported end, indexed by `run_end_proof`.
     std::array<std::uint64_t, runEndProofCount> lostRuns {};
     /// Start orders that failed, indexed by `order_failure`.
--- /dev/null
+++ b/cells/cell_owner_crashes.cpp
@@ -0,0 +1,156 @@
+#include "cells/cell_owner_data.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace coriandermount::cells {
+
+namespace {
+
+    /// One in this number of the workers of a service may be reserved for suspected jobs; at least one is.
+    constexpr std::size_t workersPerReservation = 4;
+
+} // namespace
+
+std::vector<exposed_run> cell_owner::data::exposedRuns(const worker_session& session)
+{
+    std::vector<exposed_run> exposed;
+    for (const auto& [key, current] : session.runs())
+        exposed.push_back({ key, current.confirmedAt.has_value(), session.isEstablished(current) });
+    return exposed;
+}
+
+void cell_owner::data::noteSilence(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now)
+{
+    // A draining worker leaves as announced.
+    const worker_registration& worker = session.registration();
+    if (worker.draining)
+        return;
+    suspicion.noteSilence(worker, dropped, now);
+    for (const auto& run : dropped) {
+        if (open_job* job = jobTable.find(run.task.jobId))
+            job->dirty = true;
+    }
+}
+
+void cell_owner::data::reportCrashes(const worker_id& worker, const std::vector<task_key>& tasks)
+{
+    for (const auto& key : tasks) {
+        ++counters.workerCrashes;
+        writeLog(log_level::warning, "cell", "worker crashed under a task",
+            { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
+                { "worker", worker.value }, { "crashes", fmt::to_string(suspicion.crashesUnder(key)) },
+                { "outcome", suspicion.isToBlame(key) ? "to_blame" : "suspected" } });
+        open_job* job = jobTable.find(key.jobId);
+        if (!job || job->ended || !job->contains(key))
+            continue;
+        job->dirty = true;
+        if (suspicion.isToBlame(key))
+            giveUp(*job, key);
+    }
+}
+
+void cell_owner::data::giveUp(open_job& job, const task_key& key)
+{
+    ++counters.jobsGivenUp;
+    writeLog(log_level::warning, "cell", "job given up",
+        { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
+            { "crashes", fmt::to_string(suspicion.crashesUnder(key)) },
+            { "reason", "the task crashes the workers that start it" } });
+    endJob(job, jobs::job_state::failed);
+}
+
+bool cell_owner::data::scheduleRestricted(open_job& job, std::uint32_t step, time_point now)
+{
+    const std::string& id = job.accepted.work.id;
+    auto& waiting = job.steps[step].waiting;
+    std::vector<std::uint32_t> startable;
+    for (const std::uint32_t index : waiting) {
+        const task_key key { id, 0, step, index };
+        if (suspicion.isToBlame(key)) {
+            giveUp(job, key);
+            return false;
+        }
+        if (!suspicion.awaitsVerdict(key) && !runsOnAnyWorker(key))
+            startable.push_back(index);
+    }
+    if (startable.empty()) {
+        // Nothing can start until it is known whether the last workers have crashed.
+        for (auto& [worker, session] : sessions) {
+            if (session.reservedFor == id && session.runsOfJob(id) == 0)
+                session.reservedFor.clear();
+        }
+        return false;
+    }
+    worker_session* session = reserveWorker(job, step, now);
+    if (!session || !session->onlyEstablishedBeside(id))
+        return false;
+    const jobs::step& stepDefinition = job.accepted.work.steps[step];
+    for (auto index = startable.rbegin(); index != startable.rend(); ++index) {
+        const bool tooMany = stepDefinition.maxPerWorker > 0 && session->runsOfStep(id, step) >= stepDefinition.maxPerWorker;
+        if (tooMany || !stepDefinition.need.fitsInto(session->free()))
+            break;
+        std::erase(waiting, *index);
+        start(job, { id, 0, step, *index }, *session, now);
+    }
+    return waiting.empty();
+}
+
+worker_session* cell_owner::data::reserveWorker(const open_job& job, std::uint32_t step, time_point now)
+{
+    const std::string& id = job.accepted.work.id;
+    const jobs::step& stepDefinition = job.accepted.work.steps[step];
+    worker_session* best = nullptr;
+    worker_session* reserved = nullptr;
+    std::size_t workers = 0;
+    std::size_t reservations = 0;
+    const auto readiness = [&](const worker_session& session) {
+        const bool ready = session.onlyEstablishedBeside(id) && stepDefinition.need.fitsInto(session.free());
+        return std::tuple(ready, session.reservedFor == id, session.free().cpuMillis);
+    };
+    for (auto& [worker, session] : sessions) {
+        const auto& registration = session.registration();
+        if (registration.service != job.accepted.service)
+            continue;
+        ++workers;
+        if (session.reservedFor == id)
+            reserved = &session;
+        else if (!session.reservedFor.empty()) {
+            ++reservations;
+            continue;
+        }
+        if (!session.isHealthy(now) || !stepDefinition.need.fitsInto(registration.capacity)
+            || (!stepDefinition.requiredLabel.empty() && !session.hasLabel(stepDefinition.requiredLabel)))
+            continue;
+        if (!best || readiness(session) > readiness(*best))
+            best = &session;
+    }
+    // While a suspected task runs on the reserved worker, the other tasks of the job run nowhere else.
+    if (reserved && reserved->runsOfJob(id) > 0)
+        return reserved->isHealthy(now) ? reserved : nullptr;
+    if (!best || reservations >= std::max<std::size_t>(workers / workersPerReservation, 1))
+        return nullptr;
+    if (reserved)
+        reserved->reservedFor.clear();
+    best->reservedFor = id;
+    return best;
+}
+
+void cell_owner::data::checkSuspicions(time_point now)
+{
+    if (suspicion.empty())
+        return;
+    reportCrashes({}, suspicion.expire(now));
+    for (auto& [worker, session] : sessions) {
+        if (session.reservedFor.empty())
+            continue;
+        const open_job* job = jobTable.find(session.reservedFor);
+        const bool needed = job && !job->ended && suspicion.isRestricted(session.reservedFor)
+            && (session.runsOfJob(session.reservedFor) > 0 || job->readyTasks() > 0);
+        if (!needed)
+            session.reservedFor.clear();
+    }
+}
+
+} // namespace coriandermount::cells
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -8,6 +8,7 @@
 
 #include "cells/cell_job_table.h"
 #include "cells/cell_owner.h"
+#include "cells/crash_suspicion.h"
 #include "cells/neighbor_cells.h"
 #include "cells/worker_session.h"
 #include "core/log.h"
@@ -117,6 +118,7 @@
     /// Tasks that completed before their unstored job was resubmitted to the new owner, by job.
     std::map<std::string, std::vector<task_key>> orphanedEnds;
 
+    crash_suspicion suspicion;
     cell_counters counters;
 
     data(jobs::record_store& target, worker_link& orders, const clock_source& time, jobs::record_stream source,
@@ -223,6 +225,21 @@
     bool recordsAreCurrent(time_point now) const;
     cell_load currentLoad() const;
 
+    // Jobs that crash workers: cell_owner_crashes.cpp.
+    /// Returns the runs that a worker may be executing.
+    static std::vector<exposed_run> exposedRuns(const worker_session& session);
+    /// Records that a worker has stopped answering while it may have executed the given runs.
+    void noteSilence(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now);
+    /// Logs and counts a crash of a worker under the given tasks, and gives up the jobs that are to blame.
+    void reportCrashes(const worker_id& worker, const std::vector<task_key>& tasks);
+    void giveUp(open_job& job, const task_key& key);
+    /// Starts waiting tasks of a suspected job on the worker that is reserved for it; returns whether all of them were started.
+    bool scheduleRestricted(open_job& job, std::uint32_t step, time_point now);
+    /// Reserves the best worker for a suspected job; returns null if there is none.
+    worker_session* reserveWorker(const open_job& job, std::uint32_t step, time_point now);
+    /// Ends reservations that are not needed any more, and forgets suspicions that have expired.
+    void checkSuspicions(time_point now);
+
     // Start and stop orders: cell_owner_orders.cpp.
     void start(open_job& job, const task_key& key, worker_session& session, time_point now);
     void sendStart(open_job& job, const task_key& key, worker_session& session, time_point now);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -71,6 +71,7 @@
     if (task.phase == task_phase::placed && task.runsOn != by && elsewhere != sessions.end())
         stopRun(elsewhere->second, key, clock.now());
     task.phase = task_phase::done;
+    suspicion.noteDone(key);
     job.dirty = true;
     job.started = true;
     if (++step.done < step.tasks.size())
@@ -106,6 +107,9 @@
     const auto now = clock.now();
     job.ended = state;
     readyJobs.erase(rankOf(job));
+    // An unstored job may be submitted again after it was given up.
+    if (state == jobs::job_state::completed || !job.accepted.work.answeredAtEnd)
+        suspicion.forget(job.accepted.work.id);
     counters.completedJobs += state == jobs::job_state::completed ? 1 : 0;
     counters.failedJobs += state == jobs::job_state::failed ? 1 : 0;
     counters.cancelledJobs += state == jobs::job_state::cancelled ? 1 : 0;
@@ -179,7 +183,13 @@
                 continue;
             }
             const bool placedAll = scheduleJob(*job, now);
-            blocked += placedAll ? 0 : 1;
+            // The job may have ended, which removes its entry, because it crashes workers.
+            if (job->ended) {
+                entry = readyJobs.upper_bound(rankOf(*job));
+                continue;
+            }
+            // A suspected job waits for a worker of its own and does not delay others.
+            blocked += placedAll || suspicion.isRestricted(job->accepted.work.id) ? 0 : 1;
             entry = placedAll ? readyJobs.erase(entry) : std::next(entry);
         }
     }
@@ -195,7 +205,11 @@
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
         if (job.steps[step].waiting.empty() || !job.stepIsReady(step))
             continue;
-        if (!(job.accepted.work.steps[step].gang ? scheduleGang(job, step, now) : scheduleStep(job, step, now)))
+        const bool gang = job.accepted.work.steps[step].gang;
+        const bool restricted = !gang && suspicion.isRestricted(job.accepted.work.id);
+        if (!(gang               ? scheduleGang(job, step, now)
+                    : restricted ? scheduleRestricted(job, step, now)
+                                 : scheduleStep(job, step, now)))
             return false;
     }
     return true;
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -27,15 +27,17 @@
         }
     }
 
-    std::vector<jobs::task_outcome> outcomesOf(const open_job& job)
+    std::vector<jobs::task_outcome> outcomesOf(const open_job& job, const crash_suspicion& suspicion)
     {
         std::vector<jobs::task_outcome> outcomes;
         for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
             const auto& tasks = job.steps[step].tasks;
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                 const bool done = tasks[index].phase == task_phase::done;
-                if (done || !tasks[index].failedAttempts.empty())
-                    outcomes.push_back({ step, index, done, tasks[index].failedAttempts });
+                const auto crashes = suspicion.empty() ? jobs::crash_counts {}
+                                                       : suspicion.storedCounts({ job.accepted.work.id, 0, step, index });
+                if (done || !tasks[index].failedAttempts.empty() || crashes != jobs::crash_counts {})
+                    outcomes.push_back({ step, index, done, tasks[index].failedAttempts, crashes });
             }
         }
         return outcomes;
@@ -171,6 +173,8 @@
             continue;
         task_state& task = job->task(key);
         task.failedAttempts = outcome.failedAttempts;
+        if (!outcome.done)
+            suspicion.restore(key, outcome.crashes, clock.now());
         if (!outcome.done || task.phase == task_phase::done)
             continue;
         task.phase = task_phase::done;
@@ -226,7 +230,7 @@
             writeFinishedJob(id, job, request);
             continue;
         }
-        request.records.push_back({ jobs::progressKey(id), jobs::encodeProgress(outcomesOf(job)), 0 });
+        request.records.push_back({ jobs::progressKey(id), jobs::encodeProgress(outcomesOf(job, suspicion)), 0 });
         job.hasProgress = true;
         job.dirty = false;
     }
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -101,7 +101,7 @@
 
 bool cell_owner::data::lend(open_job& job, time_point now)
 {
-    if (!neighbors || job.lentBy || job.started || job.ended)
+    if (!neighbors || job.lentBy || job.started || job.ended || suspicion.isRestricted(job.accepted.work.id))
         return false;
     if (const auto cell = earlierBorrower(job.accepted.work.id)) {
         job.offset = 0;
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -22,6 +22,7 @@
 {
     const auto found = sessions.find(registration.id);
     if (found == sessions.end()) {
+        reportCrashes(registration.id, suspicion.noteBoot(registration, now));
         const worker_id id = registration.id;
         sessions.emplace(id, worker_session(std::move(registration), now));
         return;
@@ -35,12 +36,16 @@
         return;
     }
     writeLog(log_level::info, "cell", "worker restarted", { { "worker", registration.id.value } });
+    const worker_registration before = session.registration();
+    const bool crashed = registration.bootTime > before.bootTime && !before.draining;
+    const auto exposed = crashed ? exposedRuns(session) : std::vector<exposed_run>();
     worker_session next(std::move(registration), now);
     next.pollInFlight = session.pollInFlight;
     const auto ended = next.inheritUncertainRuns(session, settings.maxLease, now);
     session = std::move(next);
     for (const auto& [key, current] : ended)
         requeueLostRun(session, key, current, run_end_proof::worker_restarted);
+    reportCrashes(before.id, suspicion.noteRestart(before.id, before.bootTime, exposed, now));
 }
 
 void cell_owner::data::removeWorker(const worker_id& id)
@@ -55,10 +60,14 @@
 void cell_owner::data::dropRuns(worker_session& session, time_point startableAtMost, run_end_proof proof)
 {
     std::vector<task_key> dropped;
+    std::vector<exposed_run> exposed;
     for (const auto& [key, current] : session.runs()) {
-        if (current.startableUntil <= startableAtMost)
-            dropped.push_back(key);
+        if (current.startableUntil > startableAtMost)
+            continue;
+        dropped.push_back(key);
+        exposed.push_back({ key, current.confirmedAt.has_value(), session.isEstablished(current) });
     }
+    noteSilence(session, exposed, clock.now());
     for (const auto& key : dropped)
         requeueLostRun(session, key, session.removeRun(key).value(), proof);
 }
@@ -168,6 +177,7 @@
     session.failedPolls = 0;
     session.listed = true;
     session.noteClock(answer.clock, now);
+    suspicion.noteAnswer(session.registration().id, session.registration().bootTime);
     session.acknowledgedEnd = std::max(session.acknowledgedEnd, session.acknowledging);
     const std::uint64_t before = session.lastEnd;
     for (const auto& ended : answer.ended) {
@@ -255,6 +265,8 @@
         return;
     }
     current->state = run_state::running;
+    if (session.isEstablished(*current))
+        suspicion.noteEstablished(listed.task);
     if (current->orphaned && now > takenOverAt + resubmissionLimit) {
         stopRun(session, listed.task, now);
         return;
@@ -302,6 +314,8 @@
     task.runsOn = id;
     task.attempt = std::max(task.attempt, listed.attempt);
     job->started = true;
+    if (suspicion.isRestricted(listed.task.jobId) && session.reservedFor.empty())
+        session.reservedFor = listed.task.jobId;
 }
 
 void cell_owner::data::dropUnlistedRuns(worker_session& session, time_point sentAt, const poll_answer& answer, time_point now)
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -75,6 +75,12 @@
 inline constexpr int maxStartTries = 3;
 /// Time after which a stop order is repeated; several times `cell_settings::stopGrace`.
 inline constexpr std::chrono::milliseconds stopRetryDelay { 200 };
+/// Time for which a run has to go on to be an unlikely cause of a later crash of its worker.
+inline constexpr std::chrono::milliseconds establishedTime { 1000 };
+/// How long a worker that has stopped answering may take to return and so to show whether it has crashed.
+inline constexpr std::chrono::milliseconds crashVerdictLimit { 10000 };
+/// How long the crashes under the tasks of a job are remembered after the last one.
+inline constexpr std::chrono::milliseconds suspicionRetention { 180000 };
 /// A run is stalled when it has made no progress for `stallTime` and has run for longer than `stallEstimates` times its
 /// estimate, scaled by the measured slowness of its worker.
 inline constexpr std::chrono::milliseconds stallTime { 500 };
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -117,7 +117,24 @@
 
 std::string worker_session::rack() const { return m_registration.labels.empty() ? std::string() : m_registration.labels.back(); }
 
-bool worker_session::acceptsStarts(time_point now) const
+std::uint32_t worker_session::runsOfJob(const std::string& jobId) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_runs.begin(), m_runs.end(), [&jobId](const auto& entry) { return entry.first.jobId == jobId; }));
+}
+
+bool worker_session::isEstablished(const worker_run& current) const
+{
+    return current.confirmedAt && m_clockAt && *m_clockAt - *current.confirmedAt >= establishedTime;
+}
+
+bool worker_session::onlyEstablishedBeside(const std::string& jobId) const
+{
+    return std::all_of(m_runs.begin(), m_runs.end(),
+        [&](const auto& entry) { return entry.first.jobId == jobId || isEstablished(entry.second); });
+}
+
+bool worker_session::isHealthy(time_point now) const
 {
     return listed && !deregistered && !m_registration.draining && failedPolls == 0 && now >= m_startsPausedUntil;
 }
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -96,12 +96,20 @@
     jobs::resources free() const;
     /// Returns the number of runs of one step on this worker.
     std::uint32_t runsOfStep(const std::string& jobId, std::uint32_t step) const;
+    /// Returns the number of runs of one job on this worker.
+    std::uint32_t runsOfJob(const std::string& jobId) const;
+    /// Returns whether the run had gone on for `establishedTime` when the worker last answered.
+    bool isEstablished(const worker_run& current) const;
+    /// Returns whether all runs of other jobs are established.
+    bool onlyEstablishedBeside(const std::string& jobId) const;
     bool hasLabel(const std::string& label) const;
     /// Returns the label of the rack, which is the worker's last label; empty if the worker has no labels.
     std::string rack() const;
 
-    /// Returns whether new tasks may be started on the worker at `now`.
-    bool acceptsStarts(time_point now) const;
+    /// Returns whether the worker can be expected to execute start orders at `now`.
+    bool isHealthy(time_point now) const;
+    /// Returns whether new tasks of any job may be started on the worker at `now`.
+    bool acceptsStarts(time_point now) const { return reservedFor.empty() && isHealthy(now); }
 
     /// Records the end of a run: consecutive failures lead to quarantine, and run times update `slowness`.
     void noteEnd(run_end_reason endReason, const worker_run& ended, time_point now);
@@ -130,6 +138,8 @@
     std::uint64_t acknowledging = 0;
     /// Whether the worker is no longer registered. Such a worker gets no new starts, and its lease is not extended.
     bool deregistered = false;
+    /// Job that is suspected of crashing workers and alone may start tasks here; empty if there is none.
+    std::string reservedFor;
 
 private:
     worker_registration m_registration;
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -137,8 +137,11 @@
 std::string encodeProgress(const std::vector<task_outcome>& outcomes)
 {
     json list = json::array();
-    for (const auto& current : outcomes)
+    for (const auto& current : outcomes) {
         list.push_back(json::array({ current.step, current.index, current.done, current.failedAttempts }));
+        if (current.crashes != crash_counts {})
+            list.back().push_back(json::array({ current.crashes.confirmed, current.crashes.possible, current.crashes.alone }));
+    }
     return pack(list);
 }
 
@@ -146,8 +149,12 @@
 {
     return unpack(value, [](const json& list) {
         std::vector<task_outcome> outcomes;
-        for (const auto& current : list)
+        for (const auto& current : list) {
             outcomes.push_back({ current.at(0), current.at(1), current.at(2), current.at(3).get<std::vector<std::uint64_t>>() });
+            // Records of earlier versions hold no crashes.
+            if (current.size() > 4)
+                outcomes.back().crashes = { current.at(4).at(0), current.at(4).at(1), current.at(4).at(2) };
+        }
         return outcomes;
     });
 }
--- a/jobs/record_codec.h
+++ b/jobs/record_codec.h
@@ -21,6 +21,18 @@
     wall_time acceptedAt;
 };
 
+/// Crashes of workers that had started one task.
+struct crash_counts {
+    /// Crashes of workers that had confirmed the run.
+    std::uint32_t confirmed = 0;
+    /// Crashes of workers that may have started the task.
+    std::uint32_t possible = 0;
+    /// Whether the last of these workers ran no task of another job that was as likely a cause.
+    bool alone = false;
+
+    friend auto operator<=>(const crash_counts&, const crash_counts&) = default;
+};
+
 /// Stored progress of one task.
 struct task_outcome {
     /// Index of the step in the job.
@@ -30,6 +42,7 @@
     bool done = false;
     /// Numbers of the attempts that failed.
     std::vector<std::uint64_t> failedAttempts;
+    crash_counts crashes;
 };
 
 /// Cell that lends jobs to another cell, in one ownership term.
--- a/tests/cells/crashing_tasks_test.cpp
+++ b/tests/cells/crashing_tasks_test.cpp
@@ -95,6 +95,36 @@
     expectNoViolation(fleet);
 }
 
+BOOST_AUTO_TEST_CASE(is_given_up_when_its_worker_returns_under_another_id_after_each_crash)
+{
+    // Guards against a crash that is not counted because the worker has a new id when it returns.
+    cell_fleet fleet(1, 2, 4);
+    fleet.runFor(2s);
+    fleet.workers.unregisterAfterCrash(1500ms);
+    fleet.workers.renameAfterCrash();
+    makeJobDeadly(fleet, "deadly", 1);
+    fleet.store(fleet.owner(0), "deadly", 1, 300ms);
+    fleet.runFor(10s);
+    BOOST_TEST((fleet.state(0, "deadly") == jobs::job_state::failed));
+    expectFewCrashes(fleet, "deadly", 1);
+    expectNoViolation(fleet);
+}
+
+BOOST_AUTO_TEST_CASE(is_given_up_when_its_workers_never_return)
+{
+    // Guards against crashes that are forgotten because the workers do not come back.
+    cell_fleet fleet(1, 2, 6);
+    fleet.runFor(2s);
+    fleet.workers.unregisterAfterCrash(1500ms);
+    fleet.workers.neverRestartAfterCrash();
+    makeJobDeadly(fleet, "deadly", 1);
+    fleet.store(fleet.owner(0), "deadly", 1, 300ms);
+    fleet.runFor(60s);
+    BOOST_TEST((fleet.state(0, "deadly") == jobs::job_state::failed));
+    expectFewCrashes(fleet, "deadly", 1);
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(is_given_up_when_it_crashes_workers_before_their_answer)
 {
     // Guards against a crash that is not counted because the start order was not answered.
--- a/tests/fakes/virtual_workers.cpp
+++ b/tests/fakes/virtual_workers.cpp
@@ -65,7 +65,16 @@
     current.down = true;
     current.crashedAt = m_loop.now();
     ++current.boot;
-    m_loop.after(crashDowntime, [this, id] { restart(id); });
+    if (m_restartsAfterCrash)
+        m_loop.after(crashDowntime, [this, id] { m_renamesAfterCrash ? replace(id) : (void)restart(id); });
+}
+
+void virtual_workers::replace(const std::string& id)
+{
+    const worker_registration before = m_workers.at(id).registration;
+    const std::string next = id + "'";
+    add(next, before.failureDomain.value, before.capacity.cpuMillis);
+    m_workers.at(next).registration.address = before.address;
 }
 
 std::size_t virtual_workers::crashesUnder(const task_key& task) const
--- a/tests/fakes/virtual_workers.h
+++ b/tests/fakes/virtual_workers.h
@@ -64,6 +64,10 @@
     void crash(const std::string& id);
     /// Sets the time after a crash from which on a worker is not registered until it has restarted; never by default.
     void unregisterAfterCrash(std::chrono::milliseconds silence) { m_silenceUntilUnregistered = silence; }
+    /// Sets whether a worker that has crashed returns under a new id, at the same address; not by default.
+    void renameAfterCrash() { m_renamesAfterCrash = true; }
+    /// Sets that workers that crash never return; not by default.
+    void neverRestartAfterCrash() { m_restartsAfterCrash = false; }
     /// Returns the workers of a failure domain that are not registered because they have crashed.
     std::vector<worker_id> unregistered(const std::string& domain) const;
     /// Makes a task crash every worker that starts it, `delay` after its start. Without a delay the worker does not answer.
@@ -142,6 +146,8 @@
     void checkLease(worker& current);
     void extendLease(worker& current, cells::worker_time until);
     void recordStart(worker& current, const cells::start_order& order);
+    /// Starts a worker under a new id at the address of a crashed one.
+    void replace(const std::string& id);
     /// Crashes the worker later if the task that it has started is deadly.
     void scheduleCrash(const worker& current, const cells::start_order& order);
 
@@ -149,6 +155,8 @@
     std::map<std::string, worker> m_workers;
     std::map<cells::task_key, std::chrono::milliseconds> m_deadlyTasks;
     std::optional<std::chrono::milliseconds> m_silenceUntilUnregistered;
+    bool m_renamesAfterCrash = false;
+    bool m_restartsAfterCrash = true;
     std::vector<recorded_run> m_runs;
     std::vector<std::string> m_violations;
 };
