cells: Assume no capacity for a worker boot that has not registered

A worker may return as another kind. An owner that learned of the new boot from the answer to a poll kept the capacity of the earlier boot until the new registration arrived, so it could start more on a worker without a guard than fits (LIMIT). Such a boot now has no capacity until its registration is read; its runs are adopted as before.

Found by reading. The test failed before: check running() == 0U has failed [1 != 0]. Two further tests, which passed before, show that a capacity that shrinks and grows while tasks run limits starts at once, also below what runs.

--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -148,6 +148,8 @@
     if (answer->bootTime > bootTime) {
         worker_registration next = session.registration();
         next.bootTime = answer->bootTime;
+        // A new boot may be smaller or of another kind; its registration shows that.
+        next.capacity = {};
         updateWorker(std::move(next), now);
         return;
     }
