cells: Report the end of a stored job only once it is durable

Cause: the owner showed a job as completed when its last task had ended, up to 50 ms before the record of that was stored. If the owner ends its term in that time, the next one learns the end from the worker, which lists it until it is acknowledged. A worker that crashes lists nothing.

A stored job is now shown as running until the record of its end is stored; callers that wait for the end are answered then. A cancelled job is shown at once, since its record comes first, and so is the end of a job that is not stored. A run may still be repeated when owner and worker crash together, but no caller has been told of its end.

The test failed before: check fleet.workers.runs().size() == 1U has failed [2 != 1].

--- a/cells/cell_job_table.cpp
+++ b/cells/cell_job_table.cpp
@@ -72,9 +72,11 @@
     const auto found = m_open.find(id);
     if (found == m_open.end())
         return std::nullopt;
-    if (found->second.ended)
-        return found->second.ended;
-    return found->second.started ? jobs::job_state::running : jobs::job_state::queued;
+    const open_job& job = found->second;
+    // Until its end is durable, a stored job may run again under a new owner. The record of a cancellation comes first.
+    if (job.ended && (job.accepted.work.answeredAtEnd || job.ended == jobs::job_state::cancelled))
+        return job.ended;
+    return job.started ? jobs::job_state::running : jobs::job_state::queued;
 }
 
 void cell_job_table::finish(const std::string& id, jobs::job_state state, time_point now)
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -123,7 +123,8 @@
     }
     if (job.lentTo && state == jobs::job_state::cancelled)
         jobsLentUnanswered.insert_or_assign(job.accepted.work.id, unanswered_job { *job.lentTo, now + unstoredRetention });
-    answerWatches(job.accepted.work.id, state);
+    if (const auto shown = jobTable.state(job.accepted.work.id); shown == state)
+        answerWatches(job.accepted.work.id, state);
     if (job.accepted.work.answeredAtEnd && !job.waiters.empty())
         answer(job, state);
     const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - job.arrivedAt);
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -317,8 +317,11 @@
     nextFlush = now + flushInterval;
     flush.reset();
     for (const auto& id : flushedJobs) {
-        if (const open_job* job = jobTable.find(id))
-            jobTable.finish(id, *job->ended, now);
+        const open_job* job = jobTable.find(id);
+        if (!job)
+            continue;
+        answerWatches(id, *job->ended);
+        jobTable.finish(id, *job->ended, now);
     }
     markEndsDurable();
 }
--- a/tests/cells/stored_jobs_test.cpp
+++ b/tests/cells/stored_jobs_test.cpp
@@ -112,6 +112,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(that_were_reported_as_completed_do_not_run_again_when_owner_and_worker_crash)
+{
+    // Guards against a second run: the end was reported before it was stored, and the worker that listed it crashed.
+    cell_fleet fleet(1, 2, 3);
+    fleet.runFor(2s);
+    fleet.store(cell_fleet::vmName(0, 0), "a", 1, 100ms);
+    for (auto waited = 0ms; waited < 1s && fleet.state(0, "a") != jobs::job_state::completed; waited += 1ms)
+        fleet.runFor(1ms);
+    BOOST_REQUIRE((fleet.state(0, "a") == jobs::job_state::completed));
+    fleet.workers.crash(fleet.workers.runs()[0].worker.value);
+    fleet.kill(fleet.owner(0));
+    fleet.runFor(8s);
+    BOOST_TEST((fleet.state(0, "a") == jobs::job_state::completed));
+    BOOST_TEST(fleet.workers.runs().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(that_may_be_stored_are_not_refused_by_a_stopping_vm)
 {
     // A stopping VM answered 503 for a job that had been stored, and the job ran afterwards.
