--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -51,6 +51,7 @@
     failWaiters("the ownership term ended before the job");
     endedUnstoredJobs.clear();
     orphanedEnds.clear();
+    suspicion.clear();
     jobsLentEarlier.clear();
     jobsLentUnanswered.clear();
     lentJobsQueryCompleted = false;
@@ -144,6 +145,7 @@
         return;
     pollWorkers(now);
     verifyOwnership(now);
+    checkSuspicions(now);
     schedule(now);
     checkUnstoredJobs(now);
     if (lentJobsQueryCompleted && !lentJobsComplete && now >= nextLentJobsQuery)
