cells: Restrict unstored jobs only once a crash is known

A job that is not stored is now restricted once a crash under it is known or a second worker has fallen silent; the limit on starts does not hold for it, and its caller seldom waits until a crashed worker has returned. Stored jobs stay restricted from the first loss on.

--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -61,6 +61,13 @@
     endJob(job, jobs::job_state::failed);
 }
 
+bool cell_owner::data::isRestricted(const open_job& job) const
+{
+    const std::string& id = job.accepted.work.id;
+    // A cut takes many workers at once, and their tasks would wait for each other. The limit on starts holds for stored jobs.
+    return suspicion.isRestricted(id) && !(job.accepted.work.answeredAtEnd && suspicion.isUnproven(id));
+}
+
 bool cell_owner::data::scheduleRestricted(open_job& job, std::uint32_t step, time_point now)
 {
     const std::string& id = job.accepted.work.id;
@@ -146,8 +153,8 @@
         if (session.reservedFor.empty())
             continue;
         const open_job* job = jobTable.find(session.reservedFor);
-        const bool needed = job && !job->ended && suspicion.isRestricted(session.reservedFor)
-            && (session.runsOfJob(session.reservedFor) > 0 || job->readyTasks() > 0);
+        const bool needed
+            = job && !job->ended && isRestricted(*job) && (session.runsOfJob(session.reservedFor) > 0 || job->readyTasks() > 0);
         if (!needed)
             session.reservedFor.clear();
     }
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -233,6 +233,8 @@
     /// Logs and counts a crash of a worker under the given tasks, and gives up the jobs that are to blame.
     void reportCrashes(const worker_id& worker, const std::vector<task_key>& tasks);
     void giveUp(open_job& job, const task_key& key);
+    /// Returns whether tasks of the job start only on a worker that is reserved for it.
+    bool isRestricted(const open_job& job) const;
     /// Starts waiting tasks of a suspected job on the worker that is reserved for it; returns whether all of them were started.
     bool scheduleRestricted(open_job& job, std::uint32_t step, time_point now);
     /// Reserves the best worker for a suspected job; returns null if there is none.
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -190,7 +190,7 @@
                 continue;
             }
             // A suspected job waits for a worker of its own and does not delay others.
-            blocked += placedAll || suspicion.isRestricted(job->accepted.work.id) ? 0 : 1;
+            blocked += placedAll || isRestricted(*job) ? 0 : 1;
             entry = placedAll ? readyJobs.erase(entry) : std::next(entry);
         }
     }
@@ -207,7 +207,7 @@
         if (job.steps[step].waiting.empty() || !job.stepIsReady(step))
             continue;
         const bool gang = job.accepted.work.steps[step].gang;
-        const bool restricted = !gang && suspicion.isRestricted(job.accepted.work.id);
+        const bool restricted = !gang && isRestricted(job);
         if (!(gang               ? scheduleGang(job, step, now)
                     : restricted ? scheduleRestricted(job, step, now)
                                  : scheduleStep(job, step, now)))
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -316,7 +316,7 @@
     task.runsOn = id;
     task.attempt = std::max(task.attempt, listed.attempt);
     job->started = true;
-    if (suspicion.isRestricted(listed.task.jobId) && session.reservedFor.empty())
+    if (isRestricted(*job) && session.reservedFor.empty())
         session.reservedFor = listed.task.jobId;
 }
 
--- a/cells/crash_suspicion.cpp
+++ b/cells/crash_suspicion.cpp
@@ -175,6 +175,14 @@
     });
 }
 
+bool crash_suspicion::isUnproven(const std::string& jobId) const
+{
+    const auto job = m_jobs.find(jobId);
+    return job == m_jobs.end() || std::all_of(job->second.tasks.begin(), job->second.tasks.end(), [](const auto& entry) {
+        return total(entry.second.counts) == 0 && entry.second.pending <= 1;
+    });
+}
+
 bool crash_suspicion::awaitsVerdict(const task_key& task) const
 {
     const suspect* found = find(task);
--- a/cells/crash_suspicion.h
+++ b/cells/crash_suspicion.h
@@ -55,6 +55,9 @@
     bool empty() const { return m_jobs.empty(); }
     /// Returns whether tasks of the job may only be started on a worker that runs no other young runs.
     bool isRestricted(const std::string& jobId) const;
+    /// Returns whether no crash under the job is known and each of its tasks was lost once at most, so that its workers may be
+    /// cut off.
+    bool isUnproven(const std::string& jobId) const;
     /// Returns whether another start of the task should wait until it is known whether its last workers have crashed.
     bool awaitsVerdict(const task_key& task) const;
     /// Returns whether the task has crashed so many workers that it is not started any more.
--- a/tests/cells/crash_suspicion_test.cpp
+++ b/tests/cells/crash_suspicion_test.cpp
@@ -100,6 +100,16 @@
     BOOST_TEST(suspicion.empty());
 }
 
+BOOST_AUTO_TEST_CASE(are_unproven_until_a_crash_is_known_or_a_second_worker_falls_silent)
+{
+    suspicion.noteSilence(firstOfA, { confirmed(first), confirmed(second) }, now);
+    BOOST_TEST(suspicion.isUnproven("first"));
+    suspicion.noteSilence(firstOfB, { confirmed(first) }, now);
+    BOOST_TEST(!suspicion.isUnproven("first"));
+    suspicion.noteBoot(registration(workerA, "address-a", secondBoot), now);
+    BOOST_TEST(!suspicion.isUnproven("second"));
+}
+
 BOOST_AUTO_TEST_CASE(are_confirmed_when_a_silent_worker_returns_with_a_later_boot)
 {
     suspicion.noteSilence(firstOfA, { confirmed(first) }, now);
--- a/tests/cells/crashing_tasks_test.cpp
+++ b/tests/cells/crashing_tasks_test.cpp
@@ -1,5 +1,6 @@
 // Checks that a task that crashes the workers that start it is given up after few crashes, and that no other task suffers for it.
 #include <algorithm>
+#include <set>
 
 #include <boost/test/unit_test.hpp>
 
@@ -270,6 +271,26 @@
     expectNoViolation(fleet);
 }
 
+BOOST_AUTO_TEST_CASE(of_unstored_jobs_start_again_at_once_when_many_workers_are_cut_off)
+{
+    // Guards against tasks that wait for each other: every task that was lost with a cut worker waited for a worker of its own.
+    cell_fleet fleet(1, 2, 8);
+    fleet.runFor(2s);
+    for (const std::string job : { "a", "b", "c", "d" })
+        fleet.run(fleet.owner(0), job, 2, 900ms, 8s);
+    fleet.runFor(300ms);
+    std::set<std::string> cut;
+    for (const auto& run : fleet.workers.runs())
+        cut.insert(run.worker.value);
+    for (const auto& worker : cut)
+        fleet.workers.faults(worker).partitioned = true;
+    const auto started = fleet.workers.runs().size();
+    runUntil(fleet, 3s, [&] { return fleet.workers.runs().size() > started; });
+    fleet.runFor(100ms);
+    BOOST_TEST(fleet.workers.runs().size() == 2 * started);
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(are_not_given_up_when_orders_reach_workers_that_have_crashed_before)
 {
     // A start order that a crashed worker did not execute says nothing about its task.
