cells: Verify the ownership for every lost run

A review of the fix found gaps in what counted as verified.

- A restarted worker has seen no fencing token, so a superseded owner could start the task there beside a start of its successor.
The exception for restarts is gone; a test case covers it, which was not run on the code with the exception.
- A read of the records returns a limited size.
An answer that ends before the newest record no longer counts as caught up, in the verification and in the tail of the records.
- A read that waited without a record counts for 100 ms less than it waited, for a store whose clock is faster.
- All runs that are lost in one step have the same time of proof, so that one read verifies them; a read that failed is repeated after 500 ms.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -117,6 +117,7 @@
         return;
     }
     ownerRecordOffset = *answer;
+    nextRecord = ownerRecordOffset + 1;
     sequence = 1;
     phase = owner_phase::replaying;
     tail = std::make_unique<jobs::record_tail>(store, clock, stream, *this);
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -118,12 +118,11 @@
     /// Tasks that completed before their unstored job was resubmitted to the new owner, by job.
     std::map<std::string, std::vector<task_key>> orphanedEnds;
 
-    /// A run that has ended without a report of its worker, as a proof shows.
+    /// A run that has ended without a report of its worker, as a proof shows that covers the orders of this owner only.
     struct lost_run {
         task_key task;
         worker_id worker;
         std::uint64_t attempt = 0;
-        /// Time of the proof, which covers the orders of this owner only.
         time_point provedAt;
     };
     /// Lost runs whose tasks may not start again yet, because another owner may have taken over before the proof.
@@ -197,9 +196,8 @@
     void onFlush(const result<std::uint64_t>& answer);
 
     // Verification of the ownership: cell_owner_verification.cpp.
-    /// Requeues the task of a lost run, at once if the proof holds whoever owns the cell, otherwise after the ownership is
-    /// verified.
-    void requeueVerified(const lost_run& lost, run_end_proof proof);
+    /// Requeues the task of a lost run once no other owner can have taken over before the proof.
+    void requeueWhenVerified(lost_run lost);
     /// Returns whether a lost run of the task has not been verified yet.
     bool hasUnverifiedLoss(const task_key& key) const;
     /// Reads whether another owner has taken over, if a lost run has to be verified.
@@ -303,9 +301,10 @@
     void updateWorker(worker_registration registration, time_point now);
     void removeWorker(const worker_id& id);
     /// Requeues the runs that the worker can no longer start after `startableAtMost`. The leases of the worker must have ended.
-    void dropRuns(worker_session& session, time_point startableAtMost, run_end_proof proof);
+    void dropRuns(worker_session& session, time_point startableAtMost, run_end_proof proof, time_point now);
     /// Handles a run that has ended, as `proof` shows, although its worker has not reported the end.
-    void handleLostRun(const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof);
+    void handleLostRun(
+        const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof, time_point now);
     void pollWorkers(time_point now);
     void poll(worker_session& session, time_point now);
     void onPollAnswer(
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -60,7 +60,6 @@
         for (const auto* current : ordered) {
             if (phase == owner_phase::idle)
                 return;
-            nextRecord = std::max(nextRecord, current->offset + 1);
             if (phase == owner_phase::replaying)
                 replay(*current, now);
             else
@@ -267,7 +266,7 @@
     const auto finished = jobTable.finishedUnstored();
     if (finished.empty())
         return;
-    // The lists hold whoever owns the cell, so they name no writer and can't be fenced.
+    // The append names no writer: a flush with the next number may be in flight.
     jobs::append_request request;
     request.stream = stream;
     for (auto first = finished.begin(); first != finished.end();) {
--- a/cells/cell_owner_verification.cpp
+++ b/cells/cell_owner_verification.cpp
@@ -4,18 +4,11 @@
 
 namespace coriandermount::cells {
 
-void cell_owner::data::requeueVerified(const lost_run& lost, run_end_proof proof)
+void cell_owner::data::requeueWhenVerified(lost_run lost)
 {
-    const open_job* job = jobTable.find(lost.task.jobId);
-    const bool stored = job && !job->accepted.work.answeredAtEnd;
-    // No owner can renew the lease of a run that its worker process has not survived. A stored task may have ended as done
-    // before.
-    if (proof == run_end_proof::worker_restarted && !stored) {
-        requeue(lost.task, lost.worker, lost.attempt);
-        return;
-    }
-    unverifiedLosses.push_back(lost);
-    verifyOwnership(lost.provedAt);
+    const time_point now = lost.provedAt;
+    unverifiedLosses.push_back(std::move(lost));
+    verifyOwnership(now);
 }
 
 bool cell_owner::data::hasUnverifiedLoss(const task_key& key) const
@@ -43,8 +36,10 @@
 void cell_owner::data::onVerificationAnswer(time_point requestedAt, const result<jobs::record_batch>& answer)
 {
     verificationInFlight = false;
-    if (!answer)
+    if (!answer) {
+        nextVerification = clock.now() + verificationRetryPause;
         return;
+    }
     const auto number = termNumber;
     for (const auto& current : answer->records) {
         if (current.value && jobs::recordKindOf(current.key) == jobs::record_kind::owner)
@@ -52,6 +47,9 @@
         if (number != termNumber)
             return;
     }
+    // An answer has a limited size and may end before the newest record.
+    if (!answer->records.empty() && answer->records.back().offset + 1 < answer->end)
+        return;
     noteOwnershipVerified(requestedAt);
     schedule(clock.now());
 }
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -55,7 +55,7 @@
     const auto ended = next.inheritUncertainRuns(session, settings.maxLease, now);
     session = std::move(next);
     for (const auto& [key, current] : ended)
-        handleLostRun(session, key, current, run_end_proof::worker_restarted);
+        handleLostRun(session, key, current, run_end_proof::worker_restarted, now);
     reportCrashes(before.id, suspicion.noteRestart(before.id, before.bootTime, exposed, now));
 }
 
@@ -71,7 +71,7 @@
     unlistedWorkerRemoved = unlistedWorkerRemoved || !found->second.listed;
 }
 
-void cell_owner::data::dropRuns(worker_session& session, time_point startableAtMost, run_end_proof proof)
+void cell_owner::data::dropRuns(worker_session& session, time_point startableAtMost, run_end_proof proof, time_point now)
 {
     std::vector<task_key> dropped;
     std::vector<exposed_run> exposed;
@@ -81,20 +81,20 @@
         dropped.push_back(key);
         exposed.push_back({ key, current.confirmedAt.has_value(), session.isEstablished(current) });
     }
-    noteSilence(session, exposed, clock.now());
+    noteSilence(session, exposed, now);
     for (const auto& key : dropped)
-        handleLostRun(session, key, session.removeRun(key).value(), proof);
+        handleLostRun(session, key, session.removeRun(key).value(), proof, now);
 }
 
 void cell_owner::data::handleLostRun(
-    const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof)
+    const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof, time_point now)
 {
     const worker_id id = session.registration().id;
     ++counters.lostRuns[static_cast<std::size_t>(proof)];
     writeLog(log_level::info, "cell", "run lost",
         { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
             { "attempt", fmt::to_string(lost.attempt) }, { "worker", id.value }, { "proof", std::string(nameOf(proof)) } });
-    requeueVerified({ key, id, lost.attempt, clock.now() }, proof);
+    requeueWhenVerified({ key, id, lost.attempt, now });
 }
 
 void cell_owner::data::pollWorkers(time_point now)
@@ -106,12 +106,12 @@
         const bool runsEnded = beforeGrace >= session.leasesEnded(beforeGrace);
         if (session.deregistered && runsEnded && !session.pollInFlight) {
             // The platform says that a worker without a registration has gone, and all its runs with it.
-            dropRuns(session, time_point::max(), run_end_proof::worker_gone);
+            dropRuns(session, time_point::max(), run_end_proof::worker_gone, now);
             entry = sessions.erase(entry);
             continue;
         }
         if (session.failedPolls > 1 && !session.runs().empty() && runsEnded)
-            dropRuns(session, beforeGrace, run_end_proof::leases_ended);
+            dropRuns(session, beforeGrace, run_end_proof::leases_ended, now);
         const bool needed = !session.listed || !session.runs().empty() || session.durableEnd > session.acknowledgedEnd
             || session.lastEnd > session.durableEnd;
         if (needed && !session.pollInFlight && now >= session.nextPoll)
@@ -359,7 +359,7 @@
         const bool expired = current.uncertain && current.startableUntil + lateStartMargin < sentAt;
         if (answered || expired) {
             session.removeRun(key);
-            handleLostRun(session, key, current, answered ? run_end_proof::not_listed : run_end_proof::order_expired);
+            handleLostRun(session, key, current, answered ? run_end_proof::not_listed : run_end_proof::order_expired, now);
         } else if (current.uncertain && !current.startInFlight
             && (!current.stopSentAt || now - *current.stopSentAt > stopRetryDelay)) {
             stopRun(session, key, now);
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -51,8 +51,9 @@
 inline constexpr std::ptrdiff_t maxFinishedPerRecord = 4000;
 /// Pause before a failed write to the store is repeated.
 inline constexpr std::chrono::milliseconds flushRetry { 100 };
-/// Pause between two reads that verify the ownership of the cell.
+/// Pause between two reads that verify the ownership of the cell, and after one that failed.
 inline constexpr std::chrono::milliseconds verificationPause { 50 };
+inline constexpr std::chrono::milliseconds verificationRetryPause { 500 };
 /// Number of records after which no more jobs are added to a write; well below the platform's limit for one call.
 inline constexpr std::size_t maxFlushedRecords = 2000;
 /// Time after a takeover within which other VMs resubmit the unstored jobs whose callers they serve: two heartbeat intervals
--- a/jobs/record_tail.cpp
+++ b/jobs/record_tail.cpp
@@ -14,6 +14,8 @@
 
     /// Time for which the store waits for a record before it answers a read with none.
     constexpr std::chrono::milliseconds maxReadWait { 2000 };
+    /// Deducted from `maxReadWait` because the store's clock may run faster than the own one.
+    constexpr std::chrono::milliseconds waitClockMargin { 100 };
     /// Delay after a failed read; doubles with each failure up to `maxRetryDelay`.
     constexpr std::chrono::milliseconds initialRetryDelay { 60 };
     constexpr std::chrono::milliseconds maxRetryDelay { 500 };
@@ -113,7 +115,9 @@
     }
     // A read that timed out without a record proves that none was appended before the timeout.
     const bool waited = answer->records.empty() && readInterval.count() == 0 && clock.now() - requestedAt >= maxReadWait;
-    listener.onCaughtUp(waited ? requestedAt + maxReadWait : requestedAt);
+    // An answer has a limited size and may end before the newest record.
+    if (next >= answer->end)
+        listener.onCaughtUp(waited ? requestedAt + maxReadWait - waitClockMargin : requestedAt);
     scheduleNextRead();
 }
 
--- a/tests/cells/superseded_owner_test.cpp
+++ b/tests/cells/superseded_owner_test.cpp
@@ -122,6 +122,17 @@
     expectNoSecondStart();
 }
 
+// Guards against a start beside one of the successor (issue 24): a restart of the worker ends the run, but the successor may have
+// started the task again on another worker.
+BOOST_AUTO_TEST_CASE(a_run_whose_worker_restarts_is_not_started_again)
+{
+    startTask(request(epoch, "a", 1, 6s));
+    supersede();
+    owner.updateWorker(workers.restart(runsOn.value));
+    runFor(2s);
+    expectNoSecondStart();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
