--- a/tests/cells/superseded_owner_test.cpp
+++ b/tests/cells/superseded_owner_test.cpp
@@ -67,7 +67,6 @@
     void poll(
         const cells::worker_registration& worker, const cells::poll_order& order, completion<cells::poll_answer> done) override
     {
-        constexpr auto pollTimeout = 600ms;
         workers.poll(worker.id, order, [this, id = worker.id, done](const auto& answer) {
             if (!answersAreLost || id != runsOn)
                 done(answer);
@@ -84,6 +83,7 @@
     }
 
     static constexpr auto slowRead = 3s;
+    static constexpr auto pollTimeout = 600ms;
     const time_point startedAt = loop.now();
     worker_id runsOn;
     bool recordsAreSlow = false;
