--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -137,6 +137,7 @@
         time_point at;
         /// Home cell of the job if that cell had lent it.
         std::optional<cell_number> lentBy;
+        /// Whether the end needs no list for the next owner; true for replayed ends of unstored jobs as well.
         bool stored = true;
     };
 
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -123,7 +123,7 @@
         applyOwner(*current.value);
         break;
     default:
-        // Records of progress and finished jobs were written by this owner itself.
+        // This owner wrote the records of progress and finished jobs itself, or an earlier owner's list arrived after the replay.
         break;
     }
 }
