tests: Release the unanswered requests of virtual VMs

Cause: a VM of the virtual fleet held its unanswered requests, whose replies hold references to the VM: a cycle, so that every VM that was paused or killed with a request pending was never freed. That is the leak that the address sanitizer reported in test-fleet; the product's code is not part of it. Change: a VM that is killed, and all VMs at the end of the fleet, drop their unanswered requests.

--- a/tests/fakes/virtual_fleet.cpp
+++ b/tests/fakes/virtual_fleet.cpp
@@ -65,10 +65,20 @@
     schedule(std::chrono::milliseconds(m_random() % 50), [this, self] { tick(self); });
 }
 
+virtual_fleet::~virtual_fleet()
+{
+    for (const auto& [id, self] : m_vms)
+        kill(id);
+}
+
 void virtual_fleet::kill(const std::string& id)
 {
-    if (const auto found = m_vms.find(id); found != m_vms.end())
-        found->second->alive = false;
+    const auto found = m_vms.find(id);
+    if (found == m_vms.end())
+        return;
+    found->second->alive = false;
+    // The unanswered requests of a VM hold references to it.
+    found->second->requests.clear();
 }
 
 void virtual_fleet::pause(const std::string& id) { m_vms.at(id)->paused = true; }
--- a/tests/fakes/virtual_fleet.h
+++ b/tests/fakes/virtual_fleet.h
@@ -16,6 +16,10 @@
 class virtual_fleet {
 public:
     explicit virtual_fleet(std::uint64_t seed);
+    ~virtual_fleet();
+
+    virtual_fleet(const virtual_fleet&) = delete;
+    virtual_fleet& operator=(const virtual_fleet&) = delete;
 
     /// Starts a VM that knows the addresses of `seeds`. A running VM with the same id is killed first and gets a new incarnation.
     void start(const std::string& id, const std::string& domain, const std::vector<std::string>& seeds = {});
