cells: Report the runs that a new owner knows so far to the cells that lend

If the home owner and the borrowing owner were lost together, a caller that submitted the job again was believed to submit it for the first time, and the job started beside its own runs. Change: the report names the runs that are known, and says whether it is complete. Jobs that it names go to the cell that runs them; only a complete report proves that a job is not running. Builds before this one get the answer that they understand.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -197,13 +197,13 @@
     m_data->locked([&] { m_data->neighbors = &neighbors; });
 }
 
-std::optional<std::vector<std::string>> cell_owner::jobsLentBy(jobs::lender home)
+lent_report cell_owner::jobsLentBy(jobs::lender home)
 {
     const std::scoped_lock lock(m_data->mutex);
     auto& known = m_data->lenderEpochs[home.cell];
     known = std::max(known, home.epoch);
-    if (!m_data->givesOrders() || !m_data->knowsPreviousRuns(m_data->clock.now()))
-        return std::nullopt;
+    if (!m_data->givesOrders())
+        return {};
     // The answer to an ended job may not have reached the earlier owner of the home cell.
     std::vector<std::string> ids = m_data->jobTable.finishedFor(home.cell);
     for (const auto& [id, job] : m_data->jobTable.open()) {
@@ -221,7 +221,7 @@
     }
     for (const auto& lost : m_data->unverifiedLosses)
         ids.push_back(lost.task.jobId);
-    return ids;
+    return { std::move(ids), m_data->knowsPreviousRuns(m_data->clock.now()) };
 }
 
 void cell_owner::onSuperseded(std::function<void()> callback)
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -78,6 +78,13 @@
 /// Returns the name of a value, as used in logs and metrics.
 std::string_view nameOf(run_end_proof value);
 
+/// What the owner of a cell knows about the jobs that it may be running for another cell.
+struct lent_report {
+    std::vector<std::string> jobIds;
+    /// Whether the list is complete. An owner that has not heard all its workers reports the runs that it knows so far.
+    bool complete = false;
+};
+
 /// Counters for metrics, counted since the owner object was created.
 struct cell_counters {
     std::uint64_t lentJobs = 0;
@@ -129,10 +136,9 @@
     /// Sets the cells that may run jobs for this one; none by default. `neighbors` is not used after the owner is destroyed.
     void setNeighbors(neighbor_cells& neighbors);
 
-    /// Returns the ids of the jobs that this cell may be running for the cell of `home`, and of those that it has completed in
-    /// the last seconds, or nothing while this cell does not know all runs on its workers. Afterwards requests of earlier terms
-    /// of that cell are refused.
-    std::optional<std::vector<std::string>> jobsLentBy(jobs::lender home);
+    /// Returns the jobs that this cell may be running for the cell of `home`, and those that it has completed in the last
+    /// seconds. Afterwards requests of earlier terms of that cell are refused.
+    lent_report jobsLentBy(jobs::lender home);
 
     /// Sets the function that is called when the store or a worker has seen a higher epoch.
     void onSuperseded(std::function<void()> callback);
--- a/cells/fleet_neighbors.cpp
+++ b/cells/fleet_neighbors.cpp
@@ -18,12 +18,12 @@
         bool complete = true;
         std::function<void(const lent_jobs&, bool)> done;
 
-        void add(cell_number cell, const std::optional<std::vector<std::string>>& ids)
+        void add(cell_number cell, const lent_report& report)
         {
             {
                 const std::scoped_lock lock(mutex);
-                complete = complete && ids.has_value();
-                for (const auto& id : ids.value_or(std::vector<std::string>()))
+                complete = complete && report.complete;
+                for (const auto& id : report.jobIds)
                     lent.emplace(id, cell);
                 if (--pendingAnswers > 0)
                     return;
@@ -107,7 +107,7 @@
     collector->done = std::move(done);
     for (const auto& [cell, address] : targets) {
         m_link.queryLentJobs(address, { m_self, epoch },
-            [collector, number = cell](const std::optional<std::vector<std::string>>& ids) { collector->add(number, ids); });
+            [collector, number = cell](const lent_report& report) { collector->add(number, report); });
     }
 }
 
--- a/cells/job_router.h
+++ b/cells/job_router.h
@@ -32,10 +32,8 @@
     virtual void run(const std::string& address, const jobs::run_request& request, job_completion done) = 0;
 
     /// Asks the owner at `address` which jobs it runs for the cell `home`, and to refuse jobs from earlier ownership terms of
-    /// that cell. Completes with an empty optional if the owner does not answer or does not yet know all its running jobs.
-    virtual void queryLentJobs(
-        const std::string& address, jobs::lender home, std::function<void(std::optional<std::vector<std::string>>)> done)
-        = 0;
+    /// that cell. Completes with an empty, incomplete report if the owner does not answer.
+    virtual void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(lent_report)> done) = 0;
 };
 
 /// Sends each job to the current owner of the cell, again to every later owner, and answers its caller. Thread-safe.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -54,8 +54,10 @@
     constexpr const char* stateMethod = "job.state";
     constexpr const char* runMethod = "job.run";
     constexpr const char* lentJobsMethod = "cell.lent";
-    /// Reply of an owner that does not know all its runs yet.
+    /// First word of the reply of an owner that does not know all its runs yet.
     constexpr const char* unknownRuns = "?";
+    /// Last word of a request whose sender understands incomplete reports; earlier builds send none.
+    constexpr const char* partialReports = "partial";
     constexpr const char* vmTopic = "keyed.vms";
     constexpr const char* cellTopic = "keyed.cells";
     constexpr const char* jobTopic = "keyed.jobs";
@@ -182,8 +184,8 @@
     bool isDraining() const override { return draining.load(std::memory_order_relaxed); }
     void send(const std::string& address, const std::string& datagram) override { heartbeatSocket.send(address, datagram); }
     void run(const std::string& address, const jobs::run_request& request, cells::job_completion done) override;
-    void queryLentJobs(const std::string& address, jobs::lender home,
-        std::function<void(std::optional<std::vector<std::string>>)> done) override;
+    void queryLentJobs(
+        const std::string& address, jobs::lender home, std::function<void(cells::lent_report)> done) override;
 };
 
 entry_node::data::data(const platform::boot_settings& values)
@@ -235,9 +237,15 @@
 {
     peerService.addMethod(lentJobsMethod, [this](const std::string& message, const peers::peer_service::reply_function& reply) {
         jobs::lender home;
-        std::istringstream(message) >> home.cell >> home.epoch;
-        const auto jobIds = owner.jobsLentBy(home);
-        reply(jobIds ? fmt::format("{}", fmt::join(*jobIds, " ")) : std::string(unknownRuns));
+        std::string version;
+        std::istringstream(message) >> home.cell >> home.epoch >> version;
+        const auto report = owner.jobsLentBy(home);
+        if (report.complete)
+            reply(fmt::format("{}", fmt::join(report.jobIds, " ")));
+        else if (version == partialReports)
+            reply(fmt::format("{} {}", unknownRuns, fmt::join(report.jobIds, " ")));
+        else
+            reply(unknownRuns);
     });
 }
 
@@ -319,19 +327,20 @@
 }
 
 void entry_node::data::queryLentJobs(
-    const std::string& address, jobs::lender home, std::function<void(std::optional<std::vector<std::string>>)> done)
+    const std::string& address, jobs::lender home, std::function<void(cells::lent_report)> done)
 {
-    peerLink.call(address, lentJobsMethod, fmt::format("{} {}", home.cell, home.epoch), cells::lentJobsAnswerLimit,
-        [done = std::move(done)](const auto& reply) {
-            if (!reply || *reply == unknownRuns) {
-                done(std::nullopt);
-                return;
+    peerLink.call(address, lentJobsMethod, fmt::format("{} {} {}", home.cell, home.epoch, partialReports),
+        cells::lentJobsAnswerLimit, [done = std::move(done)](const auto& reply) {
+            cells::lent_report report;
+            report.complete = reply.has_value();
+            std::istringstream text(reply ? std::string(*reply) : std::string());
+            for (std::string word; text >> word;) {
+                if (word == unknownRuns)
+                    report.complete = false;
+                else
+                    report.jobIds.push_back(word);
             }
-            std::vector<std::string> jobIds;
-            std::istringstream text(*reply);
-            for (std::string id; text >> id;)
-                jobIds.push_back(id);
-            done(std::move(jobIds));
+            done(std::move(report));
         });
 }
 
--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -23,8 +23,7 @@
         requests.push_back(request);
         pending = std::move(done);
     }
-    void queryLentJobs(const std::string&, jobs::lender, std::function<void(std::optional<std::vector<std::string>>)>) override {
-    }
+    void queryLentJobs(const std::string&, jobs::lender, std::function<void(cells::lent_report)>) override { }
 
     /// Sends the job to the owner of `epoch`.
     void sendTo(std::uint64_t epoch)
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -161,19 +161,18 @@
     }
 
     void queryLentJobs(
-        const std::string& address, jobs::lender home, std::function<void(std::optional<std::vector<std::string>>)> done) override
+        const std::string& address, jobs::lender home, std::function<void(lent_report)> done) override
     {
         auto answered = std::make_shared<bool>(false);
-        auto once = [answered, done = completeIfAlive<std::optional<std::vector<std::string>>>(std::move(done))](
-                        const std::optional<std::vector<std::string>>& ids) {
+        auto once = [answered, done = completeIfAlive<lent_report>(std::move(done))](const lent_report& report) {
             if (!std::exchange(*answered, true))
-                done(ids);
+                done(report);
         };
         fleet.loop.after(lentQueryDelay, [&fleet = fleet, from = name, address, home, once] {
             if (vm* target = fleet.reachable(from, address))
                 once(target->owner.jobsLentBy(home));
         });
-        fleet.loop.after(lentJobsAnswerLimit, [once] { once(std::nullopt); });
+        fleet.loop.after(lentJobsAnswerLimit, [once] { once({}); });
     }
 
     void start() override
