net, platform, jobs: Survive malformed messages and unexpected errors

Cause: a refusal of a worker or of the store whose reason was no text, or a response to an append whose offset was no number, threw an exception in a callback, which ended the process. A stored or peer's job without steps, or with a dependency on a step that it lacks, was used; a stored state that is none was looked up in a table; extreme times and needs overflowed. A read whose completion threw was completed twice. Nothing at the borders of the threads caught what was overlooked. Change: the decoders check these values, jobs of all origins by the same rules; malformed ones are skipped or refused as before. The HTTP client and server, the datagram socket and the tick loop log and count exceptions and go on; a caller whose handler failed is told that its request may have run. Result: a property with mutated messages for every decoder of the entry daemon, records and requests also used by an owner; 3,000 cases each, CORIANDERMOUNT_MALFORMED_CASES for more.

--- a/jobs/job.h
+++ b/jobs/job.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/error.h"
 #include "core/types.h"
 
 namespace coriandermount::jobs {
@@ -116,6 +117,10 @@
     const queue_rules* findByName(const std::string& name) const;
 };
 
+/// Checks that a job has steps, and that each has a number of tasks, a need and an estimate that can be handled, and depends on
+/// earlier steps only. Fails with `too_many_tasks` or `malformed_request`.
+result<void> checkSteps(const std::vector<step>& steps);
+
 /// Returns the largest sum of estimates along a chain of dependent steps.
 std::chrono::milliseconds criticalPathLength(const job& work);
 
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -1,5 +1,7 @@
 #include "jobs/record_codec.h"
 
+#include <stdexcept>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -17,12 +19,19 @@
 
     std::string pack(const json& value) { return value.dump(); }
 
+    /// A value of the right type that would do harm; another writer may have written the record.
+    struct unusable_value : std::runtime_error {
+        using std::runtime_error::runtime_error;
+    };
+
     template <class Decode> auto unpack(const std::string& value, Decode decode) -> result<decltype(decode(json()))>
     {
         try {
             return decode(json::parse(value));
         } catch (const json::exception& problem) {
             return fail(error_kind::malformed_request, fmt::format("a record can't be decoded: {}", problem.what()));
+        } catch (const unusable_value& problem) {
+            return fail(error_kind::malformed_request, fmt::format("a record can't be used: {}", problem.what()));
         }
     }
 
@@ -59,6 +68,19 @@
             accepted.acceptedAt.time_since_epoch().count(), accepted.work.answeredAtEnd });
     }
 
+    constexpr std::chrono::milliseconds longestTime = std::chrono::hours(24 * 365);
+    constexpr std::chrono::milliseconds latestWallTime = std::chrono::hours(24 * 365 * 200);
+
+    /// Throws if the time could overflow sums of times.
+    std::chrono::milliseconds unpackTime(const json& value, std::chrono::milliseconds longest = longestTime)
+    {
+        const std::chrono::milliseconds time(value.get<std::int64_t>());
+        if (time < -longest || time > longest)
+            throw unusable_value(fmt::format("{} ms is not a time that is used", time.count()));
+        return time;
+    }
+
+    /// Throws if the work of the job can't be handled.
     accepted_job unpackAccepted(const json& fields)
     {
         accepted_job accepted;
@@ -68,8 +90,10 @@
         accepted.service.value = fields.at(4);
         accepted.priority = fields.at(5);
         accepted.maxAttempts = fields.at(6);
-        accepted.objective = std::chrono::milliseconds(fields.at(7).get<std::int64_t>());
-        accepted.acceptedAt = wall_time(std::chrono::milliseconds(fields.at(8).get<std::int64_t>()));
+        accepted.objective = unpackTime(fields.at(7));
+        accepted.acceptedAt = wall_time(unpackTime(fields.at(8), latestWallTime));
+        if (const auto checked = checkSteps(accepted.work.steps); !checked)
+            throw unusable_value(checked.error().detail);
         return accepted;
     }
 
@@ -125,8 +149,7 @@
 result<run_request> decodeRunRequest(const std::string& value)
 {
     return unpack(value, [](const json& fields) {
-        run_request request { unpackAccepted(fields.at(0)), fields.at(1),
-            std::chrono::milliseconds(fields.at(2).get<std::int64_t>()), std::nullopt };
+        run_request request { unpackAccepted(fields.at(0)), fields.at(1), unpackTime(fields.at(2)), std::nullopt };
         if (!fields.at(3).is_null())
             request.lentBy = lender { fields.at(3).at(0), fields.at(3).at(1) };
         request.ownerEpoch = fields.at(4);
@@ -171,9 +194,13 @@
 {
     return unpack(value, [](const json& fields) {
         finished_list list;
-        list.at = wall_time(std::chrono::milliseconds(fields.at(0).get<std::int64_t>()));
-        for (const auto& current : fields.at(1))
-            list.jobs.push_back({ current.at(0), static_cast<job_state>(current.at(1).get<int>()) });
+        list.at = wall_time(unpackTime(fields.at(0), latestWallTime));
+        for (const auto& current : fields.at(1)) {
+            const auto state = current.at(1).get<std::int64_t>();
+            if (state < 0 || state > static_cast<std::int64_t>(job_state::cancelled))
+                throw unusable_value(fmt::format("{} is not a state of a job", state));
+            list.jobs.push_back({ current.at(0), static_cast<job_state>(state) });
+        }
         return list;
     });
 }
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -14,6 +14,7 @@
 #include "cells/fleet_neighbors.h"
 #include "cells/job_router.h"
 #include "cells/vm_directory.h"
+#include "core/guarded_call.h"
 #include "core/log.h"
 #include "core/rcu_value.h"
 #include "jobs/job_intake.h"
@@ -302,15 +303,21 @@
 {
     while (!stopping.load()) {
         const bool isServing = owner.isServing();
-        configuration.tick(clock.now());
-        for (const auto& intake : intakes)
-            intake->tick();
-        member.setHeartbeatScope(directory.heartbeatScope());
-        member.tick();
-        directory.tick();
-        owner.tick();
-        router.tick();
-        neighbors.tick();
+        runGuarded("node", [this] {
+            configuration.tick(clock.now());
+            for (const auto& intake : intakes)
+                intake->tick();
+        });
+        runGuarded("node", [this] {
+            member.setHeartbeatScope(directory.heartbeatScope());
+            member.tick();
+            directory.tick();
+        });
+        runGuarded("node", [this] {
+            owner.tick();
+            router.tick();
+            neighbors.tick();
+        });
         std::this_thread::sleep_for(isServing || router.waiting() > 0 ? tickInterval : idleTickInterval);
     }
 }
@@ -407,7 +414,8 @@
         { "jobs_ended_total", "cancelled", cellCounters.cancelledJobs }, { "store_calls_total", "append", calls.appends },
         { "store_calls_total", "read", calls.reads }, { "store_calls_total", "refused", calls.refused },
         { "store_calls_total", "unanswered", calls.unanswered }, { "cell_owned", {}, member.isOwner() ? 1U : 0U },
-        { "runs_found_again_total", {}, cellCounters.runsFoundAgain }, { "log_lines_dropped_total", {}, droppedLogLines() } };
+        { "runs_found_again_total", {}, cellCounters.runsFoundAgain }, { "log_lines_dropped_total", {}, droppedLogLines() },
+        { "unexpected_errors_total", {}, unexpectedErrors() } };
     for (std::size_t reason = 0; reason < cells::refusalReasonCount; ++reason)
         samples.push_back({ "jobs_refused_total", cells::nameOf(static_cast<cells::refusal_reason>(reason)),
             cellCounters.refusedJobs[reason] });
--- a/net/datagram_socket.cpp
+++ b/net/datagram_socket.cpp
@@ -11,6 +11,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "core/guarded_call.h"
+
 namespace coriandermount::net {
 
 namespace {
@@ -51,7 +53,7 @@
     while (!stopping.load()) {
         const ssize_t length = recv(descriptor, buffer.data(), buffer.size(), 0);
         if (length > 0)
-            onReceive(std::string(buffer.data(), static_cast<std::size_t>(length)));
+            runGuarded("datagram_socket", [&] { onReceive(std::string(buffer.data(), static_cast<std::size_t>(length))); });
     }
 }
 
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -10,6 +10,8 @@
 #include <curl/curl.h>
 #include <strings.h>
 
+#include "core/guarded_call.h"
+
 namespace coriandermount::net {
 
 namespace {
@@ -210,13 +212,15 @@
     curl_multi_remove_handle(multi, handle);
     curl_easy_reset(handle);
     idleHandles.push_back(handle);
-    if (code == CURLE_OK) {
-        current->reply.status = static_cast<int>(status);
-        current->done(std::move(current->reply));
-        return;
-    }
-    current->done(tl::unexpected<transport_error>(
-        transport_error { progress, code == CURLE_OPERATION_TIMEDOUT, curl_easy_strerror(code) }));
+    runGuarded("http_client", [&] {
+        if (code == CURLE_OK) {
+            current->reply.status = static_cast<int>(status);
+            current->done(std::move(current->reply));
+            return;
+        }
+        current->done(tl::unexpected<transport_error>(
+            transport_error { progress, code == CURLE_OPERATION_TIMEDOUT, curl_easy_strerror(code) }));
+    });
 }
 
 http_client::http_client(http_client_options options)
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -11,6 +11,8 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 
+#include "core/guarded_call.h"
+
 namespace coriandermount::net {
 
 namespace {
@@ -68,6 +70,16 @@
         return response;
     }
 
+    /// Returns the response to a request whose handler has thrown an exception.
+    http_response unexpectedErrorResponse()
+    {
+        const auto& row = rowOf(error_kind::internal_error);
+        http_response response;
+        response.status = row.httpStatus;
+        response.body = fmt::format(R"({{"error":"{}","outcome":"{}"}})", row.name, nameOf(row.result));
+        return response;
+    }
+
     /// Passes the response from the thread that replies to the thread that owns the connection. Thread-safe.
     class pending_request final : public responder {
     public:
@@ -190,7 +202,10 @@
     if (!addPending(current))
         return queueResponse(connection, shutdownResponse(options));
     pendingCount.fetch_add(1, std::memory_order_relaxed);
-    handler(std::move(request), current.pending);
+    if (!runGuarded("http_server", [&] { handler(std::move(request), current.pending); })) {
+        // The handler may have passed the request on before it failed. After an earlier reply, this one has no effect.
+        current.pending->reply(unexpectedErrorResponse());
+    }
     const auto response = current.pending->responseOrSuspend();
     return response ? queueResponse(connection, *response) : MHD_YES;
 }
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -2,7 +2,9 @@
 #include <array>
 #include <condition_variable>
 #include <filesystem>
+#include <future>
 #include <mutex>
+#include <stdexcept>
 #include <string_view>
 #include <thread>
 
@@ -12,6 +14,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "core/guarded_call.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 
@@ -202,3 +205,50 @@
     stopping.join();
     BOOST_TEST(response.find("not_run") == std::string::npos, response);
 }
+
+BOOST_AUTO_TEST_SUITE(an_unexpected_error)
+
+// Guards against the end of the process: an exception of a handler left the thread of the server.
+BOOST_AUTO_TEST_CASE(in_a_handler_is_answered_and_leaves_the_server_running)
+{
+    net::http_server server({}, [](const net::http_request& request, const std::shared_ptr<net::responder>& responder) {
+        if (request.path == "/throw")
+            throw std::runtime_error("out of luck");
+        responder->reply({});
+    });
+    BOOST_REQUIRE(server.start());
+    net::http_client client { net::http_client_options {} };
+    const std::uint64_t before = unexpectedErrors();
+    for (const auto& [path, status] : { std::pair("/throw", statusInternalError), std::pair("/", statusOk) }) {
+        net::http_call call;
+        call.url = fmt::format("http://127.0.0.1:{}{}", server.port(), path);
+        std::promise<int> answered;
+        client.send(call, [&answered](const tl::expected<net::http_reply, net::transport_error>& reply) {
+            answered.set_value(reply ? reply->status : 0);
+        });
+        BOOST_TEST(answered.get_future().get() == status);
+    }
+    BOOST_TEST(unexpectedErrors() == before + 1);
+}
+
+// Guards against the end of the process: an exception of a completion left the thread of the client.
+BOOST_AUTO_TEST_CASE(in_a_completion_leaves_the_client_running)
+{
+    net::http_server server(
+        {}, [](const net::http_request&, const std::shared_ptr<net::responder>& responder) { responder->reply({}); });
+    BOOST_REQUIRE(server.start());
+    net::http_client client { net::http_client_options {} };
+    net::http_call call;
+    call.url = fmt::format("http://127.0.0.1:{}/", server.port());
+    std::promise<void> thrown;
+    client.send(call, [&thrown](const auto&) {
+        thrown.set_value();
+        throw std::runtime_error("out of luck");
+    });
+    thrown.get_future().wait();
+    std::promise<bool> answered;
+    client.send(call, [&answered](const auto& reply) { answered.set_value(reply.has_value()); });
+    BOOST_TEST(answered.get_future().get());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/malformed_input_test.cpp
@@ -0,0 +1,252 @@
+// No message from outside ends the process or does harm, whatever it holds: every decoder is given mutated copies of valid
+// messages, and what it accepts is used.
+#include <cstdlib>
+
+#include <boost/test/unit_test.hpp>
+
+#include "cells/heartbeat.h"
+#include "cells/ownership_codec.h"
+#include "platform/config_codec.h"
+#include "platform/job_codec.h"
+#include "platform/record_framing.h"
+#include "platform/worker_codec.h"
+#include "tests/fakes/mutation.h"
+#include "tests/fakes/single_owner.h"
+
+using namespace coriandermount;
+using namespace coriandermount::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+int caseCount()
+{
+    constexpr int usualCases = 3000;
+    const char* value = std::getenv("CORIANDERMOUNT_MALFORMED_CASES");
+    return value ? std::atoi(value) : usualCases;
+}
+
+/// Passes mutated copies of a message to `use`.
+template <class Use> void mutate(const std::string& message, const Use& use)
+{
+    std::mt19937 random(20261205);
+    for (int number = 0; number < caseCount(); ++number)
+        use(mutated(message, random));
+}
+
+jobs::accepted_job acceptedJob()
+{
+    jobs::accepted_job accepted;
+    accepted.work = { "0123456789abcdef", "queue", "payload", {}, false };
+    jobs::step first;
+    first.taskCount = 3;
+    first.need = { 2000, 64, 0 };
+    first.estimate = 100ms;
+    jobs::step second = first;
+    second.dependsOn = { 0 };
+    accepted.work.steps = { first, second };
+    accepted.service.value = "service";
+    accepted.objective = 500ms;
+    return accepted;
+}
+
+/// Uses the work of a job as the owner of a cell does.
+void expectUsable(const jobs::job& work)
+{
+    BOOST_REQUIRE(jobs::checkSteps(work.steps).has_value());
+    BOOST_REQUIRE(jobs::criticalPathLength(work).count() >= 0);
+}
+
+/// An owner with one worker.
+struct serving_owner : single_owner {
+    serving_owner()
+    {
+        workers.add("worker", "0", 16000);
+        owner.takeOver({ 2, true });
+        owner.setWorkers(workers.registrations("0"));
+        runFor(2s);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(malformed_input)
+
+BOOST_AUTO_TEST_SUITE(from_clients)
+
+BOOST_AUTO_TEST_CASE(submissions)
+{
+    const std::string body = R"({"spec":"text","best_effort":true,"phases":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,)"
+                             R"("affinity":"r1"},{"count":20,"cpu":2000,"mem_mb":1024,"estimate_ms":7000,"after":[0]}]})";
+    BOOST_REQUIRE(platform::decodeJob("0123456789abcdef", "queue", body).has_value());
+    mutate(body, [](const std::string& message) {
+        if (const auto work = platform::decodeJob("0123456789abcdef", "queue", message))
+            expectUsable(*work);
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(from_workers)
+
+BOOST_AUTO_TEST_CASE(poll_answers)
+{
+    const std::string body = R"({"clock_ms":482113,"born":17,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41,3]],)"
+                             R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+    BOOST_REQUIRE(platform::decodePollAnswer(body).has_value());
+    mutate(body, [](const std::string& message) { (void)platform::decodePollAnswer(message); });
+}
+
+BOOST_AUTO_TEST_CASE(order_answers)
+{
+    mutate(R"({"clock_ms":482113})", [](const std::string& message) { (void)platform::decodeOrderAnswer(message); });
+}
+
+// Guards against the end of the process: a reason that was no text threw an exception in a callback. A refusal that can't be read
+// proves nothing about the order.
+BOOST_AUTO_TEST_CASE(refusals)
+{
+    constexpr int statusConflict = 409;
+    BOOST_TEST((platform::decodeRefusal(statusConflict, R"({"reason":5})") == cells::order_failure::no_answer));
+    BOOST_TEST((platform::decodeRefusal(statusConflict, "[]") == cells::order_failure::no_answer));
+    mutate(R"({"clock_ms":482113,"reason":"fence"})",
+        [](const std::string& message) { (void)platform::decodeRefusal(statusConflict, message); });
+}
+
+BOOST_AUTO_TEST_CASE(registrations)
+{
+    const std::string entry
+        = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","version":"1","slots":8,"state":"ready",)"
+          R"("capacity":{"cpu":16000,"mem_mb":32000,"gpu":0},"labels":["kind","rack"],"born":17,"sequence":3})";
+    BOOST_REQUIRE(platform::decodeRegistration("id", entry).has_value());
+    mutate(entry, [](const std::string& message) { (void)platform::decodeRegistration("id", message); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(from_the_store)
+
+BOOST_AUTO_TEST_CASE(framed_records)
+{
+    const std::string body
+        = std::string(16, '\0') + platform::frameRecords({ { "key", "value", 0 }, { "other", std::nullopt, 1 } });
+    mutate(body, [](const std::string& message) { (void)platform::parseRecords(message, 0); });
+    mutate("MDEyMzQ1Njc4OWFiY2RlZg==", [](const std::string& message) { (void)platform::decodeBase64(message); });
+}
+
+BOOST_AUTO_TEST_CASE(configurations)
+{
+    const std::string value = R"({"version":3,"services":{"s":{"admission_control":true}},"routes":[{"name":"r","host":"h",)"
+                              R"("path_prefix":"/p/","service":"s","priority":1,"max_attempts":2,"slack_factor":1.6,)"
+                              R"("target_latency_ms":60,"hint":{}}]})";
+    BOOST_REQUIRE(platform::decodeConfiguration(value).has_value());
+    mutate(value, [](const std::string& message) {
+        const auto table = platform::decodeConfiguration(message);
+        if (!table)
+            return;
+        for (const auto& rules : table->queues)
+            BOOST_REQUIRE(jobs::objectiveOf(acceptedJob().work, rules).count() >= 0);
+    });
+}
+
+// Guards against the end of the process: a job without steps, or one that depends on a step that it lacks, was used.
+BOOST_AUTO_TEST_CASE(accepted_jobs)
+{
+    const std::string record = jobs::encodeAccepted(acceptedJob());
+    BOOST_REQUIRE(jobs::decodeAccepted(record).has_value());
+    mutate(record, [](const std::string& message) {
+        if (const auto accepted = jobs::decodeAccepted(message))
+            expectUsable(accepted->work);
+    });
+}
+
+// Guards against the end of the process: a number that is no state was looked up in the table of state names.
+BOOST_AUTO_TEST_CASE(finished_jobs)
+{
+    BOOST_TEST(!jobs::decodeFinished(R"([1,[["a",-1]]])").has_value());
+    BOOST_TEST(!jobs::decodeFinished(R"([1,[["a",5]]])").has_value());
+    mutate(jobs::encodeFinished({ wall_time(1s), { { "a", jobs::job_state::completed } } }), [](const std::string& message) {
+        const auto list = jobs::decodeFinished(message);
+        if (!list)
+            return;
+        for (const auto& finished : list->jobs)
+            (void)platform::stateResponse(finished.state);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(records_that_an_owner_replays)
+{
+    std::mt19937 random(20261205);
+    const std::string accepted = jobs::encodeAccepted(acceptedJob());
+    const std::string progress = jobs::encodeProgress({ { 0, 1, true, { 7 }, {} }, { 1, 2, false, { 8, 9 }, { 1, 0, true } } });
+    const std::string finished = jobs::encodeFinished({ wall_time(1s), { { "b", jobs::job_state::completed } } });
+    for (int number = 0; number < caseCount() / 100; ++number) {
+        serving_owner cell;
+        cell.owner.stepDown();
+        jobs::append_request request;
+        request.stream = { "jobs", 0 };
+        for (int copy = 0; copy < 10; ++copy) {
+            const std::string id = "job-" + std::to_string(copy);
+            request.records.push_back({ jobs::acceptedKey(id), mutated(accepted, random), 0 });
+            request.records.push_back({ jobs::acceptedKey("0123456789abcdef"), accepted, 0 });
+            request.records.push_back({ jobs::progressKey("0123456789abcdef"), mutated(progress, random), 0 });
+            request.records.push_back({ jobs::finishedKey(1, static_cast<std::uint64_t>(copy)), mutated(finished, random), 0 });
+            request.records.push_back({ jobs::ownerKey(), mutated(jobs::encodeOwner(1), random), 0 });
+            request.records.push_back({ mutated("x0123", random), std::nullopt, 0 });
+        }
+        cell.records.append(request, store_fault::none, [](const auto&) {});
+        cell.owner.takeOver({ 3, true });
+        cell.owner.setWorkers(cell.workers.registrations("0"));
+        cell.runFor(300ms);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(from_other_vms)
+
+BOOST_AUTO_TEST_CASE(heartbeats)
+{
+    cells::cell_load load;
+    load.waitByPriority = { 1ms, 2ms };
+    load.idleCpu = { { "s", 1000 } };
+    const cells::cell_view view { 1, 4, true, 5ms, load };
+    const std::string datagram = cells::encode(
+        { { "vm" }, 7, false, true, { view }, 500, { { { "other" }, 3ms, cells::cell_view { 0, 2, true, 1ms, {} } } } });
+    BOOST_REQUIRE(cells::decodeHeartbeat(datagram).has_value());
+    mutate(datagram, [](const std::string& message) { (void)cells::decodeHeartbeat(message); });
+}
+
+BOOST_AUTO_TEST_CASE(ownership_records)
+{
+    mutate(cells::encodeOwnerRecord({ 3, { "vm" }, 7, false }),
+        [](const std::string& message) { (void)cells::decodeOwnerRecord(message); });
+    mutate(cells::encodeLiveness(3), [](const std::string& message) { (void)cells::decodeLiveness(message); });
+}
+
+BOOST_AUTO_TEST_CASE(requests_to_run_a_job)
+{
+    serving_owner cell;
+    auto request = cell.request(2, "0123456789abcdef", 2, 50ms);
+    request.timeLeft = 1500ms;
+    const std::string message = jobs::encodeRunRequest(request);
+    BOOST_REQUIRE(jobs::decodeRunRequest(message).has_value());
+    int accepted = 0;
+    mutate(message, [&](const std::string& changed) {
+        auto decoded = jobs::decodeRunRequest(changed);
+        if (!decoded)
+            return;
+        expectUsable(decoded->accepted.work);
+        // The payload names the run time in the tests' workers.
+        decoded->accepted.work.payload = "50";
+        cell.run(std::move(*decoded));
+        if (++accepted % 50 == 0)
+            cell.runFor(10ms);
+    });
+    BOOST_TEST(accepted > 0);
+    cell.runFor(3s);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
