platform: Hold requests until the first configuration arrives

Result: tests of a request that is served once the configuration is there, of one that has waited too long, and of the bounds.

--- a/jobs/job_service.h
+++ b/jobs/job_service.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -22,6 +23,10 @@
     /// Returns the queues in force; a table of version 0 before the first configuration.
     virtual std::shared_ptr<const queue_table> queues() const = 0;
 
+    /// Keeps a request of `bytes` bytes that arrived before the first configuration, and calls `resume` once the configuration is
+    /// loaded or the request has waited for too long. Returns false if too many requests wait already.
+    virtual bool holdUntilConfigured(std::size_t bytes, std::function<void()> resume) = 0;
+
     /// Submits a job. Completes with `queued` when the job is stored; a job with `answeredAtEnd` completes with its final state
     /// instead. `timeLeft` is the time for which the caller still waits.
     virtual void submit(
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -17,6 +17,7 @@
 #include "core/guarded_call.h"
 #include "core/log.h"
 #include "core/rcu_value.h"
+#include "jobs/configuration_gate.h"
 #include "jobs/job_intake.h"
 #include "jobs/job_service.h"
 #include "metrics/entry_metrics.h"
@@ -151,6 +152,7 @@
     platform::worker_client workerLink;
     rcu_value<jobs::queue_table> table;
     platform::config_follower configuration;
+    jobs::configuration_gate gate;
     /// One intake per cell, indexed by cell number.
     std::vector<std::unique_ptr<jobs::job_intake>> intakes;
     cells::cell_owner owner;
@@ -186,6 +188,10 @@
     void runTickLoop();
 
     std::shared_ptr<const jobs::queue_table> queues() const override { return table.read(); }
+    bool holdUntilConfigured(std::size_t bytes, std::function<void()> resume) override
+    {
+        return gate.hold(bytes, std::move(resume));
+    }
     void submit(jobs::job work, const jobs::queue_rules& rules, std::chrono::milliseconds timeLeft,
         std::function<void(result<jobs::job_state>)> done) override;
     void cancel(const std::string& jobId, std::function<void(result<void>)> done) override;
@@ -212,6 +218,7 @@
     , store(client, values.storeAddress)
     , workerLink(client)
     , configuration(store, clock, table)
+    , gate(clock)
     , owner(store, workerLink, clock, { jobTopic, cell }, cellSettings(values, admission))
     , workers(store, clock, owner, values.failureDomain)
     , member(store, clock, owner, workers, { cellTopic, cell }, cell, identity())
@@ -305,6 +312,7 @@
         const bool isServing = owner.isServing();
         runGuarded("node", [this] {
             configuration.tick(clock.now());
+            gate.tick(table.read()->version > 0);
             for (const auto& intake : intakes)
                 intake->tick();
         });
@@ -318,7 +326,8 @@
             router.tick();
             neighbors.tick();
         });
-        std::this_thread::sleep_for(isServing || router.waiting() > 0 ? tickInterval : idleTickInterval);
+        std::this_thread::sleep_for(
+            isServing || router.waiting() > 0 || table.read()->version == 0 ? tickInterval : idleTickInterval);
     }
 }
 
--- a/tests/platform/client_api_test.cpp
+++ b/tests/platform/client_api_test.cpp
@@ -1,13 +1,19 @@
 // Tests what clients of the platform are told when the VM stops, over the loopback interface.
+#include <atomic>
 #include <future>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
+#include "jobs/configuration_gate.h"
 #include "net/http_client.h"
 #include "platform/client_api.h"
+#include "tests/fakes/manual_clock.h"
 
 using namespace coriandermount;
+using namespace coriandermount::fakes;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -24,6 +30,12 @@
     }
 
     std::shared_ptr<const jobs::queue_table> queues() const override { return table; }
+    bool holdUntilConfigured(std::size_t bytes, std::function<void()> resume) override
+    {
+        const bool held = gate.hold(bytes, std::move(resume));
+        heldRequests += held ? 1 : 0;
+        return held;
+    }
     void submit(jobs::job, const jobs::queue_rules&, std::chrono::milliseconds,
         std::function<void(result<jobs::job_state>)> done) override
     {
@@ -38,6 +50,9 @@
     bool isDraining() const override { return false; }
 
     std::shared_ptr<jobs::queue_table> table = std::make_shared<jobs::queue_table>();
+    manual_clock clock;
+    jobs::configuration_gate gate { clock };
+    std::atomic<int> heldRequests { 0 };
     std::promise<void> submitted;
     std::function<void(result<jobs::job_state>)> completion;
 };
@@ -69,3 +84,70 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_client_api_without_a_configuration)
+
+namespace {
+
+/// A request that arrives before the first configuration.
+struct early_request {
+    early_request()
+    {
+        service.table->version = 0;
+        BOOST_REQUIRE(server.start());
+        net::http_call call;
+        call.method = "POST";
+        call.url = fmt::format("http://127.0.0.1:{}/queue/5c0e7a21d94b36f8", server.port());
+        call.headers = { "Host: host.example" };
+        call.body = R"({"best_effort":true,"phases":[{"count":1}]})";
+        client.send(call, [this](const auto& reply) { answer.set_value(reply ? reply->status : 0); });
+    }
+
+    /// Ticks the gate until it holds the request no longer, as `configured` says.
+    void resume(bool configured, std::chrono::milliseconds waited)
+    {
+        for (bool held = false; !held; held = service.heldRequests > 0)
+            std::this_thread::sleep_for(1ms);
+        service.clock.advance(waited);
+        service.gate.tick(configured);
+    }
+
+    silent_service service;
+    net::http_server server { platform::clientServerOptions({}), platform::clientHandler(service) };
+    net::http_client client;
+    std::promise<int> answer;
+};
+
+} // namespace
+
+// All VMs return from a power loss: every VM refused what arrived in the 15 to 25 ms until it had its configuration.
+BOOST_FIXTURE_TEST_CASE(serves_a_request_once_it_is_configured, early_request)
+{
+    service.table->version = 1;
+    resume(true, 20ms);
+    service.submitted.get_future().wait();
+    service.completion(jobs::job_state::completed);
+    BOOST_TEST(answer.get_future().get() == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(refuses_a_request_that_has_waited_too_long, early_request)
+{
+    resume(false, jobs::configuration_gate::longestWait);
+    BOOST_TEST(answer.get_future().get() == 503);
+}
+
+BOOST_AUTO_TEST_CASE(holds_a_bounded_number_of_requests)
+{
+    const manual_clock clock;
+    jobs::configuration_gate gate(clock);
+    std::size_t resumed = 0;
+    for (std::size_t number = 0; number < jobs::configuration_gate::mostRequests; ++number)
+        BOOST_REQUIRE(gate.hold(10, [&resumed] { ++resumed; }));
+    BOOST_TEST(!gate.hold(10, [] {}));
+    gate.tick(true);
+    BOOST_TEST(resumed == jobs::configuration_gate::mostRequests);
+    BOOST_TEST(gate.hold(jobs::configuration_gate::mostBytes, [] {}));
+    BOOST_TEST(!gate.hold(1, [] {}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
