--- a/tests/platform/client_api_test.cpp
+++ b/tests/platform/client_api_test.cpp
@@ -106,8 +106,9 @@
     /// Ticks the gate until it holds the request no longer, as `configured` says.
     void resume(bool configured, std::chrono::milliseconds waited)
     {
-        for (bool held = false; !held; held = service.heldRequests > 0)
+        while (service.heldRequests == 0)
             std::this_thread::sleep_for(1ms);
+        service.table->version = configured ? 1 : 0;
         service.clock.advance(waited);
         service.gate.tick(configured);
     }
@@ -123,7 +124,6 @@
 // All VMs return from a power loss: every VM refused what arrived in the 15 to 25 ms until it had its configuration.
 BOOST_FIXTURE_TEST_CASE(serves_a_request_once_it_is_configured, early_request)
 {
-    service.table->version = 1;
     resume(true, 20ms);
     service.submitted.get_future().wait();
     service.completion(jobs::job_state::completed);
