cells, tests: Satisfy the linter and the formatter

Cause: settings with a shared policy were copied for each call, and a duration was narrowed in a test. Change: the settings are passed by reference; the conversion is explicit. Result: no warnings in the changed files.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -30,8 +30,8 @@
     return names[index];
 }
 
-cell_owner::cell_owner(
-    jobs::record_store& store, worker_link& link, const clock_source& clock, jobs::record_stream stream, cell_settings settings)
+cell_owner::cell_owner(jobs::record_store& store, worker_link& link, const clock_source& clock, jobs::record_stream stream,
+    const cell_settings& settings)
     : m_data(std::make_shared<data>(store, link, clock, std::move(stream), settings))
 {
 }
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -142,7 +142,7 @@
 public:
     /// `store`, `link` and `clock` must outlive the owner.
     cell_owner(jobs::record_store& store, worker_link& link, const clock_source& clock, jobs::record_stream stream,
-        cell_settings settings);
+        const cell_settings& settings);
     ~cell_owner();
 
     cell_owner(const cell_owner&) = delete;
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -160,8 +160,7 @@
         });
     }
 
-    void queryLentJobs(
-        const std::string& address, jobs::lender home, std::function<void(lent_report)> done) override
+    void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(lent_report)> done) override
     {
         auto answered = std::make_shared<bool>(false);
         auto once = [answered, done = completeIfAlive<lent_report>(std::move(done))](const lent_report& report) {
--- a/tests/fakes/cell_load_run.cpp
+++ b/tests/fakes/cell_load_run.cpp
@@ -72,7 +72,8 @@
     for (const auto& kind : kinds) {
         const double count = kind.arrivalsPerSecond * std::chrono::duration<double>(duration).count();
         for (int number = 0; number < static_cast<int>(count); ++number)
-            submit(kind, std::chrono::milliseconds(static_cast<std::int64_t>(number / count * duration.count())));
+            submit(kind,
+                std::chrono::milliseconds(static_cast<std::int64_t>(number / count * static_cast<double>(duration.count()))));
     }
 }
 
--- a/tests/fakes/single_owner.h
+++ b/tests/fakes/single_owner.h
@@ -13,8 +13,8 @@
 /// A `cell_owner` with a store and workers that run in virtual time. Not thread-safe.
 class single_owner : protected jobs::record_store, protected cells::worker_link {
 public:
-    explicit single_owner(cells::cell_settings settings = {})
-        : owner(*this, *this, loop, { "jobs", 0 }, std::move(settings))
+    explicit single_owner(const cells::cell_settings& settings = {})
+        : owner(*this, *this, loop, { "jobs", 0 }, settings)
     {
     }
 
