cells: Keep a cell with VMs that have the processor time for it

Cause: a strong VM that was told to stop handed its cell at once to a VM with 0.12 cores. That one saturated, so that its appends took longer than 60 ms, and an owner handed over only below that limit, and only 4 s after the strong VM had come back: the overload kept the state that caused it. Change: a VM that stops keeps its cell until a VM with about its processor time can take it, or until shortly before its end (orderly_stop). A VM with twice the processor time of the owner gets the cell after 0.35 s of heartbeats, and claims it after 0.43 s if the owner has not handed it over. It first measures the store with a read, since a takeover takes several calls. The claim fences the earlier owner as after a silence. The owner record names the processor time; records without it are never claimed this way. The tests of an unanswered release keep their delay of 4 s as a setting.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -14,9 +14,11 @@
 
     /// Pause before a failed append is repeated.
     constexpr std::chrono::milliseconds appendRetryPause { 200 };
-    /// Longest duration of the last append for which the cell is handed over. A handover takes about six store calls, during
-    /// which no task of the cell can start.
-    constexpr std::chrono::milliseconds handoverAppendLimit { 60 };
+    /// Longest duration of a store call for which the cell changes hands while its owner is alive. A handover takes about six
+    /// store calls, during which no task of the cell can start.
+    constexpr std::chrono::milliseconds handoverCallLimit { 60 };
+    /// Age up to which a measured duration of a store call is used, and pause between two measurements.
+    constexpr std::chrono::milliseconds storeProbeInterval { 250 };
     /// Interval of liveness records while a draining owner waits for the store to become fast enough for a handover.
     constexpr std::chrono::milliseconds drainingRecordInterval { 250 };
 
@@ -48,6 +50,12 @@
     time_point lastAppendSentAt;
     std::chrono::nanoseconds lastAppendDuration { 0 };
     time_point drainingSince;
+    /// From when on a draining owner hands the cell over to any VM.
+    time_point preferenceLimit;
+    bool probeInFlight = false;
+    time_point nextProbeAt;
+    /// When the store last answered a probe within `handoverCallLimit`.
+    std::optional<time_point> storeFastAt;
     bool releaseRequested = false;
     /// Whether the owner has stopped in order to release the cell. The record of that may not be stored yet.
     bool releasing = false;
@@ -97,6 +105,9 @@
     void runDueActions(time_point now);
     void appendRecords(jobs::append_request request, std::function<void(const result<std::uint64_t>&)> done);
     void claim();
+    /// Claims the cell of an owner with less processor time once the store has been found fast enough for a handover.
+    void preempt(time_point now);
+    void onProbeAnswer(time_point sentAt, bool answered);
     void appendLivenessRecord(time_point now);
     void release();
 };
@@ -187,7 +198,7 @@
 
 void cell_member::data::claim()
 {
-    const owner_record record { state.epoch() + 1, self.id, self.incarnation, false };
+    const owner_record record { state.epoch() + 1, self.id, self.incarnation, false, self.processorMillis };
     claimedAfterRelease = state.owner() && state.owner()->released;
     jobs::append_request request;
     request.records.push_back({ std::string(ownerRecordKey), encodeOwnerRecord(record), 0 });
@@ -203,6 +214,35 @@
     });
 }
 
+void cell_member::data::preempt(time_point now)
+{
+    if (storeFastAt && now - *storeFastAt < storeProbeInterval) {
+        writeLog(log_level::info, "member", "taking the cell over from a VM with less processor time",
+            { { "owner", state.owner()->owner.value },
+                { "owner_processor_millis", fmt::to_string(state.owner()->processorMillis) },
+                { "processor_millis", fmt::to_string(self.processorMillis) } });
+        storeFastAt.reset();
+        claim();
+        return;
+    }
+    if (probeInFlight || now < nextProbeAt)
+        return;
+    probeInFlight = true;
+    deferredCalls.emplace_back([self = shared_from_this(), from = end, now] {
+        self->store.read(self->stream, from, std::chrono::milliseconds(0),
+            [self, now](const auto& answer) { self->withLock([&] { self->onProbeAnswer(now, answer.has_value()); }); });
+    });
+}
+
+void cell_member::data::onProbeAnswer(time_point sentAt, bool answered)
+{
+    const auto now = clock.now();
+    probeInFlight = false;
+    nextProbeAt = now + storeProbeInterval;
+    if (answered && now - sentAt <= handoverCallLimit)
+        storeFastAt = now;
+}
+
 void cell_member::data::appendLivenessRecord(time_point now)
 {
     jobs::append_request request;
@@ -242,9 +282,10 @@
 {
     if (releaseRequested || releasing)
         return true;
-    if (lastAppendDuration > handoverAppendLimit || lastAppendSentAt < drainingSince)
+    if (lastAppendDuration > handoverCallLimit || lastAppendSentAt < drainingSince)
         return false;
-    if (draining && state.hasSuccessor(now))
+    const auto choice = now < preferenceLimit ? successor_choice::comparable : successor_choice::any;
+    if (draining && state.hasSuccessor(choice, now))
         return true;
     if (draining || !state.hasStrongerSuccessor(now))
         return false;
@@ -268,6 +309,8 @@
     }
     if (advice == ownership_advice::claim)
         claim();
+    else if (advice == ownership_advice::preempt)
+        preempt(now);
     else if (state.isOwner() && !livenessUnanswered && shouldRelease(now))
         release();
     else if (state.isOwner() && (livenessUnanswered || now >= nextLivenessRecordAt))
@@ -315,12 +358,13 @@
     m_data->withLock([&] { m_data->state.setHeartbeatScope(scope); });
 }
 
-void cell_member::drain()
+void cell_member::drain(time_point preferenceLimit)
 {
     m_data->withLock([&] {
         m_data->state.drain();
         m_data->draining = true;
         m_data->drainingSince = m_data->clock.now();
+        m_data->preferenceLimit = preferenceLimit;
         // The duration of this append shows whether the store is fast enough for a handover.
         m_data->nextLivenessRecordAt = m_data->drainingSince;
     });
--- a/cells/cell_member.h
+++ b/cells/cell_member.h
@@ -45,8 +45,9 @@
     /// Sets which VMs send heartbeats to this VM.
     void setHeartbeatScope(heartbeat_scope scope);
 
-    /// Stops claiming the cell. If this VM owns the cell, it hands the cell over as soon as another VM can take it.
-    void drain();
+    /// Stops claiming the cell. If this VM owns the cell, it hands the cell over as soon as a VM with about its processor time
+    /// can take it, and from `preferenceLimit` on to any VM that can.
+    void drain(time_point preferenceLimit);
     /// Releases the cell even if no other VM can take it now.
     void release();
 
--- a/cells/ownership.cpp
+++ b/cells/ownership.cpp
@@ -15,6 +15,12 @@
     /// Multiple of the owner's processor time that another VM needs to take over: a handover interrupts the cell.
     constexpr std::uint32_t strongerFactor = 2;
 
+    /// Returns whether a VM has so much more processor time than an owner that the cell should change hands.
+    bool isStronger(std::uint32_t processorMillis, std::uint32_t ownerMillis)
+    {
+        return processorMillis >= strongerFactor * std::max(ownerMillis, 1U);
+    }
+
     std::uint64_t rankHash(const vm_id& vm, std::uint64_t epoch)
     {
         return XXH3_64bits_withSeed(vm.value.data(), vm.value.size(), epoch);
@@ -46,6 +52,7 @@
     m_ownerHeartbeatAt = now;
     m_ownerRecordAt = now;
     m_suspectedSince.reset();
+    m_outranksSince.reset();
     m_paused = false;
 }
 
@@ -147,17 +154,26 @@
         && current.view;
 }
 
-bool ownership::hasSuccessor(time_point now) const
+bool ownership::isStableCandidate(const peer_state& current, time_point now) const
+{
+    return isCandidate(current, now) && now - current.uninterruptedSince >= m_settings.successorDelay;
+}
+
+bool ownership::hasSuccessor(successor_choice choice, time_point now) const
 {
-    return std::any_of(m_peers.begin(), m_peers.end(), [this, now](const auto& entry) { return isCandidate(entry.second, now); });
+    return std::any_of(m_peers.begin(), m_peers.end(), [this, choice, now](const auto& entry) {
+        const peer_state& current = entry.second;
+        if (choice == successor_choice::any)
+            return isCandidate(current, now);
+        return isStableCandidate(current, now) && !isStronger(m_self.processorMillis, current.processorMillis);
+    });
 }
 
 bool ownership::hasStrongerSuccessor(time_point now) const
 {
     return std::any_of(m_peers.begin(), m_peers.end(), [this, now](const auto& entry) {
         const peer_state& current = entry.second;
-        return isCandidate(current, now) && now - current.uninterruptedSince >= m_settings.strongerSuccessorDelay
-            && current.processorMillis >= strongerFactor * std::max(m_self.processorMillis, 1U);
+        return isStableCandidate(current, now) && isStronger(current.processorMillis, m_self.processorMillis);
     });
 }
 
@@ -175,6 +191,24 @@
     return rank;
 }
 
+bool ownership::outranksOwner() const
+{
+    return m_owner && !m_owner->released && m_owner->owner != m_self.id && m_owner->processorMillis > 0
+        && isStronger(m_self.processorMillis, m_owner->processorMillis);
+}
+
+bool ownership::shouldPreempt(time_point now)
+{
+    // A VM that receives heartbeats of the owner only does not know which other VMs rank higher.
+    if (m_draining || !storeReachable(now) || m_scope == heartbeat_scope::owner || !outranksOwner()) {
+        m_outranksSince.reset();
+        return false;
+    }
+    if (!m_outranksSince)
+        m_outranksSince = now;
+    return now - *m_outranksSince >= m_settings.preemptDelay + m_settings.rankDelay * static_cast<int>(claimRank(now));
+}
+
 ownership_advice ownership::advise(time_point now)
 {
     if (isOwner()) {
@@ -189,6 +223,8 @@
     const bool ownerHasEnded = m_owner && !m_owner->released && m_owner->owner == m_self.id && m_owner->epoch >= m_highestEpoch;
     if (!m_draining && storeReachable(now) && ownerHasEnded)
         return ownership_advice::claim;
+    if (shouldPreempt(now))
+        return ownership_advice::preempt;
     if (m_draining || !storeReachable(now) || now - m_startedAt < m_settings.firstClaimDelay || !ownerSuspected(now)) {
         m_suspectedSince.reset();
         return ownership_advice::none;
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -32,9 +32,12 @@
     std::chrono::milliseconds memberTimeout { 60000 };
     /// Time after its start before a VM may claim a cell, so that it first receives heartbeats of the other VMs.
     std::chrono::milliseconds firstClaimDelay { 400 };
-    /// How long the heartbeats of a VM with more processor time must arrive without a gap before the owner hands the cell over
-    /// to it.
-    std::chrono::milliseconds strongerSuccessorDelay { 4000 };
+    /// How long the heartbeats of a VM must arrive without a gap before the owner chooses it as its successor. Before
+    /// `firstClaimDelay` such a VM can't claim the cell, and one with less processor time would.
+    std::chrono::milliseconds successorDelay { 350 };
+    /// How long a VM with more processor time waits for the owner to hand the cell over before it claims the cell. An owner
+    /// that is out of processor time does not hand over in time.
+    std::chrono::milliseconds preemptDelay { 430 };
 };
 
 /// Stored record that names the owner of a cell.
@@ -45,10 +48,26 @@
     std::uint64_t incarnation = 0;
     /// Whether the owner has stopped and sends no more orders to workers.
     bool released = false;
+    /// Processor time of the owner, in thousandths of a core; 0 in records of earlier builds.
+    std::uint32_t processorMillis = 0;
 };
 
 /// Action that a VM should take on the ownership of a cell.
-enum class ownership_advice { none, claim, pause, resume };
+enum class ownership_advice {
+    none,
+    claim,
+    /// Claim the cell of an owner that is alive but has less processor time, if the store is fast enough for a handover.
+    preempt,
+    pause,
+    resume,
+};
+
+/// VMs that an owner that stops hands its cell over to.
+enum class successor_choice {
+    /// Those with at least about the owner's processor time.
+    comparable,
+    any,
+};
 
 /// Election state of one VM for one cell. It is updated from records and heartbeats and performs no I/O. Not thread-safe.
 class ownership {
@@ -70,10 +89,10 @@
     /// Sets which VMs send heartbeats to this VM; initially the whole fleet.
     void setHeartbeatScope(heartbeat_scope scope) { m_scope = scope; }
 
-    /// Returns whether another VM of the cell could take over at once.
-    bool hasSuccessor(time_point now) const;
+    /// Returns whether another VM of the cell, of those that `choice` names, could take over.
+    bool hasSuccessor(successor_choice choice, time_point now) const;
     /// Returns whether a VM with at least twice the processor time could take over and has sent heartbeats without a gap for
-    /// `strongerSuccessorDelay`.
+    /// `successorDelay`.
     bool hasStrongerSuccessor(time_point now) const;
 
     /// Returns the action that is due at `now`.
@@ -103,7 +122,13 @@
     };
 
     bool isCandidate(const peer_state& current, time_point now) const;
+    /// Returns whether the heartbeats of a candidate have arrived for `successorDelay` without a gap.
+    bool isStableCandidate(const peer_state& current, time_point now) const;
     bool ownerSuspected(time_point now) const;
+    /// Returns whether this VM has at least twice the processor time of the owner, which is not stopped.
+    bool outranksOwner() const;
+    /// Returns whether the owner had `preemptDelay` to hand the cell over to this VM, and VMs that rank higher had their turn.
+    bool shouldPreempt(time_point now);
     std::uint64_t knownEpoch() const { return m_owner ? m_owner->epoch : 0; }
     bool majorityReachable(time_point now) const;
     /// Returns whether there are other VMs that could claim the cell and all are reachable, so that none can have claimed it
@@ -124,6 +149,8 @@
     time_point m_storeContactAt;
     time_point m_verifiedAt;
     std::optional<time_point> m_suspectedSince;
+    /// Since when this VM could take the cell over from an owner with less processor time.
+    std::optional<time_point> m_outranksSince;
     heartbeat_scope m_scope = heartbeat_scope::fleet;
     bool m_paused = false;
     bool m_draining = false;
--- a/cells/ownership_codec.cpp
+++ b/cells/ownership_codec.cpp
@@ -29,13 +29,14 @@
 
 std::string encodeOwnerRecord(const owner_record& record)
 {
-    return pack(json::array({ record.epoch, record.owner.value, record.incarnation, record.released }));
+    return pack(json::array({ record.epoch, record.owner.value, record.incarnation, record.released, record.processorMillis }));
 }
 
 result<owner_record> decodeOwnerRecord(const std::string& value)
 {
     return unpack(value, [](const json& fields) {
-        return owner_record { fields.at(0), { fields.at(1) }, fields.at(2), fields.at(3) };
+        const std::uint32_t processorMillis = fields.size() > 4 ? fields.at(4).get<std::uint32_t>() : 0;
+        return owner_record { fields.at(0), { fields.at(1) }, fields.at(2), fields.at(3), processorMillis };
     });
 }
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -13,6 +13,7 @@
 #include "cells/cell_owner.h"
 #include "cells/fleet_neighbors.h"
 #include "cells/job_router.h"
+#include "cells/orderly_stop.h"
 #include "cells/vm_directory.h"
 #include "core/guarded_call.h"
 #include "core/log.h"
@@ -42,10 +43,6 @@
     constexpr std::chrono::milliseconds stateTimeout { 400 };
     /// Added to the platform's bound for how long the state of a finished job can be queried.
     constexpr std::chrono::seconds retentionMargin { 60 };
-    /// Time until the load balancer has noticed that this VM is not ready: it polls once a second and needs two polls.
-    constexpr std::chrono::milliseconds loadBalancerDelay { 2600 };
-    /// Part of the grace period that remains when the wait for pending requests is cut short.
-    constexpr std::chrono::milliseconds shutdownReserve { 600 };
     constexpr std::chrono::milliseconds shutdownPoll { 50 };
     /// Time to write to the store that the cell has no owner; covers several round trips to the store.
     constexpr std::chrono::milliseconds releaseDelay { 80 };
@@ -487,14 +484,11 @@
 
 void entry_node::shutDown()
 {
-    const auto startedAt = std::chrono::steady_clock::now();
+    const cells::orderly_stop stop(m_data->clock.now(), m_data->settings.shutdownGrace);
     writeLog(log_level::info, "node", "shutting down", { { "pending", fmt::to_string(m_data->clientServer.pendingRequests()) } });
     m_data->draining.store(true);
-    m_data->member.drain();
-    const auto limit = m_data->settings.shutdownGrace - shutdownReserve;
-    auto elapsed = [startedAt] { return std::chrono::steady_clock::now() - startedAt; };
-    while (elapsed() < limit
-        && (elapsed() < loadBalancerDelay || m_data->clientServer.pendingRequests() > 0 || m_data->member.isOwner()))
+    m_data->member.drain(stop.preferenceLimit());
+    while (!stop.mayEnd(m_data->clock.now(), m_data->clientServer.pendingRequests(), m_data->member.isOwner()))
         std::this_thread::sleep_for(shutdownPoll);
     m_data->member.release();
     std::this_thread::sleep_for(releaseDelay);
--- a/tests/cells/handover_test.cpp
+++ b/tests/cells/handover_test.cpp
@@ -65,7 +65,42 @@
 
     store_fault fault = store_fault::none;
     bool strongerVmIsAlive = false;
-    cells::cell_member member { *this, loop, owner, *this, { "cells", 0 }, 0, { { "vm-1" }, 1, 100 } };
+    /// Leaves time for the faults of the store between the first heartbeat of the other VM and the handover.
+    static constexpr cells::ownership_settings lateHandover { .successorDelay = 4000ms };
+    cells::cell_member member { *this, loop, owner, *this, { "cells", 0 }, 0, { { "vm-1" }, 1, 100 }, lateHandover };
+};
+
+/// A VM whose cell is owned by another VM with less processor time, which is alive and never hands the cell over.
+struct cell_of_a_weak_owner : single_owner, cells::worker_source {
+    explicit cell_of_a_weak_owner(std::chrono::milliseconds storeAnswerTime)
+    {
+        jobs::append_request request;
+        request.stream = { "cells", 0 };
+        request.records.push_back(
+            { std::string(cells::ownerRecordKey), cells::encodeOwnerRecord({ 1, { "vm-2" }, 1, false, 120 }), 0 });
+        records.append(request, store_fault::none, [](const result<std::uint64_t>&) {});
+        loop.runFor(100ms);
+        records.setAnswerTime(storeAnswerTime);
+        member.start();
+    }
+
+    void advance(std::chrono::milliseconds duration)
+    {
+        constexpr auto tickInterval = 10ms;
+        for (auto passed = 0ms; passed < duration; passed += tickInterval) {
+            member.onHeartbeat({ { "vm-2" }, 1, false, true, { { 0, 1, true, 0ms, std::nullopt } }, 120 });
+            member.tick();
+            runFor(tickInterval);
+        }
+    }
+
+    using single_owner::start;
+    using single_owner::stop;
+    void start() override { owner.setWorkers({}); }
+    void stop() override { }
+    void tick(time_point) override { }
+
+    cells::cell_member member { *this, loop, owner, *this, { "cells", 0 }, 0, { { "vm-1" }, 1, 500 } };
 };
 
 } // namespace
@@ -105,3 +140,28 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_cell_of_a_weak_owner)
+
+// Guards against a cell that stays with an owner without processor time until that owner hands it over (issue 35).
+BOOST_AUTO_TEST_CASE(is_claimed_by_a_stronger_vm_that_waited_for_the_handover)
+{
+    cell_of_a_weak_owner cell(4ms);
+    cell.advance(400ms);
+    BOOST_TEST(!cell.member.isOwner());
+    cell.advance(100ms);
+    BOOST_TEST(cell.member.isOwner());
+}
+
+// Guards against seconds in which nobody starts tasks: the steps of a takeover take several calls of the store.
+BOOST_AUTO_TEST_CASE(is_not_claimed_while_the_store_is_slow)
+{
+    cell_of_a_weak_owner cell(100ms);
+    cell.advance(5s);
+    BOOST_TEST(!cell.member.isOwner());
+    cell.records.setAnswerTime(4ms);
+    cell.advance(1s);
+    BOOST_TEST(cell.member.isOwner());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cells/ownership_test.cpp
+++ b/tests/cells/ownership_test.cpp
@@ -110,6 +110,76 @@
     }
 }
 
+namespace {
+
+/// Returns the state of a VM with `processorMillis` whose cell is owned by `other` with 120 thousandths of a core.
+ownership rivalOfWeakOwner(std::uint32_t processorMillis, time_point now)
+{
+    ownership state(cell, { self, 1, processorMillis }, {}, start);
+    state.onStoreContact(now);
+    state.onOwnerRecord({ 1, other, 1, false, 120 }, now);
+    state.onHeartbeat(heartbeatFrom(other, 1, true, 0ms), now);
+    return state;
+}
+
+/// Returns the advice one second later, while heartbeats of the owner and answers of the store still arrive.
+ownership_advice adviceWhileOwnerIsAlive(ownership& state, time_point now)
+{
+    state.advise(now);
+    state.onStoreContact(now + 1s);
+    state.onHeartbeat(heartbeatFrom(other, 1, true, 0ms), now + 1s);
+    return state.advise(now + 1s);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(is_taken_from_a_live_owner_only_by_a_vm_with_twice_its_processor_time)
+{
+    for (const std::uint32_t processorMillis : { 120U, 239U, 240U, 500U }) {
+        auto state = rivalOfWeakOwner(processorMillis, start + 1s);
+        const auto expected = processorMillis >= 240 ? ownership_advice::preempt : ownership_advice::none;
+        BOOST_TEST((adviceWhileOwnerIsAlive(state, start + 1s) == expected));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_not_taken_from_a_live_owner_by_a_draining_vm_or_one_without_the_store)
+{
+    auto draining = rivalOfWeakOwner(500, start + 1s);
+    draining.drain();
+    BOOST_TEST((adviceWhileOwnerIsAlive(draining, start + 1s) == ownership_advice::none));
+    auto unreachable = rivalOfWeakOwner(500, start + 1s);
+    unreachable.advise(start + 1s);
+    unreachable.onHeartbeat(heartbeatFrom(other, 1, true, 0ms), start + 10s);
+    BOOST_TEST((unreachable.advise(start + 10s) == ownership_advice::none));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_taken_from_a_live_owner_whose_record_lacks_its_processor_time)
+{
+    ownership state(cell, { self, 1, 500 }, {}, start);
+    state.onStoreContact(start + 1s);
+    state.onOwnerRecord({ 1, other, 1, false }, start + 1s);
+    state.onHeartbeat(heartbeatFrom(other, 1, true, 0ms), start + 1s);
+    BOOST_TEST((adviceWhileOwnerIsAlive(state, start + 1s) == ownership_advice::none));
+}
+
+BOOST_AUTO_TEST_CASE(is_handed_over_by_a_draining_owner_to_a_weaker_vm_only_as_the_last_choice)
+{
+    ownership state(cell, { self, 1, 500 }, {}, start);
+    for (auto now = start; now < start + 1s; now += 200ms) {
+        heartbeat weaker = heartbeatFrom(other, 1, false, 10ms);
+        weaker.processorMillis = 120;
+        state.onHeartbeat(weaker, now);
+    }
+    BOOST_TEST(!state.hasSuccessor(successor_choice::comparable, start + 1s));
+    BOOST_TEST(state.hasSuccessor(successor_choice::any, start + 1s));
+    for (auto now = start + 1s; now < start + 2s; now += 200ms) {
+        heartbeat comparable = heartbeatFrom(third, 1, false, 10ms);
+        comparable.processorMillis = 400;
+        state.onHeartbeat(comparable, now);
+    }
+    BOOST_TEST(state.hasSuccessor(successor_choice::comparable, start + 2s));
+}
+
 BOOST_AUTO_TEST_CASE(is_claimed_by_a_vm_with_infrequent_heartbeats_only_after_the_witnesses)
 {
     ownership state(cell, { self, 1, 120 }, {}, start);
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -13,6 +13,11 @@
     constexpr std::chrono::milliseconds callTimeout { 1500 };
     /// Delay of queries for lent jobs; longer than callers' VMs take to send their jobs to a new owner.
     constexpr std::chrono::milliseconds lentQueryDelay { 60 };
+    /// Time from SIGTERM to SIGKILL.
+    constexpr std::chrono::milliseconds stopGrace { 6000 };
+    constexpr std::chrono::milliseconds stopCheckInterval { 50 };
+    /// Time between the release of a cell and the end of the process.
+    constexpr std::chrono::milliseconds releaseDelay { 80 };
     constexpr std::int64_t workerCpu = 16000;
     constexpr std::int64_t taskCpu = 7000;
 
@@ -30,6 +35,10 @@
     std::string name;
     cell_number cell;
     std::uint64_t incarnation;
+    /// Processor time in thousandths of a core; 0 for no limit.
+    std::uint32_t processorMillis;
+    /// Until when the processor handles the messages that have arrived.
+    time_point busyUntil;
     bool alive = true;
     bool workerSourceStarted = false;
     cell_owner owner;
@@ -44,11 +53,13 @@
         , name(std::move(vmName))
         , cell(domainOf(name))
         , incarnation(incarnationNumber)
+        , processorMillis(parent.m_processorMillis[name])
         , owner(*this, *this, parent.loop, { "jobs", cell }, {})
-        , member(*this, parent.loop, owner, *this, { "cells", cell }, cell, { { name }, incarnation })
-        , directory(*this, *this, parent.loop, { "vms", 0 }, { { { name }, incarnation }, name, { std::to_string(cell) } },
+        , member(*this, parent.loop, owner, *this, { "cells", cell }, cell, identity())
+        , directory(*this, *this, parent.loop, { "vms", 0 }, { identity(), name, { std::to_string(cell) } },
               [this] {
-                  return heartbeat { { name }, incarnation, member.isDraining(), member.storeReachable(), { member.view() } };
+                  return heartbeat { { name }, incarnation, member.isDraining(), member.storeReachable(), { member.view() },
+                      processorMillis };
               })
         , router(parent.loop, owner, *this, [this] { return target(); })
         , neighbors(parent.loop, owner, *this, directory, cell, parent.m_domains)
@@ -57,6 +68,24 @@
         owner.setNeighbors(neighbors);
     }
 
+    vm_incarnation identity() const { return { { name }, incarnation, processorMillis }; }
+
+    /// Runs `call` once the processor has handled what arrived before. Has no effect if the VM has ended by then.
+    void handle(std::function<void()> call)
+    {
+        if (processorMillis == 0) {
+            call();
+            return;
+        }
+        const auto cost = std::chrono::nanoseconds(messageCost) * 1000 / processorMillis;
+        busyUntil = std::max(busyUntil, fleet.loop.now()) + cost;
+        fleet.loop.after(busyUntil - fleet.loop.now(), [weak = weak_from_this(), call = std::move(call)] {
+            const auto self = weak.lock();
+            if (self && self->alive)
+                call();
+        });
+    }
+
     std::optional<run_target> target() const
     {
         if (member.isOwner())
@@ -82,7 +111,7 @@
         return [weak = weak_from_this(), done = std::move(done)](Answer answer) {
             const auto self = weak.lock();
             if (self && self->alive)
-                done(std::move(answer));
+                self->handle([done, answer = std::move(answer)] { done(answer); });
         };
     }
 
@@ -126,8 +155,10 @@
             const auto current = decodeHeartbeat(datagram);
             if (!target || !current)
                 return;
-            target->directory.onHeartbeat(*current);
-            target->member.onHeartbeat(*current);
+            target->handle([target, heartbeat = *current] {
+                target->directory.onHeartbeat(heartbeat);
+                target->member.onHeartbeat(heartbeat);
+            });
         });
     }
 
@@ -143,8 +174,10 @@
             if (!fleet.reachable(from, address))
                 return;
             fleet.loop.after(fleet.m_callDelays[from], [&fleet, from, address, request, once] {
-                if (fleet.isAlive(address))
-                    fleet.m_vms.at(address)->answerRun(from, request, once);
+                if (!fleet.isAlive(address))
+                    return;
+                vm& target = *fleet.m_vms.at(address);
+                target.handle([&target, from, request, once] { target.answerRun(from, request, once); });
             });
         });
         fleet.loop.after(std::max(request.timeLeft, callTimeout), [once] { once(fail(error_kind::owner_unknown, "no answer")); });
@@ -169,7 +202,7 @@
         };
         fleet.loop.after(lentQueryDelay, [&fleet = fleet, from = name, address, home, once] {
             if (vm* target = fleet.reachable(from, address))
-                once(target->owner.jobsLentBy(home));
+                target->handle([target, home, once] { once(target->owner.jobsLentBy(home)); });
         });
         fleet.loop.after(lentJobsAnswerLimit, [once] { once({}); });
     }
@@ -235,8 +268,11 @@
         const auto found = m_vms.find(name);
         if (found == m_vms.end() || found->second->incarnation != incarnation)
             return;
-        found->second->tick();
-        schedule(name);
+        vm& current = *found->second;
+        current.handle([this, &current] {
+            current.tick();
+            schedule(current.name);
+        });
     });
 }
 
@@ -254,7 +290,32 @@
 void cell_fleet::drain(const std::string& vm)
 {
     if (isAlive(vm))
-        m_vms.at(vm)->member.drain();
+        m_vms.at(vm)->member.drain(loop.now());
+}
+
+void cell_fleet::restartOrderly(const std::string& vm, std::chrono::milliseconds downtime)
+{
+    if (!isAlive(vm))
+        return;
+    const orderly_stop stop(loop.now(), stopGrace);
+    m_vms.at(vm)->member.drain(stop.preferenceLimit());
+    continueStop(vm, stop, downtime);
+}
+
+void cell_fleet::continueStop(const std::string& name, const orderly_stop& stop, std::chrono::milliseconds downtime)
+{
+    const auto found = m_vms.find(name);
+    if (found == m_vms.end())
+        return;
+    if (!stop.mayEnd(loop.now(), found->second->router.waiting(), found->second->member.isOwner())) {
+        loop.after(stopCheckInterval, [this, name, stop, downtime] { continueStop(name, stop, downtime); });
+        return;
+    }
+    found->second->member.release();
+    loop.after(releaseDelay, [this, name, downtime] {
+        kill(name);
+        loop.after(downtime, [this, name] { start(name); });
+    });
 }
 
 cell_fleet::vm* cell_fleet::reachable(const std::string& from, const std::string& to)
--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -11,6 +11,7 @@
 #include "cells/cell_owner.h"
 #include "cells/fleet_neighbors.h"
 #include "cells/job_router.h"
+#include "cells/orderly_stop.h"
 #include "cells/vm_directory.h"
 #include "jobs/job_intake.h"
 #include "tests/fakes/memory_record_store.h"
@@ -48,6 +49,13 @@
     void setStoreFault(const std::string& vm, store_fault fault) { m_storeFaults[vm] = fault; }
     /// Removes a worker from the lists that owners read from now on, although the worker keeps running.
     void unlistWorker(const std::string& worker) { m_unlistedWorkers.insert(worker); }
+    /// Limits the processor time of a VM, in thousandths of a core, from its next start on. Without a limit all work of a VM
+    /// takes no time; with one, each message that it handles and each tick takes `messageCost` of a core, one after the other.
+    void limitProcessor(const std::string& vm, std::uint32_t processorMillis) { m_processorMillis[vm] = processorMillis; }
+    /// Processor time of one message.
+    static constexpr std::chrono::microseconds messageCost { 100 };
+    /// Starts an orderly stop of a VM, as an entry VM does it on SIGTERM; the VM is restarted `downtime` after its end.
+    void restartOrderly(const std::string& vm, std::chrono::milliseconds downtime);
     /// Delays the calls that a VM makes and its answers to calls by `delay`.
     void setCallDelay(const std::string& vm, std::chrono::milliseconds delay) { m_callDelays[vm] = delay; }
     /// Sets whether all datagrams and calls between a VM and the others are lost.
@@ -97,11 +105,13 @@
     jobs::accepted_job makeJob(
         const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration, bool answeredAtEnd);
     void schedule(const std::string& name);
+    void continueStop(const std::string& name, const cells::orderly_stop& stop, std::chrono::milliseconds downtime);
     vm* reachable(const std::string& from, const std::string& to);
 
     unsigned m_domains;
     /// Must outlive the VMs, which answer calls while they are destroyed.
     std::map<std::string, std::chrono::milliseconds> m_callDelays;
+    std::map<std::string, std::uint32_t> m_processorMillis;
     std::set<std::string> m_unlistedWorkers;
     std::map<std::string, std::shared_ptr<vm>> m_vms;
     std::map<std::string, store_fault> m_storeFaults;
--- a/tests/fakes/virtual_loop.h
+++ b/tests/fakes/virtual_loop.h
@@ -20,7 +20,7 @@
     }
 
     /// Schedules `call` to run after `delay`.
-    void after(std::chrono::milliseconds delay, std::function<void()> call) { m_calls.emplace(m_now + delay, std::move(call)); }
+    void after(std::chrono::nanoseconds delay, std::function<void()> call) { m_calls.emplace(m_now + delay, std::move(call)); }
 
     /// Advances the clock by `duration` and runs the calls that become due, those included that they schedule.
     void runFor(std::chrono::milliseconds duration)
