tests: Count arrivals without a narrowing conversion

Cause: the linter rejects the conversion of a duration's count to a double in the new test of weak owners. Change: the step is converted to seconds as a duration.

--- a/tests/cells/weak_owner_test.cpp
+++ b/tests/cells/weak_owner_test.cpp
@@ -37,7 +37,7 @@
     void runWithLoad(std::chrono::milliseconds duration, unsigned jobsPerSecond)
     {
         for (auto passed = 0ms; passed < duration; passed += step) {
-            arrived += jobsPerSecond * step.count() / 1000.0;
+            arrived += jobsPerSecond * std::chrono::duration<double>(step).count();
             for (; arrived >= 1; arrived -= 1)
                 submit();
             fleet.runFor(step);
