cells: Take a stop as proof only after the time that it may take

A task could run twice at the same time: its owner stopped a run whose start order had no answer, or that had stalled, or whose job had been given up, and started the task on another worker while the first one was still stopping the run.

Cause: a run counted as ended if the first poll after the answer to the stop order did not list it. The platform says that a stop takes up to kill_grace_ms, and does not say that a worker lists the run as running until then. If the stop had no answer, a poll that had listed the run since counted as well.

Change: a poll proves the end of a stopped run only if it was sent kill_grace_ms after the answer to the stop, or later. A poll that lists the run, or a late answer to its start order, is no substitute for the answer to the stop; a stop of a run that is not listed any more is repeated until it is answered. Once the time has passed, the worker is polled at once, even if a poll is in flight. Answers to start orders and attempt_too_old count as before unless the run is being stopped.

The simulated workers can take time for a stop, during which they list the run neither as running nor as ended; by default they take none.

The rule for stops without an answer was changed by reading.

--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -60,7 +60,7 @@
 
 /// How the owner knows that a run without a reported end does not run any more.
 enum class run_end_proof {
-    /// A poll that was sent after the last answered order about the run does not list it.
+    /// A poll that was sent after the last answered order about the run, and after the time that a stop takes, does not list it.
     not_listed,
     /// A poll that was sent after the last start order had expired on the worker's clock does not list it.
     order_expired,
--- a/cells/cell_owner_orders.cpp
+++ b/cells/cell_owner_orders.cpp
@@ -122,7 +122,8 @@
     }
     session.noteClock(answer->clock, now);
     session.noteAnswered();
-    current->answeredAt = now;
+    if (current->state != run_state::stopping)
+        current->provableFrom = now;
     current->uncertain = false;
     noteResolved(*current, now);
     if (!current->confirmedAt)
@@ -155,8 +156,8 @@
         return start_decision::requeued;
     }
     // The worker does not start an attempt again that has ended there, so the next poll shows its end, if it has run.
-    if (attemptEnded)
-        current.answeredAt = now;
+    if (attemptEnded && !current.provableFrom)
+        current.provableFrom = current.state == run_state::stopping ? now + settings.stopGrace : now;
     if (open_job* job = jobTable.find(key.jobId); job && job->contains(key))
         job->task(key).failedOn = session.registration().id;
     pollAtOnce(session, now);
@@ -209,7 +210,7 @@
     if (!current)
         return;
     current->state = run_state::stopping;
-    current->answeredAt.reset();
+    current->provableFrom.reset();
     current->stopSentAt = now;
     session.nextPoll = std::min(session.nextPoll, now);
     const worker_registration& worker = session.registration();
@@ -234,10 +235,8 @@
     if (!current || current->attempt != attempt)
         return;
     if (answer) {
-        current->answeredAt = now;
-        // The next poll proves that the run does not start any more.
-        if (current->uncertain)
-            pollAtOnce(*session, now);
+        // Until the stop has ended the run, the worker may list it neither as running nor as ended.
+        current->provableFrom = now + settings.stopGrace;
     } else if (answer.error() == order_failure::fenced) {
         endSupersededTerm("a worker has seen a higher token");
     } else if (answer.error() == order_failure::no_answer && session->lostCalls <= session->toleratedLosses + stopRetries) {
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -119,7 +119,9 @@
             dropRuns(session, beforeGrace, run_end_proof::leases_ended, now);
         const bool needed = !session.listed || !session.runs().empty() || session.durableEnd > session.acknowledgedEnd
             || session.lastEnd > session.durableEnd;
-        if (needed && !session.pollInFlight && now >= session.nextPoll)
+        if (session.awaitsProof(now))
+            pollAtOnce(session, now);
+        else if (needed && !session.pollInFlight && now >= session.nextPoll)
             poll(session, now);
         ++entry;
     }
@@ -128,6 +130,7 @@
 void cell_owner::data::poll(worker_session& session, time_point now)
 {
     session.pollInFlight = true;
+    session.pollSentAt = now;
     ++session.pollNumber;
     poll_order order;
     order.token = term.epoch;
@@ -312,7 +315,9 @@
     current->uncertain = false;
     noteResolved(*current, now);
     current->listed = true;
-    current->answeredAt = current->answeredAt.value_or(now);
+    // Of a run that is being stopped, a poll proves nothing until the stop is answered.
+    if (current->state != run_state::stopping)
+        current->provableFrom = current->provableFrom.value_or(now);
     if (listed.percent != current->percent) {
         current->percent = listed.percent;
         current->progressAt = now;
@@ -344,7 +349,7 @@
     added.state = run_state::running;
     added.sentAt = now;
     added.confirmedAt = now;
-    added.answeredAt = now;
+    added.provableFrom = now;
     added.progressAt = now;
     added.percent = listed.percent;
     const bool known = job && job->contains(listed.task);
@@ -398,12 +403,12 @@
             missing.emplace_back(key, current);
     }
     for (const auto& [key, current] : missing) {
-        const bool answered = current.answeredAt && *current.answeredAt < sentAt;
+        const bool answered = current.provableFrom && *current.provableFrom < sentAt;
         const bool expired = current.uncertain && current.startableUntil + lateStartMargin < sentAt;
         if (answered || expired) {
             session.removeRun(key);
             handleLostRun(session, key, current, answered ? run_end_proof::not_listed : run_end_proof::order_expired, now);
-        } else if (current.uncertain && !current.startInFlight
+        } else if ((current.uncertain || current.state == run_state::stopping) && !current.provableFrom && !current.startInFlight
             && (!current.stopSentAt || now - *current.stopSentAt > stopRetryDelay)) {
             stopRun(session, key, now);
         }
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -60,7 +60,7 @@
         carried.uncertain = true;
         carried.listed = false;
         carried.confirmedAt.reset();
-        carried.answeredAt.reset();
+        carried.provableFrom.reset();
         carried.stopSentAt.reset();
         carried.startInFlight = false;
         // The lease in the start order refers to the clock of the previous boot, so this boot would not refuse a late start.
@@ -98,6 +98,14 @@
     return found == m_runs.end() ? nullptr : &found->second;
 }
 
+bool worker_session::awaitsProof(time_point now) const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [this, now](const auto& entry) {
+        const auto& from = entry.second.provableFrom;
+        return entry.second.uncertain && from && *from < now && *from >= pollSentAt;
+    });
+}
+
 jobs::resources worker_session::free() const
 {
     jobs::resources left = m_registration.capacity;
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -33,8 +33,9 @@
     time_point sentAt;
     /// Time at which the worker first confirmed the run.
     std::optional<time_point> confirmedAt;
-    /// Time at which the last order about this run was answered. A poll that was sent later lists the run unless it has ended.
-    std::optional<time_point> answeredAt;
+    /// Time from which on a poll shows whether the run has ended: one that is sent later lists the run unless it has ended. Empty
+    /// until the last order about the run is answered.
+    std::optional<time_point> provableFrom;
     /// Time by which the lease in the start order has certainly ended on the worker's clock, so that the worker refuses the
     /// order from then on.
     time_point startableUntil;
@@ -98,6 +99,8 @@
     std::map<task_key, worker_run>& runs() { return m_runs; }
     const std::map<task_key, worker_run>& runs() const { return m_runs; }
 
+    /// Returns whether a poll that is sent at `now` proves more about an uncertain run than the last one.
+    bool awaitsProof(time_point now) const;
     /// Returns the capacity that no run has reserved.
     jobs::resources free() const;
     /// Returns the number of runs of one step on this worker.
@@ -134,6 +137,8 @@
     /// Whether the worker has answered a poll that carried the owner's token.
     bool listed = false;
     bool pollInFlight = false;
+    /// When the last poll was sent.
+    time_point pollSentAt;
     time_point nextPoll;
     /// Number of the poll whose answer is awaited; answers to earlier polls are ignored.
     std::uint64_t pollNumber = 0;
--- a/tests/cells/unanswered_load_test.cpp
+++ b/tests/cells/unanswered_load_test.cpp
@@ -30,10 +30,12 @@
 }
 
 struct lossy_cell {
-    explicit lossy_cell(unsigned workers, double share)
-        : cell(workers, cells::findAdmission("deadline"))
+    explicit lossy_cell(unsigned workers, double share, std::chrono::milliseconds stopTime = 0ms, std::uint32_t seed = 1)
+        : cell(workers, cells::findAdmission("deadline"), seed)
         , kinds(jobsFor(workers))
     {
+        for (unsigned number = 0; number < workers; ++number)
+            cell.workers.faults(cell_load_run::nameOf(number)).stopTime = stopTime;
         cell.runFor(2s);
         cell.runAtRate(kinds, 1.0, 1s);
         cell.loseCalls(share);
@@ -80,6 +82,17 @@
     BOOST_TEST(resolvedWithin(lossy.cell.owner.counterValues(), 300ms) > 0.95);
 }
 
+// Guards against two runs at a time (issue 34): a worker that is still stopping a run lists it neither as running nor as ended.
+BOOST_AUTO_TEST_CASE(one_call_in_five_while_stops_take_time)
+{
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+        const lossy_cell lossy(48, 0.2, cells::cell_settings().stopGrace, seed);
+        BOOST_TEST(lossy.cell.outcome().servedShare() > 0.95);
+        BOOST_TEST(resolvedWithin(lossy.cell.owner.counterValues(), 60ms) > 0.5);
+        BOOST_TEST(resolvedWithin(lossy.cell.owner.counterValues(), 300ms) > 0.95);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(two_calls_in_five)
 {
     const lossy_cell lossy(48, 0.4);
--- a/tests/fakes/virtual_workers.cpp
+++ b/tests/fakes/virtual_workers.cpp
@@ -170,7 +170,7 @@
         return tl::unexpected(order_failure::too_late);
     extendLease(current, order.leaseEnd);
     const auto running = current.running.find(order.task);
-    if (running != current.running.end() && running->second.attempt == order.attempt)
+    if (running != current.running.end() && running->second.attempt == order.attempt && !running->second.stopping)
         return order_answer { workerTimeOf(current) };
     if (running != current.running.end() || order.attempt <= current.highestAttempts[order.task])
         return tl::unexpected(order_failure::attempt_too_old);
@@ -181,7 +181,8 @@
         m_loop.after(duration, [this, id = current.registration.id.value, boot = current.boot, order] {
             worker& target = m_workers.at(id);
             const auto found = target.running.find(order.task);
-            if (target.boot != boot || found == target.running.end() || found->second.attempt != order.attempt)
+            if (target.boot != boot || found == target.running.end() || found->second.attempt != order.attempt
+                || found->second.stopping)
                 return;
             // A run that the end of the lease kills can't end as done any more, although its end is noticed late.
             const auto ownEnd = target.faults.failsAll ? run_end_reason::failed : run_end_reason::done;
@@ -267,12 +268,27 @@
     current.token = order.token;
     const order_answer answer { workerTimeOf(current) };
     const auto found = current.running.find(order.task);
-    if (found != current.running.end() && found->second.attempt <= order.attempt)
-        finish(current, order.task, run_end_reason::stopped);
+    if (found != current.running.end() && found->second.attempt <= order.attempt && !found->second.stopping)
+        endStoppedRun(current, order.task, found->second);
     current.highestAttempts[order.task] = std::max(current.highestAttempts[order.task], order.attempt);
     return answer;
 }
 
+void virtual_workers::endStoppedRun(worker& current, const task_key& task, active_run& stopped)
+{
+    if (current.faults.stopTime.count() == 0) {
+        finish(current, task, run_end_reason::stopped);
+        return;
+    }
+    stopped.stopping = true;
+    m_loop.after(current.faults.stopTime, [this, id = current.registration.id.value, boot = current.boot, task] {
+        worker& target = m_workers.at(id);
+        const auto found = target.running.find(task);
+        if (target.boot == boot && found != target.running.end() && found->second.stopping)
+            finish(target, task, run_end_reason::stopped);
+    });
+}
+
 order_transport virtual_workers::nextTransport(
     const worker& current, worker_path& path, std::deque<order_transport>& scripted) const
 {
@@ -387,8 +403,10 @@
         return;
     }
     poll_answer answer { workerTimeOf(current), current.registration.bootTime, {}, current.ended };
-    for (const auto& [task, run] : current.running)
-        answer.running.push_back({ task, run.attempt, {}, percentOf(m_runs[run.index], current.faults.hangs) });
+    for (const auto& [task, run] : current.running) {
+        if (!run.stopping)
+            answer.running.push_back({ task, run.attempt, {}, percentOf(m_runs[run.index], current.faults.hangs) });
+    }
     m_loop.after(oneWayLatency, [done, answer] { done(answer); });
 }
 
--- a/tests/fakes/virtual_workers.h
+++ b/tests/fakes/virtual_workers.h
@@ -24,6 +24,8 @@
     bool hangs = false;
     /// Delay before orders are executed. A start or stop order that is delayed is not answered.
     std::chrono::milliseconds orderDelay { 0 };
+    /// Time from a stop order to the end of the run. Meanwhile the worker lists the run neither as running nor as ended.
+    std::chrono::milliseconds stopTime { 0 };
     /// Polls are carried out, but their answers are lost.
     bool losesPollAnswers = false;
     /// Transports of the next start and stop orders, which are removed as they are used. Later orders take the path.
@@ -106,6 +108,7 @@
         std::uint64_t attempt = 0;
         std::size_t index = 0;
         std::int64_t cpuMillis = 0;
+        bool stopping = false;
     };
     struct worker {
         cells::worker_registration registration;
@@ -142,6 +145,8 @@
         worker& current, const cells::start_order& order, cells::order_failure refusal);
     tl::expected<cells::order_answer, cells::order_failure> executeStop(worker& current, const cells::stop_order& order);
     void finish(worker& current, const cells::task_key& task, cells::run_end_reason endReason);
+    /// Ends a run after the time that a stop takes on the worker.
+    void endStoppedRun(worker& current, const cells::task_key& task, active_run& stopped);
     void acknowledgeEnds(worker& current, std::uint64_t acknowledged);
     void checkLease(worker& current);
     void extendLease(worker& current, cells::worker_time until);
