cells: Start waiting tasks only on workers that a successor would know

A task could run twice at the same time: an owner that had been superseded without knowing it started a waiting task on a worker that had booted after the takeover, while the task ran under its successor.

Cause: the fencing token stops a superseded owner only at workers that the successor has polled. The successor polls the workers of its list before it starts tasks of earlier jobs; a boot that appears later has seen no token. Lost runs wait for a verification of the ownership, waiting tasks did not.

Change: a task is started only on a worker whose registration arrived before a time at which the ownership was verified. A successor takes over after that time, so it finds the worker in its list. The reads of the tail verify the ownership as well; a read for this is sent only if a task fits on no other worker, as after a takeover. A worker that is registered again after it had been deregistered counts as new, and so does a boot that was known from its answer to a poll when its registration arrives. An owner that loses the store goes on with the workers that it had.

Result: a_waiting_task_is_not_started_on_a_worker_that_joins and ..._that_restarts failed before ("waiting.0 has two concurrent runs"); ..._that_is_registered_again fails with the same message without its rule. All pass now.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -82,6 +82,7 @@
     unlistedWorkerRemoved = false;
     unverifiedLosses.clear();
     verificationInFlight = false;
+    workersAwaitVerification = false;
     nextVerification = {};
     nextRecord = 0;
     jobTable.clear();
--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -130,12 +130,16 @@
         if (!session.isHealthy(now) || !stepDefinition.need.fitsInto(registration.capacity)
             || (!stepDefinition.requiredLabel.empty() && !session.hasLabel(stepDefinition.requiredLabel)))
             continue;
+        if (!isVerified(session)) {
+            workersAwaitVerification = true;
+            continue;
+        }
         if (!best || readiness(session) > readiness(*best))
             best = &session;
     }
     // While a suspected task runs on the reserved worker, the other tasks of the job run nowhere else.
     if (reserved && reserved->runsOfJob(id) > 0)
-        return reserved->isHealthy(now) ? reserved : nullptr;
+        return reserved->isHealthy(now) && isVerified(*reserved) ? reserved : nullptr;
     if (!best || reservations >= std::max<std::size_t>(workers / workersPerReservation, 1))
         return nullptr;
     if (reserved)
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -146,6 +146,8 @@
     /// No other owner has given orders in the cell before this time: its owner record would have been read.
     time_point ownershipVerifiedAt;
     bool verificationInFlight = false;
+    /// Whether a task waits that would fit on a worker which may not get tasks before the ownership is verified.
+    bool workersAwaitVerification = false;
     time_point nextVerification;
     /// Offset after the last record that was read.
     std::uint64_t nextRecord = 0;
@@ -216,7 +218,10 @@
     void requeueWhenVerified(lost_run lost);
     /// Returns whether a lost run of the task has not been verified yet.
     bool hasUnverifiedLoss(const task_key& key) const;
-    /// Reads whether another owner has taken over, if a lost run has to be verified.
+    /// Returns whether a successor of this owner would know the boot of the worker, because none had taken over when it appeared.
+    /// Any other boot may execute an order of a superseded owner, as it may not have seen the token of the successor.
+    bool isVerified(const worker_session& session) const { return session.appearedAt() <= ownershipVerifiedAt; }
+    /// Reads whether another owner has taken over, if a lost run or a worker has to be verified.
     void verifyOwnership(time_point now);
     void onVerificationAnswer(time_point requestedAt, const result<jobs::record_batch>& answer);
     /// Notes that no other owner had taken over at `time`, and requeues the tasks whose runs were lost before.
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -207,6 +207,7 @@
 
 void cell_owner::data::schedule(time_point now)
 {
+    workersAwaitVerification = false;
     if (!givesOrders() || waitingJobs() == 0)
         return;
     // Jobs that can still meet their objective come first, because a late job is worth less to its caller.
@@ -214,6 +215,7 @@
     auto largestFree = largestFreeCpu(now);
     scheduleQueue(readyJobs, largestFree, now);
     scheduleQueue(lateJobs, largestFree, now);
+    verifyOwnership(now);
 }
 
 void cell_owner::data::scheduleQueue(std::set<queue_rank>& queue, largest_free_cpu& largestFree, time_point now)
@@ -290,6 +292,7 @@
     const jobs::step& stepDefinition = job.accepted.work.steps[step];
     worker_session* best = nullptr;
     double bestScore = 0;
+    bool skippedUnverified = false;
     for (auto& [id, session] : sessions) {
         const auto& registration = session.registration();
         if (registration.service != job.accepted.service || !session.acceptsStarts(now))
@@ -301,6 +304,10 @@
             continue;
         if (stepDefinition.maxPerWorker > 0 && session.runsOfStep(job.accepted.work.id, step) >= stepDefinition.maxPerWorker)
             continue;
+        if (!isVerified(session)) {
+            skippedUnverified = true;
+            continue;
+        }
         const double totalCpu = static_cast<double>(std::max<std::int64_t>(registration.capacity.cpuMillis, 1));
         const double unusedShare = static_cast<double>(session.free().cpuMillis - stepDefinition.need.cpuMillis) / totalCpu;
         double score = session.slowness() + unusedShareWeight * unusedShare;
@@ -315,6 +322,7 @@
             bestScore = score;
         }
     }
+    workersAwaitVerification = workersAwaitVerification || (!best && skippedUnverified);
     return best;
 }
 
--- a/cells/cell_owner_verification.cpp
+++ b/cells/cell_owner_verification.cpp
@@ -19,7 +19,7 @@
 
 void cell_owner::data::verifyOwnership(time_point now)
 {
-    if (unverifiedLosses.empty() || verificationInFlight || now < nextVerification)
+    if ((unverifiedLosses.empty() && !workersAwaitVerification) || verificationInFlight || now < nextVerification)
         return;
     verificationInFlight = true;
     nextVerification = now + verificationPause;
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -39,7 +39,9 @@
     if (registration.bootTime < session.registration().bootTime)
         return;
     if (registration.bootTime == session.registration().bootTime && registration.address == session.registration().address) {
-        session.deregistered = false;
+        // A boot that was known from its answer to a poll only has no capacity yet.
+        if (session.deregistered || session.registration().capacity.cpuMillis == 0)
+            session.noteRegistered(now);
         session.update(std::move(registration));
         return;
     }
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -18,6 +18,7 @@
     : nextPoll(now)
     , lastAnswerAt(now)
     , m_registration(std::move(registration))
+    , m_appearedAt(now)
 {
 }
 
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -70,6 +70,15 @@
     /// Replaces the registration by a newer one of the same boot.
     void update(worker_registration registration) { m_registration = std::move(registration); }
 
+    /// Returns when the registration of this boot arrived, or arrived again after the worker had been deregistered.
+    time_point appearedAt() const { return m_appearedAt; }
+    /// Records that the worker has been registered since the session began.
+    void noteRegistered(time_point now)
+    {
+        deregistered = false;
+        m_appearedAt = now;
+    }
+
     /// Records the worker's clock, as read from an answer that arrived at `now`.
     void noteClock(worker_time clock, time_point now);
     bool knowsClock() const { return m_clockAt.has_value(); }
@@ -166,6 +175,7 @@
 
 private:
     worker_registration m_registration;
+    time_point m_appearedAt;
     std::map<task_key, worker_run> m_runs;
     jobs::resources m_used;
     worker_time m_clock { 0 };
--- a/tests/cells/superseded_owner_test.cpp
+++ b/tests/cells/superseded_owner_test.cpp
@@ -1,4 +1,7 @@
 // Checks that an owner that has been superseded without knowing it starts no task that its successor keeps running.
+#include <algorithm>
+#include <set>
+
 #include <boost/test/unit_test.hpp>
 
 #include "tests/fakes/single_owner.h"
@@ -37,13 +40,18 @@
     {
         recordsAreSlow = true;
         answersAreLost = true;
+        storeSuccessor();
+        renewLease();
+    }
+
+    void storeSuccessor()
+    {
         jobs::append_request mark;
         mark.stream = { "jobs", 0 };
         mark.records.push_back({ jobs::ownerKey(), jobs::encodeOwner(epoch + 1), 0 });
         mark.from = jobs::writer { "owner", epoch + 1, 0 };
         records.append(mark, store_fault::none, [](const auto&) {});
         loop.runFor(10ms);
-        renewLease();
     }
 
     /// Renews the lease of the worker that runs the task, as the successor does, and acknowledges `acknowledged` ends.
@@ -90,6 +98,69 @@
     bool answersAreLost = false;
 };
 
+/// An owner whose workers are all in use, so that the task "waiting" waits. A successor takes over, which the owner does not
+/// hear, and starts that task on a worker that has become free.
+struct superseded_owner_with_a_waiting_task : superseded_owner {
+    superseded_owner_with_a_waiting_task()
+    {
+        run(patient("long", 4, 8s));
+        run(patient("waiting", 1, 6s));
+        runFor(400ms);
+        BOOST_REQUIRE(workers.runs().size() == 4U);
+    }
+
+    /// Returns a request whose caller waits for longer than all tasks take.
+    jobs::run_request patient(const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration) const
+    {
+        auto submitted = request(epoch, jobId, tasks, duration);
+        submitted.timeLeft = 30s;
+        return submitted;
+    }
+
+    void supersedeAndStartWaitingTask()
+    {
+        recordsAreSlow = true;
+        allAnswersAreLost = true;
+        storeSuccessor();
+        const auto workerClock = std::chrono::duration_cast<cells::worker_time>(loop.now() - startedAt);
+        const cells::start_order order { { "waiting", 0, 0, 0 }, epoch * cells::attemptsPerEpoch + 1, "6000",
+            workerClock + 1000ms, epoch + 1, {}, 0ms };
+        workers.start({ "worker-1" }, order, [](const auto&) {});
+        loop.runFor(10ms);
+        BOOST_REQUIRE(runsOfWaitingTask() == 1);
+    }
+
+    std::size_t runsOfWaitingTask() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            workers.runs().begin(), workers.runs().end(), [](const recorded_run& run) { return run.task.jobId == "waiting"; }));
+    }
+
+    void poll(
+        const cells::worker_registration& worker, const cells::poll_order& order, completion<cells::poll_answer> done) override
+    {
+        workers.poll(worker.id, order, [this, worker, done](const auto& answer) {
+            if (!allAnswersAreLost || isNew(worker))
+                done(answer);
+            else
+                loop.after(pollTimeout, [done] { done(tl::unexpected(cells::order_failure::no_answer)); });
+        });
+    }
+
+    /// Returns whether the worker has booted since the successor took over.
+    bool isNew(const cells::worker_registration& worker) const { return newBoots.contains(worker.bootTime); }
+
+    void expectOneRunOfWaitingTask()
+    {
+        for (const auto& violation : workers.violations())
+            BOOST_ERROR(violation);
+        BOOST_TEST(runsOfWaitingTask() == 1);
+    }
+
+    bool allAnswersAreLost = false;
+    std::set<std::int64_t> newBoots;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(at_most_once)
@@ -133,6 +204,65 @@
     expectNoSecondStart();
 }
 
+// Guards against a run beside one of the successor (issue 34): a worker that boots after the takeover has seen no token, so that
+// it executed the order of the superseded owner to start a task that had waited there.
+BOOST_FIXTURE_TEST_CASE(a_waiting_task_is_not_started_on_a_worker_that_joins, superseded_owner_with_a_waiting_task)
+{
+    supersedeAndStartWaitingTask();
+    const auto joined = workers.add("worker-3", "0", 16000);
+    newBoots.insert(joined.bootTime);
+    owner.updateWorker(joined);
+    runFor(1s);
+    expectOneRunOfWaitingTask();
+}
+
+// Guards against a run beside one of the successor (issue 34): the same for a worker that restarts.
+BOOST_FIXTURE_TEST_CASE(a_waiting_task_is_not_started_on_a_worker_that_restarts, superseded_owner_with_a_waiting_task)
+{
+    supersedeAndStartWaitingTask();
+    const auto restarted = workers.restart("worker-2");
+    newBoots.insert(restarted.bootTime);
+    owner.updateWorker(restarted);
+    runFor(1s);
+    expectOneRunOfWaitingTask();
+}
+
+// Guards against a run beside one of the successor (issue 34): the successor did not wait for a worker that was not registered
+// when it took over.
+BOOST_FIXTURE_TEST_CASE(a_waiting_task_is_not_started_on_a_worker_that_is_registered_again, superseded_owner_with_a_waiting_task)
+{
+    supersedeAndStartWaitingTask();
+    auto larger = workers.registrations("0").back();
+    BOOST_REQUIRE(larger.id.value == "worker-2");
+    larger.capacity.cpuMillis = 32000;
+    owner.removeWorker(larger.id);
+    owner.updateWorker(larger);
+    runFor(1s);
+    expectOneRunOfWaitingTask();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(when_no_other_vm_has_taken_over, superseded_owner_with_a_waiting_task)
+
+BOOST_AUTO_TEST_CASE(a_waiting_task_is_started_at_once_on_a_worker_that_joins)
+{
+    const auto joined = workers.add("worker-3", "0", 16000);
+    owner.updateWorker(joined);
+    runFor(30ms);
+    BOOST_TEST(runsOfWaitingTask() == 1);
+}
+
+// A failure domain that is cut off from the store goes on with the workers that it knows.
+BOOST_AUTO_TEST_CASE(a_waiting_task_is_started_on_a_known_worker_while_the_store_does_not_answer)
+{
+    recordsAreSlow = true;
+    runFor(5s);
+    BOOST_TEST(runsOfWaitingTask() == 0);
+    runFor(4s);
+    BOOST_TEST(runsOfWaitingTask() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
