cells: Let no heartbeat end a term with an epoch that no claim has reached

Callers would have seen an outage of a whole cell until its VMs were restarted: one datagram that was garbled on its way and named a huge epoch ended the term of the owner. All VMs took the epoch over and passed it on, and a VM that claimed the cell did not own it, because a claim advances the epoch by one and stayed below it.

Cause: `ownership::onHeartbeat` took any epoch as that of a successor.

A claim names the epoch after that of the newest owner record. A heartbeat with the next epoch ends the term at once, as before. With a later one, the owner pauses its orders at once and stores a liveness record, which the store refuses if a successor has claimed the cell. A sender that goes on naming a refuted epoch has no effect while the store answers. The epoch that VMs pass on is at most the next one. An owner also pauses while an append is in flight, for which it waited before.

Test: ownership_of_a_cell/held_by_this_vm, five new cases.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -102,6 +102,8 @@
     void handleOwnershipChange();
     /// Returns whether this owner has to release the cell now.
     bool shouldRelease(time_point now);
+    /// Pauses or resumes the orders of this owner, also while an append is in flight.
+    void pauseOrResume(time_point now);
     void runDueActions(time_point now);
     void appendRecords(jobs::append_request request, std::function<void(const result<std::uint64_t>&)> done);
     void claim();
@@ -294,26 +296,35 @@
     return true;
 }
 
+void cell_member::data::pauseOrResume(time_point now)
+{
+    if (!state.isOwner())
+        return;
+    const auto advice = state.advise(now);
+    if (advice != ownership_advice::pause && advice != ownership_advice::resume)
+        return;
+    deferredCalls.emplace_back([self = shared_from_this(), advice] {
+        if (advice == ownership_advice::pause)
+            self->owner.pause();
+        else
+            self->owner.resume();
+    });
+}
+
 void cell_member::data::runDueActions(time_point now)
 {
+    pauseOrResume(now);
     if (appendInFlight || now < nextAppendAt)
         return;
-    const auto advice = state.advise(now);
-    if (advice == ownership_advice::pause || advice == ownership_advice::resume) {
-        deferredCalls.emplace_back([self = shared_from_this(), advice] {
-            if (advice == ownership_advice::pause)
-                self->owner.pause();
-            else
-                self->owner.resume();
-        });
-    }
+    const bool owns = state.isOwner();
+    const auto advice = owns ? ownership_advice::none : state.advise(now);
     if (advice == ownership_advice::claim)
         claim();
     else if (advice == ownership_advice::preempt)
         preempt(now);
-    else if (state.isOwner() && !livenessUnanswered && shouldRelease(now))
+    else if (owns && !livenessUnanswered && shouldRelease(now))
         release();
-    else if (state.isOwner() && (livenessUnanswered || now >= nextLivenessRecordAt))
+    else if (owns && (livenessUnanswered || now >= nextLivenessRecordAt || state.needsVerification(now)))
         appendLivenessRecord(now);
 }
 
@@ -348,8 +359,11 @@
 void cell_member::onHeartbeat(const heartbeat& current)
 {
     m_data->withLock([&] {
-        m_data->state.onHeartbeat(current, m_data->clock.now());
+        const auto now = m_data->clock.now();
+        m_data->state.onHeartbeat(current, now);
         m_data->handleOwnershipChange();
+        if (m_data->state.needsVerification(now))
+            m_data->runDueActions(now);
     });
 }
 
--- a/cells/ownership.cpp
+++ b/cells/ownership.cpp
@@ -74,7 +74,11 @@
         if (view.cell != m_cell)
             continue;
         updated.view = view;
-        m_highestEpoch = std::max(m_highestEpoch, view.epoch);
+        // A claim advances the epoch by one, so a higher one is an error of the datagram unless this VM has missed records.
+        if (view.epoch > knownEpoch() && view.epoch - knownEpoch() > 1)
+            updated.unconfirmedSince = known != m_peers.end() && !gap ? known->second.unconfirmedSince.value_or(now) : now;
+        else
+            m_highestEpoch = std::max(m_highestEpoch, view.epoch);
         if (m_owner && view.owned && view.epoch == m_owner->epoch)
             m_ownerHeartbeatAt = now;
     }
@@ -87,6 +91,17 @@
         && m_owner->epoch >= m_highestEpoch;
 }
 
+bool ownership::isContested(time_point now) const
+{
+    const time_point refutedAt = std::max(m_verifiedAt, m_storeContactAt);
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        const peer_state& peer = entry.second;
+        return peer.unconfirmedSince && peer.view && peer.view->epoch > knownEpoch()
+            && now - peer.lastHeartbeatAt < m_settings.heartbeatTimeout
+            && (*peer.unconfirmedSince > refutedAt || now - refutedAt >= m_settings.unverifiedLimit);
+    });
+}
+
 std::uint64_t ownership::epoch() const { return m_owner ? m_owner->epoch : 0; }
 
 bool ownership::storeReachable(time_point now) const { return now - m_storeContactAt < storeContactTimeout; }
@@ -212,15 +227,16 @@
 ownership_advice ownership::advise(time_point now)
 {
     if (isOwner()) {
-        const bool verified
-            = now - m_verifiedAt < m_settings.unverifiedLimit || majorityReachable(now) || allCandidatesReachable(now);
+        const bool verified = !isContested(now)
+            && (now - m_verifiedAt < m_settings.unverifiedLimit || majorityReachable(now) || allCandidatesReachable(now));
         if (verified != m_paused)
             return ownership_advice::none;
         m_paused = !verified;
         return m_paused ? ownership_advice::pause : ownership_advice::resume;
     }
     // The record of an earlier incarnation of this VM proves that its owner has ended; others claim only after a silence.
-    const bool ownerHasEnded = m_owner && !m_owner->released && m_owner->owner == m_self.id && m_owner->epoch >= m_highestEpoch;
+    const bool ownerHasEnded
+        = m_owner && !m_owner->released && m_owner->owner == m_self.id && m_owner->epoch >= m_highestEpoch && !isContested(now);
     if (!m_draining && storeReachable(now) && ownerHasEnded)
         return ownership_advice::claim;
     if (shouldPreempt(now))
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -80,7 +80,9 @@
     void onLivenessRecord(std::uint64_t epoch, time_point now);
     /// Handles proof that the store was reachable at `now`.
     void onStoreContact(time_point now) { m_storeContactAt = now; }
-    /// Handles a heartbeat of another VM.
+    /// Handles a heartbeat of another VM. One that names the next epoch ends the ownership of this VM. One that names a later
+    /// epoch, which the datagram may hold by an error, makes it pause until the store has refuted or confirmed that epoch, the
+    /// sender has named another one, or the sender has been silent for `heartbeatTimeout`.
     void onHeartbeat(const heartbeat& current, time_point now);
     /// Handles the confirmation that a record of this VM as the owner, sent at `sentAt`, was stored.
     void onOwnershipVerified(time_point sentAt) { m_verifiedAt = std::max(m_verifiedAt, sentAt); }
@@ -95,6 +97,9 @@
     /// `successorDelay`.
     bool hasStrongerSuccessor(time_point now) const;
 
+    /// Returns whether this VM owns the cell and a heartbeat names an epoch that neither a record nor the store's answer to a
+    /// record of this owner has confirmed or refuted.
+    bool needsVerification(time_point now) const { return isOwner() && isContested(now); }
     /// Returns the action that is due at `now`.
     ownership_advice advise(time_point now);
 
@@ -119,6 +124,8 @@
         time_point lastHeartbeatAt;
         /// Time since which heartbeats of the VM have arrived without a gap.
         time_point uninterruptedSince;
+        /// Time since which the VM has named epochs that are higher than the next one; empty if it does not.
+        std::optional<time_point> unconfirmedSince;
     };
 
     bool isCandidate(const peer_state& current, time_point now) const;
@@ -129,6 +136,8 @@
     bool outranksOwner() const;
     /// Returns whether the owner had `preemptDelay` to hand the cell over to this VM, and VMs that rank higher had their turn.
     bool shouldPreempt(time_point now);
+    /// Returns whether a recent heartbeat names an epoch that is higher than the next one and that the store has not refuted.
+    bool isContested(time_point now) const;
     std::uint64_t knownEpoch() const { return m_owner ? m_owner->epoch : 0; }
     bool majorityReachable(time_point now) const;
     /// Returns whether there are other VMs that could claim the cell and all are reachable, so that none can have claimed it
--- a/tests/cells/ownership_test.cpp
+++ b/tests/cells/ownership_test.cpp
@@ -286,6 +286,76 @@
     BOOST_TEST(!state.isOwner());
 }
 
+/// Returns the state of an owner in epoch 2, whose ownership was last verified at `now`.
+ownership contestedOwner(time_point now, std::uint64_t reportedEpoch)
+{
+    auto state = follower(now);
+    state.onOwnerRecord({ 2, self, 1, false }, now);
+    state.onOwnershipVerified(now);
+    state.onHeartbeat(heartbeatFrom(third, reportedEpoch, true, 0ms), now + 100ms);
+    return state;
+}
+
+// Guards against the end of a term by one garbled datagram: no VM could own the cell any more until claims had reached its epoch.
+BOOST_AUTO_TEST_CASE(is_kept_when_a_heartbeat_has_an_epoch_that_no_claim_can_have_reached)
+{
+    for (const std::uint64_t garbled : { std::uint64_t { 4 }, std::uint64_t { 1 } << 60U, ~std::uint64_t { 0 } }) {
+        auto state = contestedOwner(start + 5s, garbled);
+        BOOST_TEST(state.isOwner());
+        BOOST_TEST(state.view(start + 5100ms).epoch == 2U);
+        // Several claims may have been made that this VM has not read, so it gives no orders until the store has answered.
+        BOOST_TEST((state.advise(start + 5100ms) == ownership_advice::pause));
+        BOOST_TEST(state.needsVerification(start + 5100ms));
+        state.onOwnershipVerified(start + 5110ms);
+        BOOST_TEST(!state.needsVerification(start + 5120ms));
+        BOOST_TEST((state.advise(start + 5120ms) == ownership_advice::resume));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(resumes_when_the_sender_of_such_an_epoch_takes_it_back_or_falls_silent)
+{
+    for (const bool takenBack : { true, false }) {
+        auto state = contestedOwner(start + 5s, 1000);
+        BOOST_TEST((state.advise(start + 5100ms) == ownership_advice::pause));
+        if (takenBack)
+            state.onHeartbeat(heartbeatFrom(third, 2, false, 10ms), start + 5300ms);
+        BOOST_TEST((state.advise(start + 5300ms) == (takenBack ? ownership_advice::resume : ownership_advice::none)));
+        const auto later = takenBack ? ownership_advice::none : ownership_advice::resume;
+        BOOST_TEST((state.advise(start + 5850ms) == later));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(does_not_pause_again_for_an_epoch_that_the_store_has_refuted_while_the_store_answers)
+{
+    auto state = contestedOwner(start + 5s, 1000);
+    state.onOwnershipVerified(start + 5200ms);
+    for (auto now = start + 5200ms; now < start + 7s; now += 100ms) {
+        state.onHeartbeat(heartbeatFrom(third, 1000, true, 0ms), now);
+        BOOST_TEST((state.advise(now) == ownership_advice::none));
+    }
+    state.onHeartbeat(heartbeatFrom(third, 1000, true, 0ms), start + 7200ms);
+    BOOST_TEST((state.advise(start + 7200ms) == ownership_advice::pause));
+}
+
+BOOST_AUTO_TEST_CASE(ends_when_the_record_confirms_such_an_epoch)
+{
+    auto state = contestedOwner(start + 5s, 4);
+    state.onOwnerRecord({ 3, other, 2, false }, start + 5110ms);
+    BOOST_TEST(!state.isOwner());
+    state.onOwnerRecord({ 4, third, 1, false }, start + 5110ms);
+    BOOST_TEST(!state.isOwner());
+    BOOST_TEST((state.advise(start + 5110ms) == ownership_advice::none));
+}
+
+// Guards against an outage without an end: after the garbled epoch, claims advanced by one and stayed below it.
+BOOST_AUTO_TEST_CASE(can_be_claimed_after_a_garbled_epoch)
+{
+    auto state = follower(start + 5s);
+    state.onHeartbeat(heartbeatFrom(third, 1U << 30U, false, 10ms), start + 5100ms);
+    state.onOwnerRecord({ 2, self, 1, false }, start + 6s);
+    BOOST_TEST(state.isOwner());
+}
+
 BOOST_AUTO_TEST_CASE(does_not_continue_in_another_incarnation)
 {
     ownership state(cell, { self, 2 }, {}, start);
