cells: Keep a garbled epoch from hiding the owner of a cell

Callers of other domains would have been refused, and no job would have been lent to the cell: a VM that received one heartbeat with a huge epoch ignored all later heartbeats of the true owner.

Cause: the directory kept the highest epoch that a heartbeat had named, for ever.

An owner whose epoch is more than one higher than that of the known one is used once a second heartbeat has named it. An owner that only one heartbeat has named gives way to one of a lower epoch after one second. Cell numbers of 1024 and more are ignored, so that they add no entries.

Test: a_garbled_heartbeat, in virtual time with two cells.

--- a/cells/vm_directory.cpp
+++ b/cells/vm_directory.cpp
@@ -26,6 +26,11 @@
     constexpr std::chrono::milliseconds registrationRetry { 200 };
     /// Age of an owner's last heartbeat after which the owner counts as unknown: ten of its heartbeat intervals.
     constexpr std::chrono::milliseconds ownerTimeout { 1000 };
+    /// Shortest time between two heartbeats that count as different ones: one that was relayed twice arrives with nearly the same
+    /// time.
+    constexpr std::chrono::milliseconds repetitionInterval = ownerHeartbeatInterval / 2;
+    /// Number of cells from which a cell number is taken for an error of the datagram.
+    constexpr cell_number mostCells = 1024;
 
     std::string encodeVm(const vm_registration& registration)
     {
@@ -54,6 +59,14 @@
         std::uint64_t epoch = 0;
         cell_load load;
         time_point heartbeatAt;
+        /// Whether two heartbeats have named this VM and epoch.
+        bool confirmed = false;
+
+        /// Returns whether `next` names the same owner in a later heartbeat.
+        bool isRepeatedBy(const known_owner& next) const
+        {
+            return vm == next.vm && epoch == next.epoch && next.heartbeatAt - heartbeatAt >= repetitionInterval;
+        }
     };
 
     jobs::record_store& store;
@@ -67,6 +80,8 @@
     mutable std::mutex mutex;
     heartbeat_plan plan;
     std::map<cell_number, known_owner> owners;
+    /// Owners whose epoch is more than one higher than that of the known owner, until a second heartbeat confirms it.
+    std::map<cell_number, known_owner> unconfirmedOwners;
     bool registered = false;
     bool registering = false;
     time_point nextRegistrationAt;
@@ -205,9 +220,29 @@
 
 void vm_directory::data::recordOwner(const cell_view& view, const vm_id& vm, time_point heartbeatAt)
 {
+    if (view.cell >= mostCells)
+        return;
     known_owner& known = owners[view.cell];
-    if (view.epoch > known.epoch || (view.epoch == known.epoch && heartbeatAt > known.heartbeatAt))
-        known = { vm, view.epoch, view.load.value_or(cell_load {}), heartbeatAt };
+    known_owner reported { vm, view.epoch, view.load.value_or(cell_load {}), heartbeatAt, false };
+    if (reported.epoch == known.epoch) {
+        reported.confirmed = known.confirmed || known.isRepeatedBy(reported);
+        if (heartbeatAt > known.heartbeatAt)
+            known = std::move(reported);
+        return;
+    }
+    // An epoch that a single heartbeat has named may be an error of the datagram.
+    const bool mayBeError = !known.confirmed && clock.now() - known.heartbeatAt > ownerTimeout;
+    if (reported.epoch < known.epoch && !mayBeError)
+        return;
+    if (reported.epoch > known.epoch && reported.epoch - known.epoch > 1 && known.confirmed) {
+        known_owner& earlier = unconfirmedOwners[view.cell];
+        reported.confirmed = earlier.isRepeatedBy(reported);
+        if (!reported.confirmed) {
+            earlier = std::move(reported);
+            return;
+        }
+    }
+    known = std::move(reported);
 }
 
 vm_directory::vm_directory(jobs::record_store& store, heartbeat_link& link, const clock_source& clock, jobs::record_stream stream,
--- a/cells/vm_directory.h
+++ b/cells/vm_directory.h
@@ -53,7 +53,9 @@
     /// Makes a heartbeat due at the next call of `tick`.
     void sendHeartbeatOnNextTick();
 
-    /// Handles a heartbeat of another VM.
+    /// Handles a heartbeat of another VM. An owner whose epoch is more than one higher than that of the known one is used once a
+    /// second heartbeat has named it. An owner that only one heartbeat has named gives way to one of a lower epoch after a
+    /// second.
     void onHeartbeat(const heartbeat& current);
 
     /// Returns which VMs send heartbeats to this VM.
@@ -62,7 +64,7 @@
     /// Returns the owner of a cell; empty if no recent heartbeat names one or if it is not registered.
     std::optional<reported_owner> owner(cell_number cell) const;
 
-    /// Returns the highest epoch that heartbeats have named for a cell, also if they are not recent; 0 if none has.
+    /// Returns the epoch of the newest owner of a cell that heartbeats have named, also if they are not recent; 0 if none has.
     std::uint64_t highestEpoch(cell_number cell) const;
 
     /// Returns the address of a VM; empty if it is not registered.
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -318,6 +318,12 @@
     });
 }
 
+void cell_fleet::deliver(const std::string& vm, const heartbeat& garbled)
+{
+    m_vms.at(vm)->directory.onHeartbeat(garbled);
+    m_vms.at(vm)->member.onHeartbeat(garbled);
+}
+
 cell_fleet::vm* cell_fleet::reachable(const std::string& from, const std::string& to)
 {
     const auto found = m_vms.find(to);
--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -64,6 +64,9 @@
         partitioned ? (void)m_partitioned.insert(vm) : (void)m_partitioned.erase(vm);
     }
 
+    /// Delivers a heartbeat to a VM, as one that was garbled on its way.
+    void deliver(const std::string& vm, const cells::heartbeat& garbled);
+
     /// Returns the VM that owns the cell of a domain; empty if there is none.
     std::string owner(unsigned domain) const;
 
