cells: Verify the ownership after truncated answers and expired records

Callers would have seen a job that waits until its deadline, although its run was lost and workers were free: the task of a lost run starts again only once a read of the records has shown that no other owner has taken over.

After a truncated answer the verification reads on from its end, at once. After `log_records_expired` it reads the newest record of each key, among which is the owner record of a successor, and goes on behind these.

Test: the_verification_of_an_owner. Before: reads_on_after_a_truncated_answer and reads_the_newest_records_when_the_next_ones_have_expired `check workers.runs().size() == number has failed [1 != 2]`, and the two cases with a successor `check superseded has failed`. They pass now, as do the three cases, which passed before, of a store that comes back (requests refused, not answered, a successor meanwhile).

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -84,6 +84,8 @@
     verificationInFlight = false;
     workersAwaitVerification = false;
     nextVerification = {};
+    verificationOffset = 0;
+    verificationReadsNewest = false;
     nextRecord = 0;
     jobTable.clear();
     sessions.clear();
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -151,6 +151,10 @@
     time_point nextVerification;
     /// Offset after the last record that was read.
     std::uint64_t nextRecord = 0;
+    /// Offset before which the verification has found no owner record of a successor.
+    std::uint64_t verificationOffset = 0;
+    /// Whether the verification reads the newest record of each key, because the next ones are not kept any more.
+    bool verificationReadsNewest = false;
 
     crash_suspicion suspicion;
     cell_counters counters;
@@ -221,7 +225,8 @@
     /// Returns whether a successor of this owner would know the boot of the worker, because none had taken over when it appeared.
     /// Any other boot may execute an order of a superseded owner, as it may not have seen the token of the successor.
     bool isVerified(const worker_session& session) const { return session.appearedAt() <= ownershipVerifiedAt; }
-    /// Reads whether another owner has taken over, if a lost run or a worker has to be verified.
+    /// Reads whether another owner has taken over, if a lost run or a worker has to be verified: the records after the last one
+    /// that was read, or the newest record of each key when these are not kept any more.
     void verifyOwnership(time_point now);
     void onVerificationAnswer(time_point requestedAt, const result<jobs::record_batch>& answer);
     /// Notes that no other owner had taken over at `time`, and requeues the tasks whose runs were lost before.
--- a/cells/cell_owner_verification.cpp
+++ b/cells/cell_owner_verification.cpp
@@ -23,23 +23,33 @@
         return;
     verificationInFlight = true;
     nextVerification = now + verificationPause;
-    deferredCalls.emplace_back([self = shared_from_this(), from = nextRecord, now, number = termNumber] {
-        self->store.read(self->stream, from, std::chrono::milliseconds(0), [self, number, now](const auto& answer) {
+    const auto from = std::max(nextRecord, verificationOffset);
+    deferredCalls.emplace_back([self = shared_from_this(), from, newest = verificationReadsNewest, now, number = termNumber] {
+        auto done = [self, number, now](const result<jobs::record_batch>& answer) {
             self->locked([&] {
                 if (number == self->termNumber)
                     self->onVerificationAnswer(now, answer);
             });
-        });
+        };
+        if (newest)
+            self->store.readNewest(self->stream, std::move(done));
+        else
+            self->store.read(self->stream, from, std::chrono::milliseconds(0), std::move(done));
     });
 }
 
 void cell_owner::data::onVerificationAnswer(time_point requestedAt, const result<jobs::record_batch>& answer)
 {
     verificationInFlight = false;
+    if (!answer && answer.error().kind == error_kind::log_records_expired) {
+        verificationReadsNewest = true;
+        return;
+    }
     if (!answer) {
         nextVerification = clock.now() + verificationRetryPause;
         return;
     }
+    const bool readNewest = std::exchange(verificationReadsNewest, false);
     const auto number = termNumber;
     for (const auto& current : answer->records) {
         if (current.value && jobs::recordKindOf(current.key) == jobs::record_kind::owner)
@@ -47,9 +57,14 @@
         if (number != termNumber)
             return;
     }
+    const bool truncated = !readNewest && !answer->records.empty() && answer->records.back().offset + 1 < answer->end;
+    verificationOffset = truncated ? answer->records.back().offset + 1 : answer->end;
     // An answer has a limited size and may end before the newest record.
-    if (!answer->records.empty() && answer->records.back().offset + 1 < answer->end)
+    if (truncated) {
+        nextVerification = clock.now();
+        verifyOwnership(nextVerification);
         return;
+    }
     noteOwnershipVerified(requestedAt);
     schedule(clock.now());
 }
