cells: Name the home cell of a lent job in the list that is handed over

Callers would have had a job run twice, one run after the other: a lent job that had ended was started again when the owners of both cells changed. The list of ended jobs that the owner of the borrowing cell hands over did not name the cells that had lent them, so that its successor did not report the job to the next owner of the home cell.

The list names the home cell after the state of a lent job. Lists without it are read as before. Builds before this one read the new lists: they take the id and the state and ignore what follows.

Test: a_completed_lent_job/is_not_run_again_when_the_owners_of_both_cells_change.

--- a/cells/cell_job_table.cpp
+++ b/cells/cell_job_table.cpp
@@ -104,12 +104,18 @@
     m_finished.insert_or_assign(id, finished);
 }
 
+void cell_job_table::finishReplayed(const jobs::finished_job& job, time_point endedAt)
+{
+    m_open.erase(job.id);
+    m_finished.insert_or_assign(job.id, finished_entry { job.state, endedAt, job.home, true });
+}
+
 std::vector<jobs::finished_job> cell_job_table::finishedUnstored() const
 {
     std::vector<jobs::finished_job> finished;
     for (const auto& [id, entry] : m_finished) {
         if (!entry.stored)
-            finished.push_back({ id, entry.state });
+            finished.push_back({ id, entry.state, entry.lentBy });
     }
     return finished;
 }
--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -123,6 +123,8 @@
 
     /// Moves a job from the open to the finished jobs; `now` is the time of its end.
     void finish(const std::string& id, jobs::job_state state, time_point now);
+    /// Adds a job that an earlier owner has listed as finished.
+    void finishReplayed(const jobs::finished_job& job, time_point endedAt);
     bool isFinished(const std::string& id) const { return m_finished.contains(id); }
     /// Returns the ids of the finished jobs that the cell `home` had lent to this one.
     std::vector<std::string> finishedFor(cell_number home) const;
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -197,8 +197,9 @@
         return;
     const auto at = now - std::max(clock.wallNow() - list->at, std::chrono::milliseconds(0));
     finishedKeys.emplace(at + settings.finishedRetention, current.key);
+    // Lent jobs are not stored, so their ends are remembered for a shorter time.
     for (const auto& job : list->jobs)
-        jobTable.finish(job.id, job.state, at);
+        jobTable.finishReplayed(job, job.home ? at - settings.finishedRetention + unstoredRetention : at);
 }
 
 void cell_owner::data::applyOwner(const std::string& value)
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -185,8 +185,12 @@
 std::string encodeFinished(const finished_list& list)
 {
     json jobs = json::array();
-    for (const auto& current : list.jobs)
+    for (const auto& current : list.jobs) {
         jobs.push_back(json::array({ current.id, static_cast<int>(current.state) }));
+        // Earlier versions ignore what follows the state.
+        if (current.home)
+            jobs.back().push_back(*current.home);
+    }
     return pack(json::array({ list.at.time_since_epoch().count(), std::move(jobs) }));
 }
 
@@ -199,7 +203,10 @@
             const auto state = current.at(1).get<std::int64_t>();
             if (state < 0 || state > static_cast<std::int64_t>(job_state::cancelled))
                 throw unusable_value(fmt::format("{} is not a state of a job", state));
-            list.jobs.push_back({ current.at(0), static_cast<job_state>(state) });
+            list.jobs.push_back({ current.at(0), static_cast<job_state>(state), std::nullopt });
+            // Lists of earlier versions name no homes.
+            if (current.size() > 2)
+                list.jobs.back().home = current.at(2).get<std::uint32_t>();
         }
         return list;
     });
--- a/jobs/record_codec.h
+++ b/jobs/record_codec.h
@@ -68,6 +68,8 @@
 struct finished_job {
     std::string id;
     job_state state = job_state::completed;
+    /// Cell that lent the job; empty if the job was not lent.
+    std::optional<std::uint32_t> home;
 };
 
 /// Kind of a stored record, encoded in its key.
--- a/tests/cells/lent_jobs_completed_test.cpp
+++ b/tests/cells/lent_jobs_completed_test.cpp
@@ -58,4 +58,17 @@
     expectCompletedOnce();
 }
 
+// Guards against a run that follows one that was done: the list of ended jobs that the owner of the other cell handed over did
+// not name their home cells, so that its successor did not report them to the next owner of the home cell.
+BOOST_AUTO_TEST_CASE(is_not_run_again_when_the_owners_of_both_cells_change)
+{
+    fleet.kill(home);
+    fleet.runFor(300ms);
+    fleet.drain(other);
+    fleet.runFor(4s);
+    BOOST_REQUIRE(fleet.owner(0) != home);
+    BOOST_REQUIRE(fleet.owner(1) != other);
+    expectCompletedOnce();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
