net: Deliver answers that arrived while the client had no processor time

Callers of an owner on a VM with little processor time saw their jobs fail: thousands of orders that workers had answered counted as unanswered, were sent again, and blocked capacity until a proof.

libcurl checks the timeout of a transfer before it reads its socket. A client whose thread had no processor time for longer than the timeout dropped the answers that had arrived meanwhile. Now the client keeps the deadlines itself and checks them only after the sockets have been read; the timeouts of libcurl are not set. A request that was not sent before its deadline is not sent any more and fails as not sent. What a failure proves stays the same: not_sent only if nothing was sent, and no request is sent twice.

Before the change three of the five tests fail: delivers_an_answer_that_arrived_in_time ("fatal error: Timeout was reached"), does_not_send_a_call_after_its_timeout ("check first.get().has_value() has failed") and counts_as_not_sent_when_it_is_not_connected_in_time (its progress was not not_sent).

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <future>
+#include <map>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
@@ -16,7 +17,9 @@
 
 namespace {
 
-    constexpr int maxPollMilliseconds = 1000;
+    using steady_time = std::chrono::steady_clock::time_point;
+
+    constexpr std::chrono::milliseconds longestPoll { 1000 };
 
     /// Initializes libcurl once for the process.
     struct curl_library {
@@ -27,6 +30,11 @@
         void operator()(curl_slist* list) const { curl_slist_free_all(list); }
     };
 
+    struct transfer;
+
+    /// Running calls by their next deadlines.
+    using deadline_list = std::multimap<steady_time, transfer*>;
+
     struct transfer {
         http_call call;
         http_completion done;
@@ -35,6 +43,9 @@
         http_reply reply;
         std::unique_ptr<curl_slist, free_headers> headers;
         CURL* handle = nullptr;
+        /// Time at which the call fails.
+        steady_time deadline;
+        deadline_list::iterator nextDeadline;
     };
 
     std::size_t readBody(char* buffer, std::size_t size, std::size_t count, void* context)
@@ -86,6 +97,14 @@
         return sent ? transport_progress::may_have_arrived : transport_progress::not_sent;
     }
 
+    /// Returns whether the call has got a connection and used it.
+    bool isConnected(const transfer& current)
+    {
+        long headersSent = 0;
+        curl_easy_getinfo(current.handle, CURLINFO_REQUEST_SIZE, &headersSent);
+        return headersSent > 0;
+    }
+
 } // namespace
 
 struct http_client::data {
@@ -98,6 +117,7 @@
     std::atomic<std::uint64_t> sentBytes { 0 };
     std::atomic<std::uint64_t> receivedBytes { 0 };
     std::unordered_map<CURL*, std::unique_ptr<transfer>> running;
+    deadline_list deadlines;
     std::vector<CURL*> idleHandles;
     std::thread thread;
 
@@ -105,6 +125,11 @@
     void startSubmitted();
     void begin(std::unique_ptr<transfer> current);
     void collectFinished();
+    /// Fails the calls whose deadlines have passed at `now` before their requests were sent, so that these are not sent late.
+    void failUnsent(steady_time now);
+    /// Fails the calls whose deadlines had passed at `readAt`. The sockets must have been read after that time.
+    void failOverdue(steady_time readAt);
+    std::chrono::milliseconds timeToNextDeadline() const;
     void finish(CURL* handle, CURLcode code);
     void countTraffic(CURL* handle);
 };
@@ -113,10 +138,16 @@
 {
     while (!stopping.load()) {
         startSubmitted();
+        // The thread may have had no processor time for longer than the timeout of a call: an answer that has arrived meanwhile
+        // is read before the call is judged. The timeouts of libcurl are not used, because it checks them before it reads a
+        // socket.
+        const auto readAt = std::chrono::steady_clock::now();
+        failUnsent(readAt);
         int active = 0;
         curl_multi_perform(multi, &active);
         collectFinished();
-        curl_multi_poll(multi, nullptr, 0, maxPollMilliseconds, nullptr);
+        failOverdue(readAt);
+        curl_multi_poll(multi, nullptr, 0, static_cast<int>(timeToNextDeadline().count()), nullptr);
     }
     startSubmitted();
     while (!running.empty())
@@ -156,8 +187,6 @@
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
-    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connectTimeout.count()));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendReplyBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, current.get());
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &readEntityTag);
@@ -173,6 +202,9 @@
         curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     }
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
+    const auto now = std::chrono::steady_clock::now();
+    current->deadline = now + call.timeout;
+    current->nextDeadline = deadlines.emplace(now + std::min(call.connectTimeout, call.timeout), current.get());
     running.emplace(handle, std::move(current));
     curl_multi_add_handle(multi, handle);
 }
@@ -186,6 +218,36 @@
     }
 }
 
+void http_client::data::failUnsent(steady_time now)
+{
+    for (auto entry = deadlines.begin(); entry != deadlines.end() && entry->first <= now;) {
+        const transfer& current = *(entry++)->second;
+        if (current.deadline <= now && progressOf(current) == transport_progress::not_sent)
+            finish(current.handle, CURLE_OPERATION_TIMEDOUT);
+    }
+}
+
+void http_client::data::failOverdue(steady_time readAt)
+{
+    while (!deadlines.empty() && deadlines.begin()->first <= readAt) {
+        transfer& current = *deadlines.begin()->second;
+        if (current.deadline <= readAt || !isConnected(current)) {
+            finish(current.handle, CURLE_OPERATION_TIMEDOUT);
+            continue;
+        }
+        deadlines.erase(current.nextDeadline);
+        current.nextDeadline = deadlines.emplace(current.deadline, &current);
+    }
+}
+
+std::chrono::milliseconds http_client::data::timeToNextDeadline() const
+{
+    if (deadlines.empty())
+        return longestPoll;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadlines.begin()->first - std::chrono::steady_clock::now());
+    return std::clamp(left, std::chrono::milliseconds(0), longestPoll);
+}
+
 void http_client::data::countTraffic(CURL* handle)
 {
     long requestHeaders = 0;
@@ -205,6 +267,7 @@
 {
     auto node = running.extract(handle);
     const std::unique_ptr<transfer> current = std::move(node.mapped());
+    deadlines.erase(current->nextDeadline);
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     countTraffic(handle);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -35,7 +35,8 @@
     std::string body;
     /// Header lines, as `name: value`.
     std::vector<std::string> headers;
-    /// Limit on the whole call, connecting included.
+    /// Limit on the whole call, connecting included. An answer that has arrived when the call is judged is delivered, even if the
+    /// client could not read it in time.
     std::chrono::milliseconds timeout { 5000 };
     std::chrono::milliseconds connectTimeout { 1000 };
 };
