core, cells, jobs, platform: Refuse numbers that don't fit their type

The JSON library converts a number silently to the type that is asked for. A configuration with version -1 became the highest version there is and hid all later ones; an end with number -1 became the last one of its worker, after which no end was new; an owner record with epoch -1 ended the term; a job that named step 2^32 as a dependency depended on step 0; 1e300 as a whole number is undefined behaviour. Times of a heartbeat were not limited, so that sums overflowed and an owner could count as heard for years. A target latency below 0 or near the largest number gave jobs an objective before their arrival.

`core/json_number.h` checks the range, and the decoders of store records, workers' answers, heartbeats, client requests and the configuration use it. Fractions are cut off as before. Times of a heartbeat are limited to between 0 and one year; a target latency outside of that makes the configuration invalid.

Tests: malformed_input/*/*_out_of_range and the_configuration/is_kept_while_the_newest_record_cannot_be_read. Before, for example: `check !platform::decodePollAnswer(R"({"clock_ms":1,"finished":[[-1,"a.0.0.0",1,"done",""]]})").has_value() has failed`, `check !jobs::decodeOwner("-1").has_value() has failed`, `check vm.table.read()->version == 7U has failed [ != 7]`. The target latency was found by malformed_input/from_the_store/configurations with 100,000 cases: `critical check jobs::objectiveOf(acceptedJob().work, rules).count() >= 0 has failed`; 3,000 cases do not find it. They pass now.

--- a/cells/heartbeat.cpp
+++ b/cells/heartbeat.cpp
@@ -1,8 +1,12 @@
 #include "cells/heartbeat.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "core/json_number.h"
+
 namespace coriandermount::cells {
 
 using json = nlohmann::json;
@@ -25,22 +29,31 @@
         return fields;
     }
 
+    /// Returns a time within 0 and `longestDuration`: the sender's may be a little below 0, and sums with it must not overflow.
+    std::chrono::milliseconds timeIn(const json& value)
+    {
+        return std::clamp(
+            std::chrono::milliseconds(numberIn<std::int64_t>(value)), std::chrono::milliseconds(0), longestDuration);
+    }
+
     cell_view decodeView(const json& fields)
     {
         constexpr std::size_t fieldsWithLoad = 8;
         cell_view view;
-        view.cell = fields.at(0);
-        view.epoch = fields.at(1);
+        view.cell = numberIn<cell_number>(fields.at(0));
+        view.epoch = numberIn<std::uint64_t>(fields.at(1));
         view.owned = fields.at(2);
-        if (const auto silence = fields.at(3).get<std::int64_t>(); silence >= 0)
-            view.ownerSilence = std::chrono::milliseconds(silence);
+        if (fields.at(3) != -1)
+            view.ownerSilence = timeIn(fields.at(3));
         if (fields.size() < fieldsWithLoad)
             return view;
         view.load.emplace();
         for (const auto& wait : fields.at(4))
-            view.load->waitByPriority.emplace_back(wait.get<std::int64_t>());
-        view.load->pendingByQueue = fields.at(5).get<std::map<std::string, std::uint32_t>>();
-        view.load->idleCpu = fields.at(6).get<std::map<std::string, std::int64_t>>();
+            view.load->waitByPriority.push_back(timeIn(wait));
+        for (const auto& [queue, pending] : fields.at(5).items())
+            view.load->pendingByQueue.emplace(queue, numberIn<std::uint32_t>(pending));
+        for (const auto& [service, idle] : fields.at(6).items())
+            view.load->idleCpu.emplace(service, numberIn<std::int64_t>(idle));
         view.load->recordsCurrent = fields.at(7);
         return view;
     }
@@ -66,12 +79,12 @@
 {
     try {
         const json fields = json::from_msgpack(datagram);
-        heartbeat current { { fields.at(0) }, fields.at(1), fields.at(2), fields.at(3), {}, fields.at(5), {} };
+        heartbeat current { { fields.at(0) }, numberIn<std::uint64_t>(fields.at(1)), fields.at(2), fields.at(3), {},
+            numberIn<std::uint32_t>(fields.at(5)), {} };
         for (const auto& view : fields.at(4))
             current.cells.push_back(decodeView(view));
         for (const auto& entry : fields.at(6))
-            current.relayed.push_back(
-                { { entry.at(0) }, std::chrono::milliseconds(entry.at(1).get<std::int64_t>()), decodeView(entry.at(2)) });
+            current.relayed.push_back({ { entry.at(0) }, timeIn(entry.at(1)), decodeView(entry.at(2)) });
         return current;
     } catch (const json::exception& problem) {
         return fail(error_kind::malformed_request, fmt::format("malformed heartbeat: {}", problem.what()));
--- a/cells/ownership_codec.cpp
+++ b/cells/ownership_codec.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "core/json_number.h"
+
 namespace coriandermount::cells {
 
 using json = nlohmann::json;
@@ -35,8 +37,9 @@
 result<owner_record> decodeOwnerRecord(const std::string& value)
 {
     return unpack(value, [](const json& fields) {
-        const std::uint32_t processorMillis = fields.size() > 4 ? fields.at(4).get<std::uint32_t>() : 0;
-        return owner_record { fields.at(0), { fields.at(1) }, fields.at(2), fields.at(3), processorMillis };
+        const std::uint32_t processorMillis = fields.size() > 4 ? numberIn<std::uint32_t>(fields.at(4)) : 0;
+        return owner_record { numberIn<std::uint64_t>(fields.at(0)), { fields.at(1) }, numberIn<std::uint64_t>(fields.at(2)),
+            fields.at(3), processorMillis };
     });
 }
 
@@ -44,7 +47,7 @@
 
 result<std::uint64_t> decodeLiveness(const std::string& value)
 {
-    return unpack(value, [](const json& epoch) { return epoch.get<std::uint64_t>(); });
+    return unpack(value, [](const json& epoch) { return numberIn<std::uint64_t>(epoch); });
 }
 
 } // namespace coriandermount::cells
--- a/cells/vm_directory.cpp
+++ b/cells/vm_directory.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "core/json_number.h"
 #include "core/log.h"
 #include "jobs/record_tail.h"
 
@@ -45,7 +46,9 @@
     {
         try {
             const json fields = json::from_msgpack(value);
-            return vm_registration { { { fields.at(0) }, fields.at(1), fields.at(4) }, fields.at(2), { fields.at(3) } };
+            return vm_registration { { { fields.at(0) }, numberIn<std::uint64_t>(fields.at(1)),
+                                         numberIn<std::uint32_t>(fields.at(4)) },
+                fields.at(2), { fields.at(3) } };
         } catch (const json::exception& problem) {
             return fail(error_kind::malformed_request, fmt::format("malformed VM registration: {}", problem.what()));
         }
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "core/json_number.h"
+
 namespace coriandermount::jobs {
 
 namespace {
@@ -45,13 +47,14 @@
     step unpackStep(const json& value)
     {
         step current;
-        current.taskCount = value.at(0);
-        current.need = { value.at(1), value.at(2), value.at(3) };
-        current.estimate = std::chrono::milliseconds(value.at(4).get<std::int64_t>());
-        current.dependsOn = value.at(5).get<std::vector<std::uint32_t>>();
+        current.taskCount = numberIn<std::uint32_t>(value.at(0));
+        current.need
+            = { numberIn<std::int64_t>(value.at(1)), numberIn<std::int64_t>(value.at(2)), numberIn<std::int64_t>(value.at(3)) };
+        current.estimate = std::chrono::milliseconds(numberIn<std::int64_t>(value.at(4)));
+        current.dependsOn = numbersIn<std::uint32_t>(value.at(5));
         current.requiredLabel = value.at(6);
         current.dataRack = value.at(7);
-        current.maxPerWorker = value.at(8);
+        current.maxPerWorker = numberIn<std::uint32_t>(value.at(8));
         current.gang = value.at(9);
         current.tightlyCoupled = value.at(10);
         current.longRunning = value.at(11);
@@ -74,7 +77,7 @@
     /// Throws if the time could overflow sums of times.
     std::chrono::milliseconds unpackTime(const json& value, std::chrono::milliseconds longest = longestTime)
     {
-        const std::chrono::milliseconds time(value.get<std::int64_t>());
+        const std::chrono::milliseconds time(numberIn<std::int64_t>(value));
         if (time < -longest || time > longest)
             throw unusable_value(fmt::format("{} ms is not a time that is used", time.count()));
         return time;
@@ -88,8 +91,8 @@
         for (const auto& current : fields.at(3))
             accepted.work.steps.push_back(unpackStep(current));
         accepted.service.value = fields.at(4);
-        accepted.priority = fields.at(5);
-        accepted.maxAttempts = fields.at(6);
+        accepted.priority = numberIn<std::uint32_t>(fields.at(5));
+        accepted.maxAttempts = numberIn<std::uint32_t>(fields.at(6));
         accepted.objective = unpackTime(fields.at(7));
         accepted.acceptedAt = wall_time(unpackTime(fields.at(8), latestWallTime));
         if (const auto checked = checkSteps(accepted.work.steps); !checked)
@@ -133,7 +136,7 @@
 
 result<std::uint64_t> decodeOwner(const std::string& value)
 {
-    return unpack(value, [](const json& epoch) { return epoch.get<std::uint64_t>(); });
+    return unpack(value, [](const json& epoch) { return numberIn<std::uint64_t>(epoch); });
 }
 
 std::string encodeAccepted(const accepted_job& accepted) { return pack(packAccepted(accepted)); }
@@ -151,8 +154,8 @@
     return unpack(value, [](const json& fields) {
         run_request request { unpackAccepted(fields.at(0)), fields.at(1), unpackTime(fields.at(2)), std::nullopt };
         if (!fields.at(3).is_null())
-            request.lentBy = lender { fields.at(3).at(0), fields.at(3).at(1) };
-        request.ownerEpoch = fields.at(4);
+            request.lentBy = lender { numberIn<std::uint32_t>(fields.at(3).at(0)), numberIn<std::uint64_t>(fields.at(3).at(1)) };
+        request.ownerEpoch = numberIn<std::uint64_t>(fields.at(4));
         return request;
     });
 }
@@ -173,10 +176,12 @@
     return unpack(value, [](const json& list) {
         std::vector<task_outcome> outcomes;
         for (const auto& current : list) {
-            outcomes.push_back({ current.at(0), current.at(1), current.at(2), current.at(3).get<std::vector<std::uint64_t>>() });
+            outcomes.push_back({ numberIn<std::uint32_t>(current.at(0)), numberIn<std::uint32_t>(current.at(1)), current.at(2),
+                numbersIn<std::uint64_t>(current.at(3)) });
             // Records of earlier versions hold no crashes.
             if (current.size() > 4)
-                outcomes.back().crashes = { current.at(4).at(0), current.at(4).at(1), current.at(4).at(2) };
+                outcomes.back().crashes = { numberIn<std::uint32_t>(current.at(4).at(0)),
+                    numberIn<std::uint32_t>(current.at(4).at(1)), current.at(4).at(2) };
         }
         return outcomes;
     });
@@ -200,13 +205,13 @@
         finished_list list;
         list.at = wall_time(unpackTime(fields.at(0), latestWallTime));
         for (const auto& current : fields.at(1)) {
-            const auto state = current.at(1).get<std::int64_t>();
+            const auto state = numberIn<std::int64_t>(current.at(1));
             if (state < 0 || state > static_cast<std::int64_t>(job_state::cancelled))
                 throw unusable_value(fmt::format("{} is not a state of a job", state));
             list.jobs.push_back({ current.at(0), static_cast<job_state>(state), std::nullopt });
             // Lists of earlier versions name no homes.
             if (current.size() > 2)
-                list.jobs.back().home = current.at(2).get<std::uint32_t>();
+                list.jobs.back().home = numberIn<std::uint32_t>(current.at(2));
         }
         return list;
     });
--- a/tests/platform/config_follower_test.cpp
+++ b/tests/platform/config_follower_test.cpp
@@ -135,6 +135,7 @@
     configured_vm vm(loop, records);
     vm.runFor(20ms);
     publishText("{");
+    publishText(R"({"version":-1,"routes":[]})");
     publishText(R"({"version":"8","routes":[]})");
     vm.runFor(20ms);
     BOOST_TEST(vm.table.read()->version == 7U);
--- a/tests/platform/malformed_input_test.cpp
+++ b/tests/platform/malformed_input_test.cpp
@@ -1,11 +1,16 @@
 // No message from outside ends the process or does harm, whatever it holds: every decoder is given mutated copies of valid
 // messages, and what it accepts is used.
+#include <algorithm>
 #include <cstdlib>
+#include <limits>
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include "cells/heartbeat.h"
+#include "cells/ownership.h"
 #include "cells/ownership_codec.h"
+#include "core/json_number.h"
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
 #include "platform/record_framing.h"
@@ -85,6 +90,16 @@
     });
 }
 
+// Guards against a dependency that was not named: a step of 2^32 was taken for step 0.
+BOOST_AUTO_TEST_CASE(submissions_with_numbers_out_of_range)
+{
+    for (const char* fields : { R"("after":[4294967296])", R"("after":[-1])", R"("count":4294967297)", R"("anti_affinity":-1)",
+             R"("estimate_ms":1e300)" }) {
+        const auto body = fmt::format(R"({{"phases":[{{"count":1}},{{{}}}]}})", fields);
+        BOOST_TEST(!platform::decodeJob("0123456789abcdef", "queue", body).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(from_workers)
@@ -97,6 +112,16 @@
     mutate(body, [](const std::string& message) { (void)platform::decodePollAnswer(message); });
 }
 
+// Guards against ends that are never applied: the number of an end of -1 was taken for the highest one, after which no end is
+// new.
+BOOST_AUTO_TEST_CASE(poll_answers_with_numbers_out_of_range)
+{
+    BOOST_TEST(!platform::decodePollAnswer(R"({"clock_ms":1,"finished":[[-1,"a.0.0.0",1,"done",""]]})").has_value());
+    BOOST_TEST(!platform::decodePollAnswer(R"({"clock_ms":1,"finished":[[1,"a.0.0.0",-1,"done",""]]})").has_value());
+    BOOST_TEST(!platform::decodePollAnswer(R"({"clock_ms":1,"running":[["a.0.0.0",1e300,"",0]]})").has_value());
+    BOOST_TEST(!platform::decodePollAnswer(R"({"clock_ms":1e300})").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(order_answers)
 {
     mutate(R"({"clock_ms":482113})", [](const std::string& message) { (void)platform::decodeOrderAnswer(message); });
@@ -160,6 +185,39 @@
     });
 }
 
+// Guards against a configuration that hides all later ones: a version of -1 was taken for the highest number there is.
+BOOST_AUTO_TEST_CASE(configurations_with_a_version_out_of_range)
+{
+    for (const char* version : { "-1", "1e30", "-0.5e3", "\"8\"", "null" })
+        BOOST_TEST(!platform::decodeConfiguration(fmt::format(R"({{"version":{},"routes":[]}})", version)).has_value());
+    BOOST_TEST(platform::decodeConfiguration(R"({"version":18446744073709551615,"routes":[]})").has_value());
+}
+
+// Guards against jobs whose objective lies before their arrival or overflows.
+BOOST_AUTO_TEST_CASE(configurations_with_a_time_out_of_range)
+{
+    const auto decodes = [](const char* latency) {
+        return platform::decodeConfiguration(
+            fmt::format(R"({{"version":1,"routes":[{{"name":"r","host":"h","path_prefix":"/","service":"s",)"
+                        R"("target_latency_ms":{}}}]}})",
+                latency))
+            .has_value();
+    };
+    BOOST_TEST(decodes("60"));
+    BOOST_TEST(!decodes("-60"));
+    BOOST_TEST(!decodes("9223372036854775807"));
+}
+
+// Guards against the end of a term: an epoch of -1 was taken for that of a successor.
+BOOST_AUTO_TEST_CASE(owner_records_with_numbers_out_of_range)
+{
+    BOOST_TEST(!jobs::decodeOwner("-1").has_value());
+    BOOST_TEST(!jobs::decodeOwner("1e30").has_value());
+    BOOST_TEST(jobs::decodeOwner("3").has_value());
+    BOOST_TEST(!jobs::decodeProgress("[[4294967296,0,true,[]]]").has_value());
+    BOOST_TEST(!jobs::decodeProgress("[[0,0,true,[-1]]]").has_value());
+}
+
 // Guards against the end of the process: a number that is no state was looked up in the table of state names.
 BOOST_AUTO_TEST_CASE(finished_jobs)
 {
@@ -214,7 +272,32 @@
     const std::string datagram = cells::encode(
         { { "vm" }, 7, false, true, { view }, 500, { { { "other" }, 3ms, cells::cell_view { 0, 2, true, 1ms, {} } } } });
     BOOST_REQUIRE(cells::decodeHeartbeat(datagram).has_value());
-    mutate(datagram, [](const std::string& message) { (void)cells::decodeHeartbeat(message); });
+    cells::ownership state(1, { { "self" }, 1 }, {}, time_point(1h));
+    state.onOwnerRecord({ 4, { "self" }, 1, false }, time_point(1h));
+    auto now = time_point(1h);
+    mutate(datagram, [&](const std::string& message) {
+        const auto current = cells::decodeHeartbeat(message);
+        if (!current)
+            return;
+        now += 1ms;
+        state.onHeartbeat(*current, now);
+        (void)state.advise(now);
+        (void)state.view(now);
+    });
+}
+
+// Guards against overflows, and an owner that counts as heard for years: times were not limited.
+BOOST_AUTO_TEST_CASE(heartbeats_with_times_out_of_range)
+{
+    constexpr auto longest = std::chrono::milliseconds(std::numeric_limits<std::int64_t>::max());
+    for (const auto age : { longest, -longest, -1ms, 3ms }) {
+        const cells::cell_view view { 1, 4, false, longest, std::nullopt };
+        const auto decoded
+            = cells::decodeHeartbeat(cells::encode({ { "vm" }, 7, false, true, { view }, 500, { { { "other" }, age, view } } }));
+        BOOST_REQUIRE(decoded.has_value());
+        BOOST_TEST((decoded->cells[0].ownerSilence == longestDuration));
+        BOOST_TEST((decoded->relayed[0].age == std::clamp(age, 0ms, longestDuration)));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(ownership_records)
