jobs, cells: Deliver records to a listener only while its tail reads

`record_tail` read and wrote its position without the lock, and an answer that had passed the check for a stop was still delivered. A tail that was stopped and started again meanwhile went on with two chains of reads, so that records came twice or out of order: that of the workers' registrations is restarted at each change of the owner. A listener could be called after it was destroyed, and the records of an ended term could reach the next term. The owner of a cell also started its tail through a plain pointer outside of its lock, while another thread could end the term.

Each answer belongs to the generation of its read now, the position is kept under the lock, and each delivery checks the generation. The destructor of a tail waits for a delivery on another thread; a listener whose lock may be held then is shared instead and kept alive while it is called. The owner of a cell takes records for the term in which they were read only.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -342,7 +342,7 @@
     jobs::record_stream stream, cell_number cell, vm_incarnation self, ownership_settings settings)
     : m_data(std::make_shared<data>(store, clock, owner, workers, std::move(stream), cell, std::move(self), settings))
 {
-    m_data->tail = std::make_unique<jobs::record_tail>(store, clock, m_data->stream, *m_data);
+    m_data->tail = std::make_unique<jobs::record_tail>(store, clock, m_data->stream, m_data);
 }
 
 cell_member::~cell_member() { stop(); }
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -102,6 +102,7 @@
     if (tail)
         tail->stop();
     tail.reset();
+    termRecords.reset();
 }
 
 void cell_owner::data::writeOwnerRecord(time_point now)
@@ -138,11 +139,9 @@
     nextRecord = ownerRecordOffset + 1;
     sequence = 1;
     phase = owner_phase::replaying;
-    tail = std::make_unique<jobs::record_tail>(store, clock, stream, *this);
-    deferredCalls.emplace_back([self = shared_from_this(), started = tail.get(), number = termNumber] {
-        if (number == self->termNumber)
-            started->start();
-    });
+    termRecords = std::make_shared<term_records>(weak_from_this(), termNumber);
+    tail = std::make_shared<jobs::record_tail>(store, clock, stream, termRecords);
+    deferredCalls.emplace_back([started = tail] { started->start(); });
 }
 
 void cell_owner::data::endSupersededTerm(std::string_view reason)
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -42,7 +42,7 @@
     return { job.isLongRunning() ? 0 : job.accepted.priority + 1, job.startOrder, job.accepted.work.id };
 }
 
-struct cell_owner::data : jobs::record_listener, std::enable_shared_from_this<cell_owner::data> {
+struct cell_owner::data : std::enable_shared_from_this<cell_owner::data> {
     jobs::record_store& store;
     worker_link& link;
     const clock_source& clock;
@@ -106,7 +106,10 @@
     std::set<queue_rank> lateJobs;
     time_point nextRefusalCheck;
     time_point nextLateCheck;
-    std::unique_ptr<jobs::record_tail> tail;
+    /// Passes the records that are read in one term to the owner.
+    struct term_records;
+    std::shared_ptr<term_records> termRecords;
+    std::shared_ptr<jobs::record_tail> tail;
 
     // Batched writing of job ends and progress.
     std::uint64_t sequence = 0;
@@ -196,9 +199,9 @@
     void tick(time_point now);
 
     // Records: cell_owner_records.cpp.
-    void onSnapshot(const std::vector<jobs::record>& records) override;
-    void onRecord(const jobs::record& current) override;
-    void onCaughtUp(time_point requestedAt) override;
+    void onSnapshot(const std::vector<jobs::record>& records);
+    void onRecord(const jobs::record& current);
+    void onCaughtUp(time_point requestedAt);
     void replay(const jobs::record& current, time_point now);
     void apply(const jobs::record& current, time_point now);
     void applyAccepted(const jobs::record& current, time_point now);
@@ -379,4 +382,39 @@
     void checkProgress(worker_session& session, const task_key& key, worker_run& current, time_point now);
 };
 
+/// A read of an ended term may still be delivering records when the next term begins; these are ignored.
+struct cell_owner::data::term_records final : jobs::record_listener {
+    term_records(std::weak_ptr<data> target, std::uint64_t number)
+        : owner(std::move(target))
+        , termNumber(number)
+    {
+    }
+
+    /// Runs `work` under the mutex of the owner if its term has not ended.
+    template <class Work> void locked(const Work& work)
+    {
+        if (const auto current = owner.lock()) {
+            current->locked([&] {
+                if (current->termNumber == termNumber)
+                    work(*current);
+            });
+        }
+    }
+    void onSnapshot(const std::vector<jobs::record>& records) override
+    {
+        locked([&](data& current) { current.onSnapshot(records); });
+    }
+    void onRecord(const jobs::record& record) override
+    {
+        locked([&](data& current) { current.onRecord(record); });
+    }
+    void onCaughtUp(time_point requestedAt) override
+    {
+        locked([&](data& current) { current.onCaughtUp(requestedAt); });
+    }
+
+    std::weak_ptr<data> owner;
+    std::uint64_t termNumber;
+};
+
 } // namespace coriandermount::cells
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -47,54 +47,44 @@
 
 void cell_owner::data::onSnapshot(const std::vector<jobs::record>& records)
 {
-    locked([&] {
+    const auto now = clock.now();
+    std::vector<const jobs::record*> ordered;
+    ordered.reserve(records.size());
+    for (const auto& current : records)
+        ordered.push_back(&current);
+    std::stable_sort(
+        ordered.begin(), ordered.end(), [](const auto* a, const auto* b) { return replayOrder(*a) < replayOrder(*b); });
+    for (const auto* current : ordered) {
         if (phase == owner_phase::idle)
             return;
-        const auto now = clock.now();
-        std::vector<const jobs::record*> ordered;
-        ordered.reserve(records.size());
-        for (const auto& current : records)
-            ordered.push_back(&current);
-        std::stable_sort(
-            ordered.begin(), ordered.end(), [](const auto* a, const auto* b) { return replayOrder(*a) < replayOrder(*b); });
-        for (const auto* current : ordered) {
-            if (phase == owner_phase::idle)
-                return;
-            if (phase == owner_phase::replaying)
-                replay(*current, now);
-            else
-                apply(*current, now);
-        }
-        if (phase != owner_phase::replaying)
-            return;
-        phase = owner_phase::serving;
-        queryLentJobs();
-        nextFlush = now;
-        writeLog(log_level::info, "cell", "records replayed",
-            { { "epoch", fmt::to_string(term.epoch) }, { "records", fmt::to_string(records.size()) },
-                { "open_jobs", fmt::to_string(jobTable.open().size()) } });
-        tick(now);
-    });
+        if (phase == owner_phase::replaying)
+            replay(*current, now);
+        else
+            apply(*current, now);
+    }
+    if (phase != owner_phase::replaying)
+        return;
+    phase = owner_phase::serving;
+    queryLentJobs();
+    nextFlush = now;
+    writeLog(log_level::info, "cell", "records replayed",
+        { { "epoch", fmt::to_string(term.epoch) }, { "records", fmt::to_string(records.size()) },
+            { "open_jobs", fmt::to_string(jobTable.open().size()) } });
+    tick(now);
 }
 
 void cell_owner::data::onRecord(const jobs::record& current)
 {
-    locked([&] {
-        if (phase == owner_phase::idle)
-            return;
-        nextRecord = std::max(nextRecord, current.offset + 1);
-        apply(current, clock.now());
-    });
+    nextRecord = std::max(nextRecord, current.offset + 1);
+    apply(current, clock.now());
 }
 
 void cell_owner::data::onCaughtUp(time_point requestedAt)
 {
-    locked([&] {
-        recordsAsOf = std::max(recordsAsOf, requestedAt);
-        noteOwnershipVerified(requestedAt);
-        if (givesOrders())
-            schedule(clock.now());
-    });
+    recordsAsOf = std::max(recordsAsOf, requestedAt);
+    noteOwnershipVerified(requestedAt);
+    if (givesOrders())
+        schedule(clock.now());
 }
 
 void cell_owner::data::replay(const jobs::record& current, time_point now)
--- a/cells/vm_directory.cpp
+++ b/cells/vm_directory.cpp
@@ -252,7 +252,7 @@
     vm_registration self, heartbeat_source source)
     : m_data(std::make_shared<data>(store, link, clock, std::move(stream), std::move(self), std::move(source)))
 {
-    m_data->tail = std::make_unique<jobs::record_tail>(store, clock, m_data->stream, *m_data);
+    m_data->tail = std::make_unique<jobs::record_tail>(store, clock, m_data->stream, m_data);
 }
 
 vm_directory::~vm_directory() { stop(); }
--- a/jobs/record_tail.h
+++ b/jobs/record_tail.h
@@ -27,11 +27,15 @@
 /// Reads one stream and passes the records to a listener.
 class record_tail {
 public:
-    /// `store` and `clock` have to outlive the tail; `listener` has to be valid until `stop`, after which answers are ignored.
+    /// `store` and `clock` have to outlive the tail and its pending reads; `listener` has to outlive the tail.
     /// With a `readInterval` above 0, reads are at least that far apart and return at once; otherwise each read waits at the
     /// store for a record (long poll).
     record_tail(record_store& store, const clock_source& clock, record_stream stream, record_listener& listener,
         std::chrono::milliseconds readInterval = std::chrono::milliseconds(0));
+    /// The listener is kept alive while it is called, and not called once it has been destroyed. For listeners whose calls take a
+    /// lock that is held when the tail is stopped or destroyed.
+    record_tail(record_store& store, const clock_source& clock, record_stream stream, std::weak_ptr<record_listener> listener);
+    /// Stops reading. Waits for a call of the listener that is in progress on another thread, unless the listener is shared.
     ~record_tail();
 
     record_tail(const record_tail&) = delete;
@@ -39,7 +43,7 @@
 
     /// Starts with a new snapshot of the stream.
     void start();
-    /// Stops reading; answers to pending reads are ignored.
+    /// Stops reading; answers to pending reads are ignored. A call of the listener that is in progress on another thread goes on.
     void stop();
 
     /// Starts the next read or retry if it is due. Has to be called regularly, because the tail has no thread of its own.
