net, peers: Report clients that close the connection of a pending request

libmicrohttpd doesn't watch the socket of a suspended connection, so a VM learned only when it wrote the response that the client had left, and the owner of a cell never learned that the VM of a caller was lost: the job went on for nobody.

Cause: nothing reads the socket between the request and the response. Change: http_server::checkDisconnects polls the sockets of the pending requests whose responders want to know (one call of poll for all of them), and looks again under the lock of the request before it reports one, since a socket may be closed and its number used again. Methods of peers can be registered with a handler that learns of broken calls. Result: peers/reports_to_the_method_that_the_caller_is_lost passes; the functions are new, so there is no run of it before. A client that is cut off is not recognized.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 
 #include "core/guarded_call.h"
 
@@ -80,6 +81,11 @@
         return response;
     }
 
+    pollfd hangUpQuery(int descriptor) { return { descriptor, POLLRDHUP, 0 }; }
+
+    /// Returns whether the peer has closed its side of the connection, or the connection is broken.
+    bool isHungUp(const pollfd& answered) { return (answered.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0; }
+
     /// Passes the response from the thread that replies to the thread that owns the connection. Thread-safe.
     class pending_request final : public responder {
     public:
@@ -117,6 +123,33 @@
             return m_response;
         }
 
+        void onDisconnect(std::function<void()> callback) override
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_onDisconnect = std::move(callback);
+        }
+
+        /// Returns the socket of the connection if it has to be watched, or -1. The socket may be closed, and its number used
+        /// again, as soon as this function has returned.
+        int watchedSocket()
+        {
+            const std::scoped_lock lock(m_mutex);
+            return m_suspended && m_onDisconnect ? socket() : -1;
+        }
+
+        /// Returns the callback if the client has closed the connection, which is watched no more then; empty otherwise.
+        std::function<void()> takeDisconnect()
+        {
+            const std::scoped_lock lock(m_mutex);
+            // While the connection is suspended, its socket is not closed.
+            if (!m_suspended || !m_onDisconnect)
+                return {};
+            pollfd query = hangUpQuery(socket());
+            if (poll(&query, 1, 0) <= 0 || !isHungUp(query))
+                return {};
+            return std::exchange(m_onDisconnect, nullptr);
+        }
+
         /// Marks the connection as closed; later replies are ignored.
         void abandon()
         {
@@ -131,8 +164,15 @@
             MHD_resume_connection(m_connection);
         }
 
+        int socket() const
+        {
+            const MHD_ConnectionInfo* info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+            return info ? info->connect_fd : -1;
+        }
+
         std::mutex m_mutex;
         MHD_Connection* m_connection;
+        std::function<void()> m_onDisconnect;
         std::optional<http_response> m_response;
         bool m_suspended = false;
         bool m_abandoned = false;
@@ -309,6 +349,31 @@
     m_data->daemon = nullptr;
 }
 
+void http_server::checkDisconnects()
+{
+    std::vector<std::shared_ptr<pending_request>> watched;
+    std::vector<pollfd> queries;
+    {
+        const std::scoped_lock lock(m_data->mutex);
+        for (const auto& [current, weak] : m_data->pending) {
+            auto request = weak.lock();
+            const int descriptor = request ? request->watchedSocket() : -1;
+            if (descriptor < 0)
+                continue;
+            watched.push_back(std::move(request));
+            queries.push_back(hangUpQuery(descriptor));
+        }
+    }
+    if (queries.empty() || poll(queries.data(), queries.size(), 0) <= 0)
+        return;
+    for (std::size_t index = 0; index < queries.size(); ++index) {
+        // A socket may have been closed since, and its number used by another connection, so the request looks again.
+        const auto disconnected = queries[index].revents != 0 ? watched[index]->takeDisconnect() : nullptr;
+        if (disconnected)
+            runGuarded("http_server", disconnected);
+    }
+}
+
 std::uint16_t http_server::port() const { return m_data->port; }
 
 std::size_t http_server::pendingRequests() const { return m_data->pendingCount.load(std::memory_order_relaxed); }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -40,6 +40,10 @@
     virtual ~responder() = default;
 
     virtual void reply(http_response response) = 0;
+
+    /// Sets the function that `http_server::checkDisconnects` calls, once at most, when the client has closed the connection
+    /// before a response. The request still needs a reply, which ends the connection.
+    virtual void onDisconnect(std::function<void()> callback) = 0;
 };
 
 /// Handles a request on a thread of the server; the response may be sent later through the responder.
@@ -78,6 +82,11 @@
     /// closes all connections.
     void stop();
 
+    /// Looks for pending requests whose clients have closed the connection, also in one direction only, and calls the functions
+    /// that their responders were given. To be called every few tens of milliseconds, as libmicrohttpd does not watch the
+    /// connections of pending requests. Does not recognize a client that is cut off.
+    void checkDisconnects();
+
     /// Returns the port that the server listens on.
     std::uint16_t port() const;
 
--- a/peers/http_peers.cpp
+++ b/peers/http_peers.cpp
@@ -45,7 +45,7 @@
 
 struct http_peer_service::data {
     rpc_endpoint endpoint;
-    std::map<std::string, method_handler> methods;
+    std::map<std::string, watched_method_handler> methods;
     std::unique_ptr<net::http_server> server;
 
     void handle(const net::http_request& request, const std::shared_ptr<net::responder>& responder) const;
@@ -58,9 +58,12 @@
         responder->reply({ statusOk, "", std::move(frame.problem), {}, false });
         return;
     }
-    methods.at(frame.method)(frame.message, [this, text = request.body, responder](const std::string& message) {
-        responder->reply({ statusOk, "", endpoint.frameReply(text, message), {}, false });
-    });
+    methods.at(frame.method)(
+        frame.message,
+        [this, text = request.body, responder](const std::string& message) {
+            responder->reply({ statusOk, "", endpoint.frameReply(text, message), {}, false });
+        },
+        [responder](std::function<void()> callback) { responder->onDisconnect(std::move(callback)); });
 }
 
 http_peer_service::http_peer_service(net::http_server_options options)
@@ -75,11 +78,20 @@
 http_peer_service::~http_peer_service() { stop(); }
 
 void http_peer_service::addMethod(const std::string& method, method_handler handler)
+{
+    m_data->endpoint.addMethod(method);
+    m_data->methods[method] = [handler = std::move(handler)](const std::string& message, reply_function reply,
+                                  const disconnect_setter&) { handler(message, std::move(reply)); };
+}
+
+void http_peer_service::addWatchedMethod(const std::string& method, watched_method_handler handler)
 {
     m_data->endpoint.addMethod(method);
     m_data->methods[method] = std::move(handler);
 }
 
+void http_peer_service::checkDisconnects() { m_data->server->checkDisconnects(); }
+
 result<void> http_peer_service::start() { return m_data->server->start(); }
 
 void http_peer_service::stop() { m_data->server->stop(); }
--- a/peers/http_peers.h
+++ b/peers/http_peers.h
@@ -29,12 +29,17 @@
 
     /// Registers a method. Must be called before `start`.
     void addMethod(const std::string& method, method_handler handler) override;
+    /// Registers a method as `addMethod` does; `checkDisconnects` has to be called regularly.
+    void addWatchedMethod(const std::string& method, watched_method_handler handler) override;
 
     /// Opens the listener. Fails with `settings_invalid` when the address can't be bound.
     result<void> start();
     /// Closes the listener.
     void stop();
 
+    /// Reports calls whose callers have closed the connection. To be called every few tens of milliseconds.
+    void checkDisconnects();
+
     /// Returns the port of the listener.
     std::uint16_t port() const;
 
--- a/peers/peer_link.h
+++ b/peers/peer_link.h
@@ -29,10 +29,19 @@
     virtual ~peer_service() = default;
 
     using reply_function = std::function<void(std::string)>;
+    /// Sets the function that is called, once at most, when the calling VM has closed its connection before the reply.
+    using disconnect_setter = std::function<void(std::function<void()>)>;
     using method_handler = std::function<void(const std::string& message, reply_function reply)>;
 
     /// Registers a method. The handler must call its reply function exactly once, at any time and from any thread.
     virtual void addMethod(const std::string& method, method_handler handler) = 0;
+
+    /// Like `method_handler`, for methods whose work is useless once the calling VM has gone.
+    using watched_method_handler
+        = std::function<void(const std::string& message, reply_function reply, const disconnect_setter& onDisconnect)>;
+
+    /// Registers a method whose handler learns of broken calls.
+    virtual void addWatchedMethod(const std::string& method, watched_method_handler handler) = 0;
 };
 
 } // namespace coriandermount::peers
--- a/tests/peers/http_peers_test.cpp
+++ b/tests/peers/http_peers_test.cpp
@@ -1,5 +1,7 @@
 // Tests JSON-RPC calls between two VMs over the loopback interface.
+#include <atomic>
 #include <future>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
@@ -45,6 +47,37 @@
     BOOST_TEST(*reply == "}1:\"a\"{");
 }
 
+// Guards against jobs that go on for callers of a VM that was lost (issue 30).
+BOOST_AUTO_TEST_CASE(reports_to_the_method_that_the_caller_is_lost)
+{
+    using peers::peer_service;
+    peers::http_peer_service watching { net::http_server_options {} };
+    std::promise<peer_service::reply_function> called;
+    std::atomic<bool> lost { false };
+    watching.addWatchedMethod(
+        "wait", [&](const std::string&, peer_service::reply_function reply, const peer_service::disconnect_setter& onDisconnect) {
+            onDisconnect([&lost] { lost = true; });
+            called.set_value(std::move(reply));
+        });
+    BOOST_REQUIRE(watching.start());
+    peer_service::reply_function reply;
+    {
+        net::http_client leavingClient;
+        peers::http_peer_link leaving(leavingClient);
+        leaving.call(fmt::format("127.0.0.1:{}", watching.port()), "wait", "x", std::chrono::seconds(5), [](const auto&) {});
+        reply = called.get_future().get();
+        watching.checkDisconnects();
+        BOOST_TEST(!lost);
+    }
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!lost && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        watching.checkDisconnects();
+    }
+    BOOST_TEST(lost);
+    reply("late");
+}
+
 BOOST_AUTO_TEST_CASE(fails_for_an_unknown_method) { BOOST_TEST(!call("missing", "x")); }
 
 BOOST_AUTO_TEST_SUITE_END()
