cells: Stop the runs of callers that have left

A caller whose connection broke submitted its job again 1.3 s later in another failure domain, and the job ran in both: a job that is not stored has its home in the cell of the VM that gets it, and the first run went on until its end or the deadline of a caller that was gone. It also held capacity that other callers waited for.

Cause: a VM didn't notice that the client had closed the connection, and the owner had no way to learn it. Change: the VM withdraws the request at the owner (job.withdraw; a local call at an owner), and the owner withdraws the requests of VMs whose calls break. Each request to an owner has an id of its own. A job that nobody waits for is discarded if tasks of it wait for a start; otherwise its runs have 0.5 s to end, so that a resubmission in the same cell still gets their result, and are stopped then. A lent job is withdrawn in the cell that runs it. Requests of earlier builds have no id and are never withdrawn; earlier owners answer job.withdraw with an error. Counter jobs_withdrawn_total by outcome, log line "callers left".

--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -20,6 +20,12 @@
 /// Called once with the final state of the job, or with the error for which its final state is not known.
 using job_completion = std::function<void(result<jobs::job_state>)>;
 
+/// Caller that waits for the end of a job.
+struct job_waiter {
+    jobs::request_id request;
+    job_completion done;
+};
+
 /// Phase of a task: it waits for a start, is placed on a worker, or is done.
 enum class task_phase { waiting, placed, done };
 
@@ -80,7 +86,9 @@
     time_point startOrder;
 
     // Members for unstored jobs, whose callers are answered at the end of the job.
-    std::vector<job_completion> waiters;
+    std::vector<job_waiter> waiters;
+    /// Time at which the last caller left; empty while a caller waits.
+    std::optional<time_point> withdrawnAt;
     /// Latest useful time of the first start; a job that has not started by then is refused.
     time_point startBy;
     /// Home cell of the job if that cell has lent the job to this one; empty otherwise.
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -16,6 +16,13 @@
     return names[static_cast<std::size_t>(value)];
 }
 
+std::string_view nameOf(withdrawal_outcome value)
+{
+    constexpr std::array<std::string_view, withdrawalOutcomeCount> names { "discarded", "returned", "ended", "stopped",
+        "resubmitted" };
+    return names[static_cast<std::size_t>(value)];
+}
+
 std::string_view nameOf(run_end_proof value)
 {
     constexpr std::array<std::string_view, runEndProofCount> names { "not_listed", "order_expired", "leases_ended",
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -86,6 +86,26 @@
     waited_too_long,
 };
 
+/// What became of a job whose callers had all left.
+enum class withdrawal_outcome {
+    /// It was discarded with tasks that had not started.
+    discarded,
+    /// The cell that it was lent to was told.
+    returned,
+    /// It ended within `withdrawnRunLimit`.
+    ended,
+    /// Its runs were stopped after `withdrawnRunLimit`.
+    stopped,
+    /// A caller submitted it again in time.
+    resubmitted,
+};
+
+/// Number of values of `withdrawal_outcome`.
+inline constexpr std::size_t withdrawalOutcomeCount = static_cast<std::size_t>(withdrawal_outcome::resubmitted) + 1;
+
+/// Returns the name of a value, as used in logs and metrics.
+std::string_view nameOf(withdrawal_outcome value);
+
 /// Number of values of `refusal_reason`.
 inline constexpr std::size_t refusalReasonCount = static_cast<std::size_t>(refusal_reason::waited_too_long) + 1;
 
@@ -117,6 +137,8 @@
     std::uint64_t cancelledJobs = 0;
     /// Jobs that were refused, indexed by `refusal_reason`.
     std::array<std::uint64_t, refusalReasonCount> refusedJobs {};
+    /// Jobs whose callers had all left, indexed by `withdrawal_outcome`.
+    std::array<std::uint64_t, withdrawalOutcomeCount> withdrawnJobs {};
     /// Crashes of workers, counted for each task that may have caused them.
     std::uint64_t workerCrashes = 0;
     /// Jobs that failed because a task of theirs crashes the workers that start it.
@@ -186,6 +208,11 @@
     /// earlier owner may have started, cannot start in time. A job that was lent may also fail with an error of the other cell.
     void run(jobs::run_request request, job_completion done);
 
+    /// Withdraws a request because its caller has left; does nothing if the request has been answered or is not known. Once all
+    /// callers of a job have left, the job ends: at once if tasks of it wait for a start, after `withdrawnRunLimit` at the latest
+    /// otherwise, so that a caller that submits it again in this cell gets the result of runs that were about to end.
+    void withdraw(const std::string& jobId, const jobs::request_id& request);
+
     /// Like `state`, but waits up to `maxStateWait` for the end of a job whose tasks are all placed on workers.
     void awaitState(const std::string& jobId, job_completion done);
     /// Returns the state of a job, or fails with `job_unknown`, or with `owner_unknown` while the records are not replayed or
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -248,6 +248,13 @@
     /// Returns the cell that may run the job because it was lent before; empty if no such cell is known.
     std::optional<cell_number> earlierBorrower(const std::string& id) const;
     void lendTo(cell_number cell, open_job& job, time_point now);
+    /// Handles the loss of a caller.
+    void withdraw(const std::string& id, const jobs::request_id& request, time_point now);
+    /// Ends, or lets end, a job that no caller waits for any more.
+    void withdrawJob(open_job& job, time_point now);
+    /// Ends and removes a job. `job` is not valid afterwards.
+    void discardWithdrawnJob(open_job& job, withdrawal_outcome outcome);
+    void noteWithdrawal(const std::string& id, withdrawal_outcome outcome);
     void onLentAnswer(const std::string& id, const result<jobs::job_state>& result);
     void queryLentJobs();
     void onLentJobs(const lent_jobs& lent, bool complete, time_point now);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -25,7 +25,7 @@
 
 void cell_owner::data::enqueue(const open_job& job)
 {
-    if (!job.ended && !job.lentTo && job.readyTasks() > 0)
+    if (!job.ended && !job.lentTo && !job.withdrawnAt && job.readyTasks() > 0)
         readyJobs.emplace(rankOf(job));
 }
 
@@ -124,7 +124,10 @@
         jobsLentUnanswered.insert_or_assign(job.accepted.work.id, unanswered_job { *job.lentTo, now + unstoredRetention });
     if (const auto shown = jobTable.state(job.accepted.work.id); shown == state)
         answerWatches(job.accepted.work.id, state);
-    if (job.accepted.work.answeredAtEnd && !job.waiters.empty())
+    const bool endedInTime = job.withdrawnAt && state != jobs::job_state::cancelled;
+    if (endedInTime)
+        noteWithdrawal(job.accepted.work.id, withdrawal_outcome::ended);
+    if (job.accepted.work.answeredAtEnd && (!job.waiters.empty() || endedInTime))
         answer(job, state);
     const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - job.arrivedAt);
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(job.firstStart.value_or(now) - job.arrivedAt);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -38,9 +38,14 @@
         return;
     }
     if (known) {
-        known->waiters.push_back(std::move(done));
+        known->waiters.push_back({ request.id, std::move(done) });
         known->giveUpAt = std::max(known->giveUpAt, now + request.timeLeft);
         setWaitLimits(*known);
+        if (known->withdrawnAt) {
+            noteWithdrawal(id, withdrawal_outcome::resubmitted);
+            known->withdrawnAt.reset();
+            enqueue(*known);
+        }
         if (request.mayHaveStarted && known->offset == newestOffset)
             noteEarlierOwner(*known);
         return;
@@ -49,11 +54,58 @@
     schedule(now);
 }
 
+void cell_owner::data::withdraw(const std::string& id, const jobs::request_id& request, time_point now)
+{
+    open_job* job = jobTable.find(id);
+    if (!job || job->ended || request.number == 0)
+        return;
+    const auto found = std::find_if(
+        job->waiters.begin(), job->waiters.end(), [&request](const job_waiter& waiter) { return waiter.request == request; });
+    if (found == job->waiters.end())
+        return;
+    deferredCalls.emplace_back(
+        [done = std::move(found->done)] { done(fail(error_kind::cancelled_while_running, "the caller has left")); });
+    job->waiters.erase(found);
+    if (job->waiters.empty())
+        withdrawJob(*job, now);
+}
+
+void cell_owner::data::withdrawJob(open_job& job, time_point now)
+{
+    const std::string id = job.accepted.work.id;
+    job.withdrawnAt = now;
+    if (job.lentTo) {
+        deferredCalls.emplace_back([self = shared_from_this(), cell = *job.lentTo, id] { self->neighbors->withdraw(cell, id); });
+        discardWithdrawnJob(job, withdrawal_outcome::returned);
+    } else if (job.isPlaced()) {
+        job.giveUpAt = std::min(job.giveUpAt, now + withdrawnRunLimit);
+    } else if (job.offset != newestOffset) {
+        // An earlier owner may have started tasks that are not known yet, so the job stays known, but no task of it starts.
+        dequeue(job);
+    } else {
+        discardWithdrawnJob(job, withdrawal_outcome::discarded);
+    }
+}
+
+void cell_owner::data::discardWithdrawnJob(open_job& job, withdrawal_outcome outcome)
+{
+    const std::string id = job.accepted.work.id;
+    noteWithdrawal(id, outcome);
+    endJob(job, jobs::job_state::cancelled);
+    jobTable.erase(id);
+}
+
+void cell_owner::data::noteWithdrawal(const std::string& id, withdrawal_outcome outcome)
+{
+    ++counters.withdrawnJobs[static_cast<std::size_t>(outcome)];
+    writeLog(log_level::info, "cell", "callers left", { { "job", id }, { "outcome", std::string(nameOf(outcome)) } });
+}
+
 void cell_owner::data::addRun(jobs::run_request request, job_completion done, time_point now)
 {
     const std::uint64_t offset = request.mayHaveStarted ? 0 : newestOffset;
     open_job* job = jobTable.accept(std::move(request.accepted), offset, now);
-    job->waiters.push_back(std::move(done));
+    job->waiters.push_back({ request.id, std::move(done) });
     job->giveUpAt = now + request.timeLeft;
     setWaitLimits(*job);
     // The jobs that VMs have kept for this owner arrive at once, which says nothing about the rate of later ones.
@@ -166,7 +218,7 @@
     lentJobsComplete = complete;
     for (const auto& [id, cell] : lent) {
         open_job* job = jobTable.find(id);
-        if (!job || job->started || job->ended || job->lentBy)
+        if (!job || job->started || job->ended || job->lentBy || job->withdrawnAt)
             continue;
         // The other cell reports the job as running, also to an owner of that cell that does not know it yet.
         job->offset = 0;
@@ -239,7 +291,7 @@
 void cell_owner::data::answer(open_job& job, const result<jobs::job_state>& result)
 {
     for (auto& waiter : job.waiters)
-        deferredCalls.emplace_back([done = std::move(waiter), result] { done(result); });
+        deferredCalls.emplace_back([done = std::move(waiter.done), result] { done(result); });
     job.waiters.clear();
     endedUnstoredJobs.push_back(job.accepted.work.id);
 }
@@ -250,6 +302,8 @@
         if (!job.accepted.work.answeredAtEnd || job.ended)
             continue;
         if (now > job.giveUpAt) {
+            if (job.withdrawnAt)
+                noteWithdrawal(id, withdrawal_outcome::stopped);
             answer(
                 job, fail(error_kind::deadline_passed_while_running, "the time limit of the caller passed before the job ended"));
             endJob(job, jobs::job_state::cancelled);
@@ -276,7 +330,7 @@
     for (auto& [id, job] : jobTable.open()) {
         for (auto& waiter : job.waiters)
             deferredCalls.emplace_back(
-                [done = std::move(waiter), detail = std::string(reason)] { done(fail(error_kind::owner_unknown, detail)); });
+                [done = std::move(waiter.done), detail = std::string(reason)] { done(fail(error_kind::owner_unknown, detail)); });
         job.waiters.clear();
     }
 }
@@ -286,4 +340,9 @@
     m_data->locked([&] { m_data->run(std::move(request), std::move(done)); });
 }
 
+void cell_owner::withdraw(const std::string& jobId, const jobs::request_id& request)
+{
+    m_data->locked([&] { m_data->withdraw(jobId, request, m_data->clock.now()); });
+}
+
 } // namespace coriandermount::cells
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -98,6 +98,9 @@
 inline constexpr int maxLendTries = 16;
 /// How long the end of an unstored job is remembered, to answer resubmissions.
 inline constexpr std::chrono::milliseconds unstoredRetention { 5000 };
+/// How long the runs of a job go on after its last caller has left. Together with the detection of the loss and a stop order it
+/// stays well below the platform's delay of resubmissions, 1.3 s, which may arrive in another cell.
+inline constexpr std::chrono::milliseconds withdrawnRunLimit { 500 };
 /// Margin on the time during which an unanswered start may still be carried out; covers errors of clock readings.
 inline constexpr std::chrono::milliseconds lateStartMargin { 500 };
 /// Age of the last successful read of the records up to which a job that they don't contain counts as unknown. Longer than
--- a/cells/fleet_neighbors.cpp
+++ b/cells/fleet_neighbors.cpp
@@ -81,6 +81,8 @@
     m_routers[cell]->run(std::move(request), std::move(done));
 }
 
+void fleet_neighbors::withdraw(cell_number cell, const std::string& jobId) { m_routers[cell]->withdrawJob(jobId); }
+
 void fleet_neighbors::forgetLentJobs()
 {
     for (const auto& router : m_routers)
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <mutex>
+#include <random>
 #include <vector>
 
 #include <fmt/format.h>
@@ -35,6 +36,9 @@
         job_completion done;
         /// Epoch of the owner that the job was last sent to; 0 if it was sent to none.
         std::uint64_t lastSentEpoch = 0;
+        /// Owner that the job was last sent to, and the id of that request.
+        run_target lastTarget;
+        jobs::request_id lastRequest;
         bool inFlight = false;
         /// Whether an owner may have started the job.
         bool mayHaveRun = false;
@@ -53,6 +57,9 @@
     mutable std::mutex mutex;
     std::shared_ptr<const admission_policy> admission;
     std::uint64_t lastNumber = 0;
+    /// Tells the requests of this router from those of others.
+    const std::uint64_t senderNumber = (std::uint64_t { std::random_device()() } << 32U) | std::random_device()();
+    std::uint64_t lastRequestNumber = 0;
     std::map<std::uint64_t, pending_run> runs;
     /// Since when the cell has had no known owner; empty while it has one.
     std::optional<time_point> ownerlessSince;
@@ -71,6 +78,7 @@
     void sendToOwner(std::uint64_t number);
     void onAnswer(std::uint64_t number, std::uint64_t epoch, const result<jobs::job_state>& answer);
     void finish(std::uint64_t number, const result<jobs::job_state>& answer);
+    void withdraw(std::uint64_t number);
     std::vector<std::uint64_t> dueRuns(time_point now, const std::optional<run_target>& location);
     std::vector<std::uint64_t> expiredRuns(time_point now) const;
     void expire(std::uint64_t number);
@@ -97,6 +105,9 @@
         request.ownerEpoch = location->epoch;
         request.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(current.deadline - now);
         current.lastSentEpoch = location->epoch;
+        request.id = { senderNumber, ++lastRequestNumber };
+        current.lastRequest = request.id;
+        current.lastTarget = *location;
         current.inFlight = true;
         current.mayHaveRunBefore = current.mayHaveRun;
         current.mayHaveRun = true;
@@ -149,6 +160,26 @@
     done(answer);
 }
 
+void job_router::data::withdraw(std::uint64_t number)
+{
+    pending_run withdrawn;
+    {
+        const std::scoped_lock lock(mutex);
+        const auto found = runs.find(number);
+        if (found == runs.end())
+            return;
+        withdrawn = std::move(found->second);
+        runs.erase(found);
+    }
+    const std::string& id = withdrawn.accepted.work.id;
+    if (withdrawn.inFlight && withdrawn.lastTarget.local)
+        owner.withdraw(id, withdrawn.lastRequest);
+    else if (withdrawn.inFlight)
+        link.withdraw(withdrawn.lastTarget.address, id, withdrawn.lastRequest);
+    withdrawn.done(fail(
+        withdrawn.mayHaveRun ? error_kind::cancelled_while_running : error_kind::cancelled_before_start, "the caller has left"));
+}
+
 std::vector<std::uint64_t> job_router::data::dueRuns(time_point now, const std::optional<run_target>& location)
 {
     std::vector<std::uint64_t> due;
@@ -224,7 +255,7 @@
 
 job_router::~job_router() = default;
 
-void job_router::run(jobs::run_request request, job_completion done)
+std::uint64_t job_router::run(jobs::run_request request, job_completion done)
 {
     std::uint64_t number = 0;
     {
@@ -244,6 +275,23 @@
         added.mayHaveRun = request.mayHaveStarted;
     }
     m_data->sendToOwner(number);
+    return number;
+}
+
+void job_router::withdraw(std::uint64_t number) { m_data->withdraw(number); }
+
+void job_router::withdrawJob(const std::string& jobId)
+{
+    std::vector<std::uint64_t> numbers;
+    {
+        const std::scoped_lock lock(m_data->mutex);
+        for (const auto& [number, current] : m_data->runs) {
+            if (current.accepted.work.id == jobId)
+                numbers.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : numbers)
+        m_data->withdraw(number);
 }
 
 void job_router::tick()
--- a/cells/job_router.h
+++ b/cells/job_router.h
@@ -31,6 +31,10 @@
     /// Asks the owner at `address` to run a job. Completes with `owner_unknown` if the outcome of the job is unknown.
     virtual void run(const std::string& address, const jobs::run_request& request, job_completion done) = 0;
 
+    /// Tells the owner at `address` that the caller of a request has left. There is no answer; an owner of an earlier build
+    /// ignores the message.
+    virtual void withdraw(const std::string& address, const std::string& jobId, const jobs::request_id& request) = 0;
+
     /// Asks the owner at `address` which jobs it runs for the cell `home`, and to refuse jobs from earlier ownership terms of
     /// that cell. Completes with an empty, incomplete report if the owner does not answer.
     virtual void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(lent_report)> done) = 0;
@@ -51,8 +55,15 @@
     job_router& operator=(const job_router&) = delete;
 
     /// Runs a job that is not stored. Calls `done` once, at the latest when the job's time is over: with the final state, with
-    /// an error that says that the job has not run, or with `owner_unknown`.
-    void run(jobs::run_request request, job_completion done);
+    /// an error that says that the job has not run, or with `owner_unknown`. Returns the number by which `withdraw` knows the
+    /// request, never 0.
+    std::uint64_t run(jobs::run_request request, job_completion done);
+
+    /// Withdraws a request whose caller has left, and tells the owner. Does nothing if the request has ended; otherwise completes
+    /// it with `cancelled_before_start` or `cancelled_while_running`.
+    void withdraw(std::uint64_t number);
+    /// Withdraws all requests for a job.
+    void withdrawJob(const std::string& jobId);
 
     /// Sends pending jobs to a new owner, and answers those whose time is over. To be called every few tens of milliseconds.
     void tick();
--- a/jobs/job_service.h
+++ b/jobs/job_service.h
@@ -28,10 +28,13 @@
     virtual bool holdUntilConfigured(std::size_t bytes, std::function<void()> resume) = 0;
 
     /// Submits a job. Completes with `queued` when the job is stored; a job with `answeredAtEnd` completes with its final state
-    /// instead. `timeLeft` is the time for which the caller still waits.
-    virtual void submit(
+    /// instead. `timeLeft` is the time for which the caller still waits. Returns a number for `withdraw`, or 0 for a job that
+    /// cannot be withdrawn because it is stored.
+    virtual std::uint64_t submit(
         job work, const queue_rules& rules, std::chrono::milliseconds timeLeft, std::function<void(result<job_state>)> done)
         = 0;
+    /// Withdraws a submission whose caller has left. Does nothing if it has been answered.
+    virtual void withdraw(std::uint64_t submission) = 0;
     /// Cancels a job. Completes when the cancellation is stored.
     virtual void cancel(const std::string& jobId, std::function<void(result<void>)> done) = 0;
     /// Queries the state of a job. Fails with `job_unknown`, or with `owner_unknown` when no owner can be reached.
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -146,7 +146,8 @@
 std::string encodeRunRequest(const run_request& request)
 {
     return pack(json::array({ packAccepted(request.accepted), request.mayHaveStarted, request.timeLeft.count(),
-        request.lentBy ? json::array({ request.lentBy->cell, request.lentBy->epoch }) : json(), request.ownerEpoch }));
+        request.lentBy ? json::array({ request.lentBy->cell, request.lentBy->epoch }) : json(), request.ownerEpoch,
+        json::array({ request.id.sender, request.id.number }) }));
 }
 
 result<run_request> decodeRunRequest(const std::string& value)
@@ -156,6 +157,9 @@
         if (!fields.at(3).is_null())
             request.lentBy = lender { numberIn<std::uint32_t>(fields.at(3).at(0)), numberIn<std::uint64_t>(fields.at(3).at(1)) };
         request.ownerEpoch = numberIn<std::uint64_t>(fields.at(4));
+        // Requests of earlier builds cannot be withdrawn.
+        if (fields.size() > 5)
+            request.id = { numberIn<std::uint64_t>(fields.at(5).at(0)), numberIn<std::uint64_t>(fields.at(5).at(1)) };
         return request;
     });
 }
--- a/jobs/record_codec.h
+++ b/jobs/record_codec.h
@@ -51,6 +51,16 @@
     std::uint64_t epoch = 0;
 };
 
+/// Identifies one request to run a job, so that its sender can withdraw it. Empty in requests of earlier builds.
+struct request_id {
+    /// Random number of the sending router.
+    std::uint64_t sender = 0;
+    /// Number of the request at its sender, from 1; 0 if the request cannot be withdrawn.
+    std::uint64_t number = 0;
+
+    friend bool operator==(const request_id&, const request_id&) = default;
+};
+
 /// Request to the owner of a cell to run a job and to answer with the job's final state.
 struct run_request {
     accepted_job accepted;
@@ -62,6 +72,7 @@
     std::optional<lender> lentBy;
     /// Epoch of the owner to which the request was sent. A late request may reach the same VM in another ownership term.
     std::uint64_t ownerEpoch = 0;
+    request_id id;
 };
 
 /// Final state of a job.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -39,6 +39,10 @@
     /// Time between ticks while this VM owns its cell or jobs wait for an owner, and otherwise.
     constexpr std::chrono::milliseconds tickInterval { 10 };
     constexpr std::chrono::milliseconds idleTickInterval { 40 };
+    /// Time between checks for callers and VMs that have closed their connections.
+    constexpr std::chrono::milliseconds disconnectCheckInterval { 50 };
+    /// Timeout of a message to an owner that a caller has left.
+    constexpr std::chrono::milliseconds withdrawTimeout { 400 };
     /// Timeout of a request to an owner for the state of a job.
     constexpr std::chrono::milliseconds stateTimeout { 400 };
     /// Added to the platform's bound for how long the state of a finished job can be queried.
@@ -52,6 +56,7 @@
 
     constexpr const char* stateMethod = "job.state";
     constexpr const char* runMethod = "job.run";
+    constexpr const char* withdrawMethod = "job.withdraw";
     constexpr const char* lentJobsMethod = "cell.lent";
     /// First word of the reply of an owner that does not know all its runs yet.
     constexpr const char* unknownRuns = "?";
@@ -168,6 +173,7 @@
     std::atomic<bool> draining { false };
     std::atomic<bool> stopping { false };
     std::thread tickThread;
+    time_point nextDisconnectCheck;
 
     data(const platform::boot_settings& values, const std::shared_ptr<const cells::admission_policy>& admission);
 
@@ -179,7 +185,10 @@
     /// Returns the cell that stores the job: a hash of its id.
     cells::cell_number homeCellOf(const std::string& jobId) const;
     void addPeerMethods();
+    void addRunMethods();
     void addLentJobsMethod();
+    /// Withdraws the requests of callers and VMs that have closed their connections.
+    void checkDisconnects();
     void onDatagram(const std::string& datagram);
     /// Ticks all parts until `stopping` is set.
     void runTickLoop();
@@ -189,8 +198,9 @@
     {
         return gate.hold(bytes, std::move(resume));
     }
-    void submit(jobs::job work, const jobs::queue_rules& rules, std::chrono::milliseconds timeLeft,
+    std::uint64_t submit(jobs::job work, const jobs::queue_rules& rules, std::chrono::milliseconds timeLeft,
         std::function<void(result<jobs::job_state>)> done) override;
+    void withdraw(std::uint64_t submission) override { router.withdraw(submission); }
     void cancel(const std::string& jobId, std::function<void(result<void>)> done) override;
     void state(const std::string& jobId, std::function<void(result<jobs::job_state>)> done) override;
     result<std::uint32_t> pending(const std::string& queue) const override;
@@ -203,6 +213,7 @@
     bool isDraining() const override { return draining.load(std::memory_order_relaxed); }
     void send(const std::string& address, const std::string& datagram) override { heartbeatSocket.send(address, datagram); }
     void run(const std::string& address, const jobs::run_request& request, cells::job_completion done) override;
+    void withdraw(const std::string& address, const std::string& jobId, const jobs::request_id& request) override;
     void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(cells::lent_report)> done) override;
 };
 
@@ -243,14 +254,34 @@
     peerService.addMethod(stateMethod, [this](const std::string& jobId, const peers::peer_service::reply_function& reply) {
         owner.awaitState(jobId, [reply](const result<jobs::job_state>& state) { reply(encodeState(state)); });
     });
-    peerService.addMethod(runMethod, [this](const std::string& message, const peers::peer_service::reply_function& reply) {
-        auto request = jobs::decodeRunRequest(message);
-        if (request)
+    addRunMethods();
+    addLentJobsMethod();
+}
+
+void entry_node::data::addRunMethods()
+{
+    peerService.addWatchedMethod(runMethod,
+        [this](const std::string& message, const peers::peer_service::reply_function& reply,
+            const peers::peer_service::disconnect_setter& onDisconnect) {
+            auto request = jobs::decodeRunRequest(message);
+            if (!request) {
+                reply(encodeState(tl::unexpected(request.error())));
+                return;
+            }
+            // A cell that lends a job gets another owner if it loses the one that called, and that owner submits the job again.
+            if (!request->lentBy)
+                onDisconnect([this, jobId = request->accepted.work.id, id = request->id] { owner.withdraw(jobId, id); });
             owner.run(std::move(*request), [reply](const result<jobs::job_state>& state) { reply(encodeState(state)); });
-        else
-            reply(encodeState(tl::unexpected(request.error())));
+        });
+    peerService.addMethod(withdrawMethod, [this](const std::string& message, const peers::peer_service::reply_function& reply) {
+        jobs::request_id request;
+        std::string jobId;
+        std::istringstream text(message);
+        text >> request.sender >> request.number;
+        std::getline(text >> std::ws, jobId);
+        owner.withdraw(jobId, request);
+        reply({});
     });
-    addLentJobsMethod();
 }
 
 void entry_node::data::addLentJobsMethod()
@@ -318,6 +349,7 @@
             member.tick();
             directory.tick();
         });
+        runGuarded("node", [this] { checkDisconnects(); });
         runGuarded("node", [this] {
             owner.tick();
             router.tick();
@@ -328,19 +360,29 @@
     }
 }
 
-void entry_node::data::submit(jobs::job work, const jobs::queue_rules& rules, std::chrono::milliseconds timeLeft,
+void entry_node::data::checkDisconnects()
+{
+    const auto now = clock.now();
+    if (now < nextDisconnectCheck)
+        return;
+    nextDisconnectCheck = now + disconnectCheckInterval;
+    clientServer.checkDisconnects();
+    peerService.checkDisconnects();
+}
+
+std::uint64_t entry_node::data::submit(jobs::job work, const jobs::queue_rules& rules, std::chrono::milliseconds timeLeft,
     std::function<void(result<jobs::job_state>)> done)
 {
     const bool answeredAtEnd = work.answeredAtEnd;
     const auto objective = jobs::objectiveOf(work, rules);
     jobs::accepted_job accepted { std::move(work), rules.service, rules.priority, rules.maxAttempts, objective, clock.wallNow() };
     if (answeredAtEnd) {
-        router.run({ std::move(accepted), false, timeLeft }, std::move(done));
-        return;
+        return router.run({ std::move(accepted), false, timeLeft }, std::move(done));
     }
     intakes[homeCellOf(accepted.work.id)]->store(accepted, [done = std::move(done)](const result<void>& stored) {
         done(stored ? result<jobs::job_state>(jobs::job_state::queued) : tl::unexpected(stored.error()));
     });
+    return 0;
 }
 
 void entry_node::data::run(const std::string& address, const jobs::run_request& request, cells::job_completion done)
@@ -354,6 +396,12 @@
     });
 }
 
+void entry_node::data::withdraw(const std::string& address, const std::string& jobId, const jobs::request_id& request)
+{
+    peerLink.call(address, withdrawMethod, fmt::format("{} {} {}", request.sender, request.number, jobId), withdrawTimeout,
+        [](const auto&) {});
+}
+
 void entry_node::data::queryLentJobs(const std::string& address, jobs::lender home, std::function<void(cells::lent_report)> done)
 {
     peerLink.call(address, lentJobsMethod, fmt::format("{} {} {}", home.cell, home.epoch, partialReports),
@@ -425,6 +473,9 @@
     for (std::size_t reason = 0; reason < cells::refusalReasonCount; ++reason)
         samples.push_back({ "jobs_refused_total", cells::nameOf(static_cast<cells::refusal_reason>(reason)),
             cellCounters.refusedJobs[reason] });
+    for (std::size_t outcome = 0; outcome < cells::withdrawalOutcomeCount; ++outcome)
+        samples.push_back({ "jobs_withdrawn_total", cells::nameOf(static_cast<cells::withdrawal_outcome>(outcome)),
+            cellCounters.withdrawnJobs[outcome] });
     for (std::size_t bound = 0; bound < cellCounters.resolvedStarts.size(); ++bound)
         samples.push_back(
             { "unanswered_starts_resolved_total", cells::nameOfResolution(bound), cellCounters.resolvedStarts[bound] });
--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -23,6 +23,7 @@
         requests.push_back(request);
         pending = std::move(done);
     }
+    void withdraw(const std::string&, const std::string&, const jobs::request_id&) override { }
     void queryLentJobs(const std::string&, jobs::lender, std::function<void(cells::lent_report)>) override { }
 
     /// Sends the job to the owner of `epoch`.
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -11,6 +11,8 @@
     constexpr std::chrono::milliseconds tickInterval { 10 };
     constexpr std::chrono::milliseconds networkDelay { 1 };
     constexpr std::chrono::milliseconds callTimeout { 1500 };
+    /// Time until a VM notices that one of its connections was closed.
+    constexpr std::chrono::milliseconds disconnectDelay { 50 };
     /// Delay of queries for lent jobs; longer than callers' VMs take to send their jobs to a new owner.
     constexpr std::chrono::milliseconds lentQueryDelay { 60 };
     /// Time from SIGTERM to SIGKILL.
@@ -164,6 +166,8 @@
 
     void run(const std::string& address, const jobs::run_request& request, job_completion done) override
     {
+        if (!request.lentBy)
+            fleet.m_runCalls.push_back({ name, address, request.accepted.work.id, request.id });
         auto answered = std::make_shared<bool>(false);
         auto once = [answered, done = completeIfAlive<result<jobs::job_state>>(std::move(done))](
                         const result<jobs::job_state>& answer) {
@@ -193,6 +197,14 @@
         });
     }
 
+    void withdraw(const std::string& address, const std::string& jobId, const jobs::request_id& request) override
+    {
+        fleet.loop.after(networkDelay, [&fleet = fleet, from = name, address, jobId, request] {
+            if (vm* target = fleet.reachable(from, address))
+                target->owner.withdraw(jobId, request);
+        });
+    }
+
     void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(lent_report)> done) override
     {
         auto answered = std::make_shared<bool>(false);
@@ -285,6 +297,30 @@
     // `alive` is cleared before the VM is destroyed, so that its pending completions have no effect.
     const auto ended = found->second;
     m_vms.erase(found);
+    if (!m_partitioned.contains(vm))
+        breakCallsOf(vm);
+}
+
+void cell_fleet::breakCallsOf(const std::string& from)
+{
+    for (const run_call& call : m_runCalls) {
+        if (call.from != from)
+            continue;
+        loop.after(networkDelay + disconnectDelay, [this, call] {
+            const auto called = m_vms.find(call.address);
+            if (called != m_vms.end() && !m_partitioned.contains(call.address))
+                called->second->owner.withdraw(call.jobId, call.request);
+        });
+    }
+    std::erase_if(m_runCalls, [&from](const run_call& call) { return call.from == from; });
+}
+
+void cell_fleet::disconnectCaller(const std::string& vm, const std::string& jobId)
+{
+    loop.after(disconnectDelay, [this, vm, number = m_callerRequests.at({ vm, jobId })] {
+        if (isAlive(vm))
+            m_vms.at(vm)->router.withdraw(number);
+    });
 }
 
 void cell_fleet::drain(const std::string& vm)
@@ -366,9 +402,11 @@
 {
     if (!isAlive(vm))
         return;
-    m_vms.at(vm)->router.run(
-        { makeJob(jobId, tasks, duration, true), false, timeLeft }, [this, jobId](const result<jobs::job_state>& answer) {
-            answers.push_back({ jobId, answer, loop.now() });
+    m_callerRequests[{ vm, jobId }] = m_vms.at(vm)->router.run(
+        { makeJob(jobId, tasks, duration, true), false, timeLeft }, [this, vm, jobId](const result<jobs::job_state>& answer) {
+            answers.push_back({ jobId, answer, loop.now(), vm });
+            if (onAnswer)
+                onAnswer(answers.back());
         });
 }
 
@@ -408,7 +446,7 @@
 void cell_fleet::queryState(unsigned domain, const std::string& jobId)
 {
     m_vms.at(owner(domain))->owner.awaitState(jobId, [this, jobId](const result<jobs::job_state>& answer) {
-        answers.push_back({ jobId, answer, loop.now() });
+        answers.push_back({ jobId, answer, loop.now(), {} });
     });
 }
 
--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -1,6 +1,7 @@
 /// Simulated fleet of entry VMs in several failure domains: the real code of cells in virtual time.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -24,6 +25,8 @@
     std::string jobId;
     result<jobs::job_state> answer;
     time_point at;
+    /// VM that answered an unstored job; empty for other answers.
+    std::string vm;
 };
 
 /// Fleet in virtual time with one cell in each failure domain. Not thread-safe.
@@ -38,7 +41,7 @@
 
     void runFor(std::chrono::milliseconds duration) { loop.runFor(duration); }
 
-    /// Stops a VM without notice to the others. `start` restarts it as a new incarnation.
+    /// Stops a VM without notice to the others, whose open calls from it break. `start` restarts it as a new incarnation.
     void kill(const std::string& vm);
     /// Starts a VM; does nothing if it is running.
     void start(const std::string& vm);
@@ -73,6 +76,8 @@
     /// Submits a job at a VM: `tasks` tasks of 7 cores that run for `duration`. The answer is recorded in `answers`.
     void run(const std::string& vm, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration,
         std::chrono::milliseconds timeLeft = std::chrono::milliseconds(10000));
+    /// Closes the connection of the caller that last submitted an unstored job at a VM.
+    void disconnectCaller(const std::string& vm, const std::string& jobId);
     /// Submits a stored job at a VM. Once the store has accepted the job, its id is recorded in `stored`.
     void store(const std::string& vm, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration);
     /// Submits a stored job with the given step at a VM.
@@ -99,6 +104,8 @@
     virtual_workers workers { loop };
     /// Answers in the order of their arrival.
     std::vector<recorded_answer> answers;
+    /// Called with each answer to an unstored job, if set.
+    std::function<void(const recorded_answer&)> onAnswer;
     /// Ids of the jobs that the store has accepted.
     std::vector<std::string> stored;
 
@@ -110,6 +117,8 @@
     void schedule(const std::string& name);
     void continueStop(const std::string& name, const cells::orderly_stop& stop, std::chrono::milliseconds downtime);
     vm* reachable(const std::string& from, const std::string& to);
+    /// Tells the owners that were called by a VM that these calls are broken.
+    void breakCallsOf(const std::string& from);
 
     unsigned m_domains;
     /// Must outlive the VMs, which answer calls while they are destroyed.
@@ -120,6 +129,16 @@
     std::map<std::string, store_fault> m_storeFaults;
     std::set<std::string> m_partitioned;
     std::uint64_t m_lastIncarnation = 0;
+    /// Numbers of the last requests of callers at their routers, by VM and job.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_callerRequests;
+    /// Call of a VM to run a job.
+    struct run_call {
+        std::string from;
+        std::string address;
+        std::string jobId;
+        jobs::request_id request;
+    };
+    std::vector<run_call> m_runCalls;
 };
 
 } // namespace coriandermount::fakes
--- a/tests/platform/client_api_test.cpp
+++ b/tests/platform/client_api_test.cpp
@@ -36,11 +36,17 @@
         heldRequests += held ? 1 : 0;
         return held;
     }
-    void submit(jobs::job, const jobs::queue_rules&, std::chrono::milliseconds,
+    std::uint64_t submit(jobs::job, const jobs::queue_rules&, std::chrono::milliseconds,
         std::function<void(result<jobs::job_state>)> done) override
     {
         completion = std::move(done);
         submitted.set_value();
+        return submission;
+    }
+    void withdraw(std::uint64_t number) override
+    {
+        withdrawn = number;
+        completion(fail(error_kind::cancelled_while_running));
     }
     void cancel(const std::string&, std::function<void(result<void>)>) override { }
     void state(const std::string&, std::function<void(result<jobs::job_state>)>) override { }
@@ -53,6 +59,8 @@
     manual_clock clock;
     jobs::configuration_gate gate { clock };
     std::atomic<int> heldRequests { 0 };
+    static constexpr std::uint64_t submission = 7;
+    std::atomic<std::uint64_t> withdrawn { 0 };
     std::promise<void> submitted;
     std::function<void(result<jobs::job_state>)> completion;
 };
@@ -85,6 +93,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against runs for callers that have left: libmicrohttpd does not report that a client closed the connection of a pending
+// request, so the job went on, beside a resubmission in another failure domain (issue 30).
+BOOST_AUTO_TEST_CASE(a_caller_that_closes_its_connection_withdraws_its_job)
+{
+    silent_service service;
+    net::http_server server(platform::clientServerOptions({}), platform::clientHandler(service));
+    BOOST_REQUIRE(server.start());
+    net::http_call call;
+    call.method = "POST";
+    call.url = fmt::format("http://127.0.0.1:{}/queue/5c0e7a21d94b36f8", server.port());
+    call.headers = { "Host: host.example" };
+    call.body = R"({"best_effort":true,"phases":[{"count":1}]})";
+    {
+        net::http_client leaving;
+        leaving.send(call, [](const auto&) {});
+        service.submitted.get_future().wait();
+        server.checkDisconnects();
+        BOOST_TEST(service.withdrawn == 0U);
+    }
+    const auto deadline = std::chrono::steady_clock::now() + 5s;
+    while (service.withdrawn == 0 && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(1ms);
+        server.checkDisconnects();
+    }
+    BOOST_TEST(service.withdrawn == silent_service::submission);
+    while (server.pendingRequests() > 0 && std::chrono::steady_clock::now() < deadline)
+        std::this_thread::sleep_for(1ms);
+    BOOST_TEST(server.pendingRequests() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE(a_client_api_without_a_configuration)
 
 namespace {
