cells: Tell later owners of callers that have left

When the owner was lost before it had stopped the runs of a caller that had left, the next owner found them, did not know their job and kept them until 0.8 s after its takeover, and so beside the resubmission in another failure domain.

Cause: the VM of the caller forgot the request once it had told the owner. Change: the VM tells each later owner until 1.3 s after the loss of the caller, every 0.1 s, since the owner finds the runs of the last one little by little. An owner that doesn't know the job stops the runs that it finds of it. Open: an owner that served the callers itself.

--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -250,6 +250,8 @@
     void lendTo(cell_number cell, open_job& job, time_point now);
     /// Handles the loss of a caller.
     void withdraw(const std::string& id, const jobs::request_id& request, time_point now);
+    /// Stops the runs of an unknown job that the earlier owner has started.
+    void stopOrphans(const std::string& id, time_point now);
     /// Ends, or lets end, a job that no caller waits for any more.
     void withdrawJob(open_job& job, time_point now);
     /// Ends and removes a job. `job` is not valid afterwards.
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -57,6 +57,8 @@
 void cell_owner::data::withdraw(const std::string& id, const jobs::request_id& request, time_point now)
 {
     open_job* job = jobTable.find(id);
+    if (!job && request.number > 0)
+        stopOrphans(id, now);
     if (!job || job->ended || request.number == 0)
         return;
     const auto found = std::find_if(
@@ -70,6 +72,19 @@
         withdrawJob(*job, now);
 }
 
+void cell_owner::data::stopOrphans(const std::string& id, time_point now)
+{
+    for (auto& [worker, session] : sessions) {
+        std::vector<task_key> orphans;
+        for (const auto& [key, current] : session.runs()) {
+            if (key.jobId == id && current.orphaned && current.state != run_state::stopping)
+                orphans.push_back(key);
+        }
+        for (const task_key& key : orphans)
+            stopRun(session, key, now);
+    }
+}
+
 void cell_owner::data::withdrawJob(open_job& job, time_point now)
 {
     const std::string id = job.accepted.work.id;
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -22,6 +22,10 @@
     constexpr std::chrono::milliseconds ownerWaitLimit { 2500 };
     /// Usual time from the loss of an owner to the first start under the next one.
     constexpr std::chrono::milliseconds usualTakeover { 1000 };
+    /// How long the owners that follow are told of a withdrawn request: the platform's delay of resubmissions.
+    constexpr std::chrono::milliseconds withdrawalRetention { 1300 };
+    /// Pause between two of these messages; the next owner finds the runs of the last one little by little.
+    constexpr std::chrono::milliseconds withdrawalPause { 100 };
     /// Time between the returns of callers that were refused because their cell had no owner.
     constexpr std::chrono::microseconds returnSpacing { 5000 };
 
@@ -47,6 +51,16 @@
         time_point retryAt;
     };
 
+    /// Withdrawn request whose runs the next owner of the cell may find.
+    struct withdrawn_run {
+        std::string jobId;
+        jobs::request_id request;
+        /// Epoch of the owner that the request was withdrawn at.
+        std::uint64_t epoch = 0;
+        time_point until;
+        time_point nextMessage;
+    };
+
 } // namespace
 
 struct job_router::data : std::enable_shared_from_this<job_router::data> {
@@ -61,6 +75,7 @@
     const std::uint64_t senderNumber = (std::uint64_t { std::random_device()() } << 32U) | std::random_device()();
     std::uint64_t lastRequestNumber = 0;
     std::map<std::uint64_t, pending_run> runs;
+    std::vector<withdrawn_run> withdrawnRuns;
     /// Since when the cell has had no known owner; empty while it has one.
     std::optional<time_point> ownerlessSince;
     return_schedule returns;
@@ -79,6 +94,9 @@
     void onAnswer(std::uint64_t number, std::uint64_t epoch, const result<jobs::job_state>& answer);
     void finish(std::uint64_t number, const result<jobs::job_state>& answer);
     void withdraw(std::uint64_t number);
+    void sendWithdrawal(const run_target& location, const std::string& jobId, const jobs::request_id& request);
+    /// Tells a new owner of the requests that were withdrawn at the last one.
+    void repeatWithdrawals(const std::optional<run_target>& location, time_point now);
     std::vector<std::uint64_t> dueRuns(time_point now, const std::optional<run_target>& location);
     std::vector<std::uint64_t> expiredRuns(time_point now) const;
     void expire(std::uint64_t number);
@@ -170,16 +188,43 @@
             return;
         withdrawn = std::move(found->second);
         runs.erase(found);
+        const auto now = clock.now();
+        // The next owner of a cell that lends jobs queries them, and submits them again.
+        if (withdrawn.mayHaveRun && !withdrawn.lentBy)
+            withdrawnRuns.push_back(
+                { withdrawn.accepted.work.id, withdrawn.lastRequest, withdrawn.lastSentEpoch, now + withdrawalRetention, now });
     }
-    const std::string& id = withdrawn.accepted.work.id;
-    if (withdrawn.inFlight && withdrawn.lastTarget.local)
-        owner.withdraw(id, withdrawn.lastRequest);
-    else if (withdrawn.inFlight)
-        link.withdraw(withdrawn.lastTarget.address, id, withdrawn.lastRequest);
+    if (withdrawn.inFlight)
+        sendWithdrawal(withdrawn.lastTarget, withdrawn.accepted.work.id, withdrawn.lastRequest);
     withdrawn.done(fail(
         withdrawn.mayHaveRun ? error_kind::cancelled_while_running : error_kind::cancelled_before_start, "the caller has left"));
 }
 
+void job_router::data::sendWithdrawal(const run_target& location, const std::string& jobId, const jobs::request_id& request)
+{
+    if (location.local)
+        owner.withdraw(jobId, request);
+    else
+        link.withdraw(location.address, jobId, request);
+}
+
+void job_router::data::repeatWithdrawals(const std::optional<run_target>& location, time_point now)
+{
+    std::vector<withdrawn_run> due;
+    {
+        const std::scoped_lock lock(mutex);
+        std::erase_if(withdrawnRuns, [now](const withdrawn_run& withdrawn) { return now > withdrawn.until; });
+        for (withdrawn_run& withdrawn : withdrawnRuns) {
+            if (!location || location->epoch <= withdrawn.epoch || now < withdrawn.nextMessage)
+                continue;
+            withdrawn.nextMessage = now + withdrawalPause;
+            due.push_back(withdrawn);
+        }
+    }
+    for (const withdrawn_run& withdrawn : due)
+        sendWithdrawal(*location, withdrawn.jobId, withdrawn.request);
+}
+
 std::vector<std::uint64_t> job_router::data::dueRuns(time_point now, const std::optional<run_target>& location)
 {
     std::vector<std::uint64_t> due;
@@ -299,6 +344,7 @@
     const auto now = m_data->clock.now();
     const auto location = m_data->target();
     m_data->noteOwner(location.has_value(), now);
+    m_data->repeatWithdrawals(location, now);
     for (const std::uint64_t number : m_data->dueRuns(now, location))
         m_data->sendToOwner(number);
     for (const std::uint64_t number : m_data->expiredRuns(now))
@@ -309,6 +355,7 @@
 {
     const std::scoped_lock lock(m_data->mutex);
     m_data->runs.clear();
+    m_data->withdrawnRuns.clear();
 }
 
 void job_router::stop()
--- a/tests/cells/resubmission_test.cpp
+++ b/tests/cells/resubmission_test.cpp
@@ -122,6 +122,22 @@
     BOOST_TEST(withdrawn(fleet.counterValues(other), cells::withdrawal_outcome::stopped) == 1);
 }
 
+// Guards against two runs at a time when the owner is lost before it has stopped the runs: the next one kept them, as their job
+// was unknown to it (issue 30).
+BOOST_AUTO_TEST_CASE(a_resubmission_in_another_domain_runs_alone_after_the_owner_was_lost)
+{
+    fleet.run(entry, "a", 2, 4s, callerTimeout);
+    fleet.runFor(200ms);
+    fleet.disconnectCaller(entry, "a");
+    fleet.runFor(200ms);
+    fleet.kill(home);
+    fleet.runFor(retransmissionDelay - 200ms);
+    fleet.run(other, "a", 2, 4s, callerTimeout);
+    fleet.runFor(5s);
+    expectNoViolation(fleet);
+    BOOST_TEST(completedAnswers("a") == 1);
+}
+
 // Guards against a second run of a job that ends before its caller submits it again.
 BOOST_AUTO_TEST_CASE(a_run_that_is_about_to_end_answers_the_resubmission)
 {
