tests: Check random faults with callers that submit again as the platform says

The property on disturbed paths submits a job again in the other domain while its first caller still waits, which the platform's callers don't do: they submit again 1.3 s after no response, a broken connection, 502 or 504. Which schedules of it are possible was not to be seen.

Change: a second property beside it, unchanged, with callers that have exactly that timing: connections break, VMs are lost with the connections to them, answers say that the job may have run, or don't arrive within 1.5 s; then the job is submitted again at any VM of any domain.

--- a/tests/cells/random_faults_test.cpp
+++ b/tests/cells/random_faults_test.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck.h>
 
 #include "tests/fakes/fleet_checks.h"
+#include "tests/fakes/resubmitting_callers.h"
 
 using namespace coriandermount;
 using namespace coriandermount::fakes;
@@ -181,11 +182,11 @@
     }));
 }
 
-/// Generates up to 100 events of all kinds.
-rc::Gen<std::vector<fault_event>> eventsOnDisturbedPaths()
+/// Generates up to 100 events of the first `kinds` kinds.
+rc::Gen<std::vector<fault_event>> eventsOnDisturbedPaths(unsigned kinds)
 {
     const auto pause = rc::gen::map(rc::gen::inRange(0, 400), [](int count) { return std::chrono::milliseconds(count); });
-    const auto event = rc::gen::build<fault_event>(rc::gen::set(&fault_event::kind, rc::gen::inRange(0U, pathEventKindCount)),
+    const auto event = rc::gen::build<fault_event>(rc::gen::set(&fault_event::kind, rc::gen::inRange(0U, kinds)),
         rc::gen::set(&fault_event::domain, rc::gen::inRange(0U, 2U)),
         rc::gen::set(&fault_event::number, rc::gen::inRange(0U, 3U)), rc::gen::set(&fault_event::pause, pause));
     return rc::gen::resize(rc::kNominalSize, rc::gen::container<std::vector<fault_event>>(event));
@@ -206,7 +207,7 @@
 bool holdsOnDisturbedPaths(resubmission repeats)
 {
     return rc::check([repeats] {
-        const auto events = *eventsOnDisturbedPaths();
+        const auto events = *eventsOnDisturbedPaths(pathEventKindCount);
         cell_fleet fleet(2, 3, 3);
         applyAll(fleet, events, repeats);
         for (const auto& violation : violationsOf(fleet))
@@ -220,6 +221,44 @@
     BOOST_TEST(holdsOnDisturbedPaths(resubmission::in_any_domain));
 }
 
+/// Number of event kinds with those that break connections of callers.
+constexpr unsigned callerEventKindCount = pathEventKindCount + 3;
+
+/// Applies events; unstored jobs are submitted, and submitted again, as the platform describes it.
+void applyAllWithCallers(cell_fleet& fleet, const std::vector<fault_event>& events)
+{
+    resubmitting_callers callers(fleet);
+    fleet.runFor(2s);
+    for (std::uint64_t index = 0; index < events.size(); ++index) {
+        const fault_event& event = events[index];
+        const std::string vm = cell_fleet::vmName(event.domain, event.number);
+        const bool submits = event.kind > 8 && event.kind < 16;
+        if (submits && fleet.isAlive(vm))
+            callers.submit(vm, index, 1 + index % 4, std::chrono::milliseconds(50 + index % 7 * 300));
+        else if (event.kind >= pathEventKindCount)
+            callers.breakConnection(index);
+        else if (!submits)
+            applyEvent(fleet, event, index, resubmission::in_any_domain);
+        if (event.kind == 0)
+            callers.noteLost(vm);
+        fleet.runFor(event.pause);
+    }
+    fleet.runFor(10s);
+}
+
+// Guards against two runs at a time of a job whose caller submits it again, in any domain, as late as the platform says (issue
+// 30).
+BOOST_AUTO_TEST_CASE(no_task_runs_twice_at_a_time_when_callers_submit_again_as_the_platform_says)
+{
+    BOOST_TEST(rc::check([] {
+        const auto events = *eventsOnDisturbedPaths(callerEventKindCount);
+        cell_fleet fleet(2, 3, 3);
+        applyAllWithCallers(fleet, events);
+        for (const auto& violation : violationsOf(fleet))
+            RC_FAIL(violation);
+    }));
+}
+
 // Guards against second starts on disturbed paths (issue 21), apart from those of jobs that arrive in two domains.
 BOOST_AUTO_TEST_CASE(no_task_runs_twice_at_a_time_on_disturbed_paths_of_one_domain)
 {
