tests: Check when callers refused by an overloaded owner are to return

Callers that are refused at once by an overloaded owner have to return after its backlog, one after the other. The test submits 60 jobs to an owner with three times its load: those refused are told to return after 0.1 s at least, each no earlier than the one before.

--- a/tests/cells/owner_overload_test.cpp
+++ b/tests/cells/owner_overload_test.cpp
@@ -99,6 +99,29 @@
     BOOST_TEST(found.servedShare() > 0.99);
 }
 
+// Guards against callers that return before the backlog is gone, or all at once.
+BOOST_AUTO_TEST_CASE(tells_refused_callers_when_to_return)
+{
+    cell.runAtRate(kinds, 3 * fullRate, 2s);
+    for (int number = 0; number < 60; ++number) {
+        auto request = cell.request(cell_load_run::epoch, "refused-" + std::to_string(number), 2, 170ms);
+        request.timeLeft = 1500ms;
+        cell.run(std::move(request));
+    }
+    std::chrono::milliseconds last { 0 };
+    int refused = 0;
+    for (const auto& answer : cell.answers) {
+        BOOST_REQUIRE(!answer);
+        BOOST_REQUIRE((answer.error().kind == error_kind::overloaded));
+        BOOST_REQUIRE(answer.error().retryAfter.has_value());
+        BOOST_TEST(answer.error().retryAfter->count() >= 100);
+        BOOST_TEST(answer.error().retryAfter->count() >= last.count());
+        last = *answer.error().retryAfter;
+        ++refused;
+    }
+    BOOST_TEST(refused > 30);
+}
+
 // Guards against an overload that feeds itself: each order without an answer was sent up to three times, and its worker was left
 // out.
 BOOST_AUTO_TEST_CASE(does_not_send_orders_again_into_its_backlog)
