core, cells, platform: Count and log each record that is skipped

Operators could not see that records or heartbeats were skipped: malformed lists of finished jobs, progress, owner and liveness records, registrations of VMs, heartbeats and framed records left no trace; malformed stored jobs, registrations of workers and configurations were logged and not counted.

`reportSkippedInput` logs the kind and the name of each, limited like all log lines, and counts them in `coriandermount_skipped_inputs_total`.

Test: malformed_input/from_the_store/records_that_are_skipped_are_counted. There was no counter before. Open: rows of a worker's lists with an unknown form of task name.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -6,6 +6,7 @@
 
 #include "cells/ownership_codec.h"
 #include "core/log.h"
+#include "core/skipped_input.h"
 #include "jobs/record_tail.h"
 
 namespace coriandermount::cells {
@@ -148,10 +149,14 @@
             writeLog(log_level::info, "member", "received an owner record of the cell",
                 { { "owner", record->owner.value }, { "epoch", fmt::to_string(record->epoch) },
                     { "released", record->released ? "yes" : "no" }, { "offset", fmt::to_string(current.offset) } });
+        } else {
+            reportSkippedInput("member", "owner record", current.key, record.error().detail);
         }
     } else if (current.key == livenessRecordKey) {
         if (const auto epoch = decodeLiveness(*current.value))
             state.onLivenessRecord(*epoch, now);
+        else
+            reportSkippedInput("member", "liveness record", current.key, epoch.error().detail);
     }
 }
 
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include "core/skipped_input.h"
+
 namespace coriandermount::cells {
 
 using jobs::record_kind;
@@ -122,8 +124,7 @@
 {
     auto accepted = jobs::decodeAccepted(*current.value);
     if (!accepted) {
-        writeLog(log_level::error, "cell", "stored job skipped: its record is malformed",
-            { { "key", current.key }, { "detail", accepted.error().detail } });
+        reportSkippedInput("cell", "stored job", current.key, accepted.error().detail);
         return;
     }
     const std::string id = accepted->work.id;
@@ -156,6 +157,8 @@
 {
     open_job* job = jobTable.find(jobId);
     const auto outcomes = jobs::decodeProgress(value);
+    if (!outcomes)
+        reportSkippedInput("cell", "progress of a job", jobId, outcomes.error().detail);
     if (!job || !outcomes) {
         obsoleteKeys.push_back(jobs::progressKey(jobId));
         return;
@@ -183,8 +186,10 @@
 void cell_owner::data::applyFinished(const jobs::record& current, time_point now)
 {
     const auto list = jobs::decodeFinished(*current.value);
-    if (!list)
+    if (!list) {
+        reportSkippedInput("cell", "list of finished jobs", current.key, list.error().detail);
         return;
+    }
     const auto at = now - std::max(clock.wallNow() - list->at, std::chrono::milliseconds(0));
     finishedKeys.emplace(at + settings.finishedRetention, current.key);
     // Lent jobs are not stored, so their ends are remembered for a shorter time.
@@ -195,7 +200,9 @@
 void cell_owner::data::applyOwner(const std::string& value)
 {
     const auto epoch = jobs::decodeOwner(value);
-    if (epoch && *epoch > term.epoch)
+    if (!epoch)
+        reportSkippedInput("cell", "owner record", jobs::ownerKey(), epoch.error().detail);
+    else if (*epoch > term.epoch)
         endSupersededTerm(fmt::format("the records name an owner with epoch {}", *epoch));
 }
 
--- a/cells/vm_directory.cpp
+++ b/cells/vm_directory.cpp
@@ -10,6 +10,7 @@
 
 #include "core/json_number.h"
 #include "core/log.h"
+#include "core/skipped_input.h"
 #include "jobs/record_tail.h"
 
 namespace coriandermount::cells {
@@ -127,8 +128,10 @@
         return;
     }
     const auto registration = decodeVm(*current.value);
-    if (!registration)
+    if (!registration) {
+        reportSkippedInput("directory", "registration of a VM", current.key, registration.error().detail);
         return;
+    }
     plan.addOrUpdate(*registration);
     if (registration->failureDomain == self.failureDomain)
         writeLog(log_level::info, "directory", "VM registered",
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -18,6 +18,7 @@
 #include "core/guarded_call.h"
 #include "core/log.h"
 #include "core/rcu_value.h"
+#include "core/skipped_input.h"
 #include "jobs/configuration_gate.h"
 #include "jobs/job_intake.h"
 #include "jobs/job_service.h"
@@ -313,8 +314,10 @@
 void entry_node::data::onDatagram(const std::string& datagram)
 {
     const auto current = cells::decodeHeartbeat(datagram);
-    if (!current)
+    if (!current) {
+        reportSkippedInput("node", "heartbeat", {}, current.error().detail);
         return;
+    }
     directory.onHeartbeat(*current);
     member.onHeartbeat(*current);
 }
@@ -470,7 +473,7 @@
         { "store_calls_total", "unanswered", calls.unanswered }, { "cell_owned", {}, member.isOwner() ? 1U : 0U },
         { "owner_lag_milliseconds", {}, static_cast<std::uint64_t>(owner.lag().count()) },
         { "runs_found_again_total", {}, cellCounters.runsFoundAgain }, { "log_lines_dropped_total", {}, droppedLogLines() },
-        { "unexpected_errors_total", {}, unexpectedErrors() } };
+        { "unexpected_errors_total", {}, unexpectedErrors() }, { "skipped_inputs_total", {}, skippedInputs() } };
     for (std::size_t reason = 0; reason < cells::refusalReasonCount; ++reason)
         samples.push_back({ "jobs_refused_total", cells::nameOf(static_cast<cells::refusal_reason>(reason)),
             cellCounters.refusedJobs[reason] });
--- a/tests/platform/malformed_input_test.cpp
+++ b/tests/platform/malformed_input_test.cpp
@@ -11,6 +11,7 @@
 #include "cells/ownership.h"
 #include "cells/ownership_codec.h"
 #include "core/json_number.h"
+#include "core/skipped_input.h"
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
 #include "platform/record_framing.h"
@@ -232,6 +233,24 @@
     });
 }
 
+// Guards against records that are skipped unseen: each is counted and logged.
+BOOST_AUTO_TEST_CASE(records_that_are_skipped_are_counted)
+{
+    serving_owner cell;
+    cell.owner.stepDown();
+    jobs::append_request request;
+    request.stream = { "jobs", 0 };
+    for (const auto& key : { jobs::acceptedKey("a"), jobs::progressKey("a"), jobs::finishedKey(1, 1) })
+        request.records.push_back({ key, "{", 0 });
+    cell.records.append(request, store_fault::none, [](const auto&) {});
+    const std::uint64_t before = skippedInputs();
+    cell.owner.takeOver({ 3, true });
+    cell.runFor(100ms);
+    BOOST_TEST(skippedInputs() == before + 3);
+    (void)platform::parseRecords(std::string(16, '\0') + std::string(4, '\0'), 0);
+    BOOST_TEST(skippedInputs() == before + 4);
+}
+
 BOOST_AUTO_TEST_CASE(records_that_an_owner_replays)
 {
     std::mt19937 random(20261205);
