--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,9 +11,9 @@
 
 ZONE = "za"
 WORKERS = 2
-JOBS = 24
+JOBS = 40
 WIDTH = 260
-TASK_MS = 20
+TASK_MS = 40
 LOSSY_S = 4.5
 LOST_SHARE = 0.35
 
@@ -58,12 +58,12 @@
     await world.start_store()
     await world.configure([("q", "/q/", 0, 3, 60)])
     for number in range(WORKERS):
-        await world.start_worker(ZONE, number, slots=16)
+        await world.start_worker(ZONE, number)
     await world.start_vms()
     world.note("all VMs are ready")
     vms = list(world.vms)
-    body = {"spec": f"run {TASK_MS} 1000",
-            "phases": [{"count": WIDTH, "cpu": 1000, "mem_mb": 64, "estimate_ms": TASK_MS}]}
+    body = {"spec": f"run {TASK_MS} 500",
+            "phases": [{"count": WIDTH, "cpu": 500, "mem_mb": 64, "estimate_ms": TASK_MS}]}
     accepted = []
     for number in range(JOBS):
         job = lib.job_id()
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -126,12 +126,12 @@
                        "idle_timeout_ms": 15000}}
         await wire.call(self.store, "POST", "/control/put", {"topic": "keyed.op", "key": "config", "value": config})
 
-    async def start_worker(self, zone, number, cpu=16000, labels="a,r1", slots=8):
+    async def start_worker(self, zone, number, cpu=16000, labels="a,r1"):
         name = f"i-{zone}-{number}"
         address = f"{self.net}.{10 * (self.zones.index(zone) + 1) + 2}:{20000 + number}"
         self.workers[name] = zone
         await self.spawn(name, sys.executable, os.path.join(HERE, "worker.py"), "--id", name, "--listen", address, "--store",
-                         self.store, "--zone", zone, "--service", SERVICE, "--labels", labels, "--cpu", str(cpu), "--slots", str(slots), "--log",
+                         self.store, "--zone", zone, "--service", SERVICE, "--labels", labels, "--cpu", str(cpu), "--log",
                          os.path.join(self.temporary, name + ".events"))
 
     async def start_vm(self, name):
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -163,7 +163,7 @@
         options = self.options
         while True:
             sequence += 1
-            entry = {"service": options.service, "addr": options.listen, "zone": options.zone, "version": "v1", "slots": options.slots,
+            entry = {"service": options.service, "addr": options.listen, "zone": options.zone, "version": "v1", "slots": 8,
                      "state": self.state, "cold_left_ms": 0,
                      "capacity": {"cpu": options.cpu, "mem_mb": 32768, "gpu": 0}, "labels": options.labels.split(","),
                      "clock_ms": self.clock_ms(), "sequence": sequence, "born": self.born}
@@ -177,7 +177,6 @@
     for name in ("id", "listen", "store", "zone", "service", "labels", "log"):
         parser.add_argument("--" + name, required=True)
     parser.add_argument("--cpu", type=int, required=True)
-    parser.add_argument("--slots", type=int, default=8)
     options = parser.parse_args()
     worker = Worker(options)
     server = await wire.serve(options.listen, worker.handle)
