cells: Don't take a run for lost that a full list of ends may hide

Cause: the ends of stored jobs are acknowledged once they are recorded. Meanwhile a worker collects ends, and lists the 500 oldest ones only. A run that had ended after those was missing in both lists of the answer, which counted as the proof `not_listed`, and `order_expired` in the same way, that it was lost.

Change: an answer to a poll tells whether it lists all ends, and an incomplete one proves no absence. The run keeps its place until earlier ends are acknowledged and its own is listed, so that a worker whose ends can't be acknowledged gets no more tasks than it has room for. The log names the change of a worker between complete and incomplete lists; `incomplete_end_lists_total` counts the latter.

--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -150,6 +150,8 @@
     std::array<std::uint64_t, resolutionBounds.size() + 1> resolvedStarts {};
     /// Runs that ended without a reported end, indexed by `run_end_proof`.
     std::array<std::uint64_t, runEndProofCount> lostRuns {};
+    /// Answers to polls that did not list all ends, because too many were not acknowledged.
+    std::uint64_t incompleteEndLists = 0;
     /// Runs of this term that counted as ended and that their worker listed afterwards.
     std::uint64_t runsFoundAgain = 0;
     /// Start orders that failed, indexed by `order_failure`.
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -408,6 +408,8 @@
         const tl::expected<poll_answer, order_failure>& answer);
     void onPollFailed(worker_session& session, order_failure failure, time_point now);
     void applyPollAnswer(worker_session& session, time_point sentAt, const poll_answer& answer, time_point now);
+    /// Notes whether a worker has listed all ends that are not acknowledged.
+    void noteEndList(worker_session& session, bool complete);
     void applyEnd(worker_session& session, const ended_task& ended, time_point now);
     void applyEndToJob(open_job& job, const ended_task& ended, const worker_id& by);
     void applyRunning(worker_session& session, const running_task& listed, time_point now);
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -238,6 +238,7 @@
         logOrder("worker poll succeeded again", {}, 0, session.registration().id, "used");
     session.failedPolls = 0;
     session.listed = true;
+    noteEndList(session, answer.endsComplete);
     session.noteClock(answer.clock, now);
     suspicion.noteAnswer(session.registration().id, session.registration().bootTime);
     session.acknowledgedEnd = std::max(session.acknowledgedEnd, session.acknowledging);
@@ -259,6 +260,16 @@
         session.nextPoll = now + idlePollPause;
 }
 
+void cell_owner::data::noteEndList(worker_session& session, bool complete)
+{
+    if (!complete)
+        ++counters.incompleteEndLists;
+    if (complete != session.endsComplete)
+        writeLog(log_level::info, "cell", complete ? "worker lists all its ends again" : "worker lists only its oldest ends",
+            { { "worker", session.registration().id.value }, { "acknowledged", fmt::to_string(session.acknowledgedEnd) } });
+    session.endsComplete = complete;
+}
+
 void cell_owner::data::applyEnd(worker_session& session, const ended_task& ended, time_point now)
 {
     const worker_id id = session.registration().id;
@@ -408,7 +419,8 @@
     for (const auto& [key, current] : missing) {
         const bool answered = current.provableFrom && *current.provableFrom < sentAt;
         const bool expired = current.uncertain && current.startableUntil + lateStartMargin < sentAt;
-        if (answered || expired) {
+        // A run that is missing in an incomplete list may have ended: its end is listed once earlier ones are acknowledged.
+        if (answer.endsComplete && (answered || expired)) {
             session.removeRun(key);
             handleLostRun(session, key, current, answered ? run_end_proof::not_listed : run_end_proof::order_expired, now);
         } else if ((current.uncertain || current.state == run_state::stopping) && !current.provableFrom && !current.startInFlight
--- a/cells/worker_link.h
+++ b/cells/worker_link.h
@@ -170,6 +170,8 @@
     std::vector<running_task> running;
     /// Ends that are not acknowledged yet, in their order.
     std::vector<ended_task> ended;
+    /// Whether `ended` holds all ends that are not acknowledged. A worker may list only the oldest ones.
+    bool endsComplete = true;
 };
 
 /// Sends orders to workers. Each completion is called once, possibly from another thread.
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -168,6 +168,8 @@
     std::uint64_t lastEndToRecord = 0;
     /// Number of the last end that the poll in flight acknowledges.
     std::uint64_t acknowledging = 0;
+    /// Whether the last answer to a poll listed all ends that were not acknowledged.
+    bool endsComplete = true;
     /// Whether the worker is no longer registered. Such a worker gets no new starts, and its lease is not extended.
     bool deregistered = false;
     /// Job that is suspected of crashing workers and alone may start tasks here; empty if there is none.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -472,6 +472,7 @@
         { "store_calls_total", "read", calls.reads }, { "store_calls_total", "refused", calls.refused },
         { "store_calls_total", "unanswered", calls.unanswered }, { "cell_owned", {}, member.isOwner() ? 1U : 0U },
         { "owner_lag_milliseconds", {}, static_cast<std::uint64_t>(owner.lag().count()) },
+        { "incomplete_end_lists_total", {}, cellCounters.incompleteEndLists },
         { "runs_found_again_total", {}, cellCounters.runsFoundAgain }, { "log_lines_dropped_total", {}, droppedLogLines() },
         { "unexpected_errors_total", {}, unexpectedErrors() }, { "skipped_inputs_total", {}, skippedInputs() } };
     for (std::size_t reason = 0; reason < cells::refusalReasonCount; ++reason)
--- a/tests/fakes/virtual_workers.cpp
+++ b/tests/fakes/virtual_workers.cpp
@@ -217,6 +217,7 @@
     m_runs[run.index].done = endReason == run_end_reason::done;
     current.endedRuns.emplace(current.lastEndNumber + 1, run.index);
     current.ended.push_back({ ++current.lastEndNumber, task, run.attempt, endReason, {} });
+    current.mostUnacknowledged = std::max(current.mostUnacknowledged, current.ended.size());
 }
 
 void virtual_workers::acknowledgeEnds(worker& current, std::uint64_t acknowledged)
@@ -402,7 +403,9 @@
         failWithoutAnswer<poll_answer>(m_loop, timeoutOf(order.answerLimit), done);
         return;
     }
-    poll_answer answer { workerTimeOf(current), current.registration.bootTime, {}, current.ended };
+    const std::size_t listed = std::min(current.ended.size(), mostListedEnds);
+    poll_answer answer { workerTimeOf(current), current.registration.bootTime, {},
+        { current.ended.begin(), current.ended.begin() + static_cast<std::ptrdiff_t>(listed) }, listed == current.ended.size() };
     for (const auto& [task, run] : current.running) {
         if (!run.stopping)
             answer.running.push_back({ task, run.attempt, {}, percentOf(m_runs[run.index], current.faults.hangs) });
--- a/tests/fakes/virtual_workers.h
+++ b/tests/fakes/virtual_workers.h
@@ -84,6 +84,11 @@
     /// Ends all runs of a worker for `reason` and lists these ends.
     void endRuns(const std::string& id, cells::run_end_reason reason);
 
+    /// Number of ends that a worker lists in one answer to a poll.
+    static constexpr std::size_t mostListedEnds = 500;
+    /// Returns the largest number of ends of a worker that were not acknowledged at a time.
+    std::size_t mostUnacknowledgedEnds(const std::string& id) const { return m_workers.at(id).mostUnacknowledged; }
+
     /// Returns the registrations of all workers in a failure domain.
     std::vector<cells::worker_registration> registrations(const std::string& domain) const;
 
@@ -125,6 +130,7 @@
         std::map<cells::task_key, active_run> running;
         std::map<cells::task_key, std::uint64_t> highestAttempts;
         std::vector<cells::ended_task> ended;
+        std::size_t mostUnacknowledged = 0;
         /// Indexes of the ended runs by the numbers of their ends.
         std::map<std::uint64_t, std::size_t> endedRuns;
         std::uint64_t lastEndNumber = 0;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -1,5 +1,6 @@
 // Tests the decoding of messages from the platform. Invalid or partial input must be refused as a whole, never accepted in part.
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include "platform/boot_settings.h"
@@ -102,6 +103,21 @@
     BOOST_TEST(answer->bootTime == 3);
 }
 
+BOOST_AUTO_TEST_CASE(tells_whether_a_poll_answer_lists_all_ends)
+{
+    // Guards against a second run of a task that is done (issue 41): a worker lists 500 ends at a time, so that a run which is
+    // missing in a full list may have ended.
+    const auto answerWith = [](int ends) {
+        std::string rows;
+        for (int number = 1; number <= ends; ++number)
+            rows += fmt::format(R"({}[{},"a.0.0.{}",1,"done",""])", number > 1 ? "," : "", number, number);
+        return decodePollAnswer(fmt::format(R"({{"clock_ms":5,"finished":[{}]}})", rows)).value();
+    };
+    BOOST_TEST(decodePollAnswer(R"({"clock_ms":5})")->endsComplete);
+    BOOST_TEST(answerWith(499).endsComplete);
+    BOOST_TEST(!answerWith(500).endsComplete);
+}
+
 BOOST_AUTO_TEST_CASE(maps_each_refusal_to_its_failure)
 {
     using enum cells::order_failure;
