cells: Wait for all earlier ends before starting tasks of an earlier owner

A takeover while a worker holds more than 500 ends would start tasks again that were done.

Cause: the next owner took the first answer of a worker for all that the earlier owner had left there, and did so even without an answer once the earlier leases were over. Ends beyond the first 500 were missing in it.

Change: tasks of earlier owners wait until each worker has listed all its ends once. A worker that does not answer is waited for until every lease on it has ended: from then on the platform does not count its ends. Reports to other cells on lent jobs are incomplete meanwhile, as before the first answer.

Result: the test passes; the other tests of cells/ pass.

--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -145,6 +145,10 @@
 {
     if (previousRunsKnown)
         return true;
+    // A task whose end is not listed yet would run again, however long ago its lease has ended.
+    if (std::any_of(sessions.begin(), sessions.end(),
+            [&](const auto& entry) { return entry.second.mayHoldUnlistedEnds(settings.stopGrace, now); }))
+        return false;
     const bool allListed = workersKnown && !unlistedWorkerRemoved
         && std::all_of(sessions.begin(), sessions.end(), [](const auto& entry) { return entry.second.listed; });
     const auto leaseLimit = settings.stopGrace
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -268,6 +268,7 @@
         writeLog(log_level::info, "cell", complete ? "worker lists all its ends again" : "worker lists only its oldest ends",
             { { "worker", session.registration().id.value }, { "acknowledged", fmt::to_string(session.acknowledgedEnd) } });
     session.endsComplete = complete;
+    session.earlierEndsKnown = session.earlierEndsKnown || complete;
 }
 
 void cell_owner::data::applyEnd(worker_session& session, const ended_task& ended, time_point now)
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -46,6 +46,12 @@
     return std::max(*m_clockAt + std::chrono::ceil<std::chrono::milliseconds>(stretched), m_unknownLeasesUntil);
 }
 
+bool worker_session::mayHoldUnlistedEnds(std::chrono::milliseconds grace, time_point now) const
+{
+    const bool silent = failedPolls > 1 && now - grace >= leasesEnded(now - grace);
+    return listed && !earlierEndsKnown && !silent;
+}
+
 std::map<task_key, worker_run> worker_session::inheritUncertainRuns(
     const worker_session& earlier, std::chrono::milliseconds maxLease, time_point now)
 {
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -90,6 +90,10 @@
     /// Records that an earlier owner may have granted a lease of length `maxLease` until the last reading of the worker's clock.
     void noteEarlierLease(std::chrono::milliseconds maxLease) { m_leaseEnd = std::max(m_leaseEnd, m_clock + maxLease); }
 
+    /// Returns whether runs of an earlier owner may have ended on the worker without being listed yet, and these ends still
+    /// count: they do until every lease has ended `grace` ago on a worker that does not answer.
+    bool mayHoldUnlistedEnds(std::chrono::milliseconds grace, time_point now) const;
+
     /// Returns the earliest time by which every granted lease has certainly ended on the worker's clock.
     time_point leasesEnded(time_point now) const;
 
@@ -170,6 +174,8 @@
     std::uint64_t acknowledging = 0;
     /// Whether the last answer to a poll listed all ends that were not acknowledged.
     bool endsComplete = true;
+    /// Whether any answer to a poll did, so that no end of an earlier owner's runs is unknown.
+    bool earlierEndsKnown = false;
     /// Whether the worker is no longer registered. Such a worker gets no new starts, and its lease is not extended.
     bool deregistered = false;
     /// Job that is suspected of crashing workers and alone may start tasks here; empty if there is none.
--- a/tests/cells/unlisted_ends_test.cpp
+++ b/tests/cells/unlisted_ends_test.cpp
@@ -65,6 +65,32 @@
     expectEachTaskDoneOnce();
 }
 
+// Guards against a second run of a task that is done (issue 41): the first list of a worker lacked ends of tasks that an earlier
+// owner had started, and the next owner took it for complete.
+BOOST_AUTO_TEST_CASE(a_task_that_is_done_is_not_started_again_by_the_next_owner)
+{
+    // Its run makes the next owner extend the lease, without whose end the ends have to be acknowledged.
+    jobs::step step;
+    step.taskCount = 1;
+    step.need = { 500, 64, 0 };
+    store(vmName(0, 0), "long", step, 7s);
+    runFor(40ms);
+    storeJobs(6);
+    runFor(40ms);
+    setStoreFault(owner(0), store_fault::drops_answers);
+    runFor(700ms);
+    kill(owner(0));
+    for (auto waited = 0ms; waited < 3s && owner(0).empty(); waited += 1ms)
+        runFor(1ms);
+    BOOST_REQUIRE(!owner(0).empty());
+    setStoreFault(owner(0), store_fault::drops_answers);
+    runFor(1500ms);
+    setStoreFault(owner(0), store_fault::none);
+    runFor(10s);
+    expectMoreEndsThanListed();
+    expectEachTaskDoneOnce();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
