net, platform, peers: Drop requests whose callers have left before they are read

Its VM had been frozen; the caller gave up and submitted the job again, in another domain, and the first copy started when the VM ran on.

Cause: a request that lay in the socket of a VM was taken for new when it was read. Whether its client had closed the connection was looked at up to 50 ms later, when the job was with its owner, or lent.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -123,6 +123,15 @@
             return m_response;
         }
 
+        bool isDisconnected() override
+        {
+            const std::scoped_lock lock(m_mutex);
+            if (m_abandoned)
+                return true;
+            // The socket is not closed before there is a response.
+            return !m_response && isSocketHungUp();
+        }
+
         void onDisconnect(std::function<void()> callback) override
         {
             const std::scoped_lock lock(m_mutex);
@@ -144,8 +153,7 @@
             // While the connection is suspended, its socket is not closed.
             if (!m_suspended || !m_onDisconnect)
                 return {};
-            pollfd query = hangUpQuery(socket());
-            if (poll(&query, 1, 0) <= 0 || !isHungUp(query))
+            if (!isSocketHungUp())
                 return {};
             return std::exchange(m_onDisconnect, nullptr);
         }
@@ -164,6 +172,12 @@
             MHD_resume_connection(m_connection);
         }
 
+        bool isSocketHungUp() const
+        {
+            pollfd query = hangUpQuery(socket());
+            return poll(&query, 1, 0) > 0 && isHungUp(query);
+        }
+
         int socket() const
         {
             const MHD_ConnectionInfo* info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -41,6 +41,9 @@
 
     virtual void reply(http_response response) = 0;
 
+    /// Returns whether the client has closed the connection, also in its own direction only, before a response.
+    virtual bool isDisconnected() = 0;
+
     /// Sets the function that `http_server::checkDisconnects` calls, once at most, when the client has closed the connection
     /// before a response. The request still needs a reply, which ends the connection.
     virtual void onDisconnect(std::function<void()> callback) = 0;
--- a/peers/http_peers.cpp
+++ b/peers/http_peers.cpp
@@ -44,8 +44,13 @@
 }
 
 struct http_peer_service::data {
+    struct method_entry {
+        watched_method_handler handler;
+        bool watched = false;
+    };
+
     rpc_endpoint endpoint;
-    std::map<std::string, watched_method_handler> methods;
+    std::map<std::string, method_entry> methods;
     std::unique_ptr<net::http_server> server;
 
     void handle(const net::http_request& request, const std::shared_ptr<net::responder>& responder) const;
@@ -58,7 +63,13 @@
         responder->reply({ statusOk, "", std::move(frame.problem), {}, false });
         return;
     }
-    methods.at(frame.method)(
+    const method_entry& method = methods.at(frame.method);
+    // The call may be old, as after a pause of this VM; its caller has taken it for lost.
+    if (method.watched && responder->isDisconnected()) {
+        responder->reply({ .dropConnection = true });
+        return;
+    }
+    method.handler(
         frame.message,
         [this, text = request.body, responder](const std::string& message) {
             responder->reply({ statusOk, "", endpoint.frameReply(text, message), {}, false });
@@ -80,14 +91,15 @@
 void http_peer_service::addMethod(const std::string& method, method_handler handler)
 {
     m_data->endpoint.addMethod(method);
-    m_data->methods[method] = [handler = std::move(handler)](const std::string& message, reply_function reply,
-                                  const disconnect_setter&) { handler(message, std::move(reply)); };
+    m_data->methods[method] = { [handler = std::move(handler)](const std::string& message, reply_function reply,
+                                    const disconnect_setter&) { handler(message, std::move(reply)); },
+        false };
 }
 
 void http_peer_service::addWatchedMethod(const std::string& method, watched_method_handler handler)
 {
     m_data->endpoint.addMethod(method);
-    m_data->methods[method] = std::move(handler);
+    m_data->methods[method] = { std::move(handler), true };
 }
 
 void http_peer_service::checkDisconnects() { m_data->server->checkDisconnects(); }
--- a/peers/http_peers.h
+++ b/peers/http_peers.h
@@ -29,7 +29,8 @@
 
     /// Registers a method. Must be called before `start`.
     void addMethod(const std::string& method, method_handler handler) override;
-    /// Registers a method as `addMethod` does; `checkDisconnects` has to be called regularly.
+    /// Registers a method as `addMethod` does; `checkDisconnects` has to be called regularly. Calls whose callers have closed the
+    /// connection before the call is read are dropped.
     void addWatchedMethod(const std::string& method, watched_method_handler handler) override;
 
     /// Opens the listener. Fails with `settings_invalid` when the address can't be bound.
--- a/tests/peers/http_peers_test.cpp
+++ b/tests/peers/http_peers_test.cpp
@@ -78,6 +78,50 @@
     reply("late");
 }
 
+// Guards against two runs at a time (issue 41): a call lay in the socket of a frozen VM, and was carried out after the VM that
+// made it had given up.
+BOOST_AUTO_TEST_CASE(of_a_caller_that_has_left_is_not_passed_to_a_watched_method)
+{
+    using peers::peer_service;
+    constexpr auto timeLimit = std::chrono::milliseconds(50);
+    peers::http_peer_service frozen { net::http_server_options { .threads = 1 } };
+    std::promise<void> entered;
+    std::promise<void> thawed;
+    std::atomic<int> watchedCalls { 0 };
+    std::atomic<int> otherCalls { 0 };
+    frozen.addMethod("freeze", [&](const std::string&, const peer_service::reply_function& reply) {
+        entered.set_value();
+        thawed.get_future().wait();
+        reply({});
+    });
+    frozen.addWatchedMethod(
+        "run", [&](const std::string&, const peer_service::reply_function& reply, const peer_service::disconnect_setter&) {
+            ++watchedCalls;
+            reply({});
+        });
+    frozen.addMethod("withdraw", [&](const std::string&, const peer_service::reply_function& reply) {
+        ++otherCalls;
+        reply({});
+    });
+    BOOST_REQUIRE(frozen.start());
+    const std::string address = fmt::format("127.0.0.1:{}", frozen.port());
+    link.call(address, "freeze", "x", std::chrono::seconds(5), [](const auto&) {});
+    entered.get_future().wait();
+    std::promise<void> runGivenUp;
+    std::promise<void> withdrawalGivenUp;
+    link.call(address, "run", "x", timeLimit, [&runGivenUp](const auto&) { runGivenUp.set_value(); });
+    link.call(address, "withdraw", "x", timeLimit, [&withdrawalGivenUp](const auto&) { withdrawalGivenUp.set_value(); });
+    runGivenUp.get_future().wait();
+    withdrawalGivenUp.get_future().wait();
+    thawed.set_value();
+    // A message of a caller that does not wait for the reply is still carried out.
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (otherCalls == 0 && std::chrono::steady_clock::now() < deadline)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    BOOST_TEST(otherCalls == 1);
+    BOOST_TEST(watchedCalls == 0);
+}
+
 BOOST_AUTO_TEST_CASE(fails_for_an_unknown_method) { BOOST_TEST(!call("missing", "x")); }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/client_api_test.cpp
+++ b/tests/platform/client_api_test.cpp
@@ -5,6 +5,9 @@
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "jobs/configuration_gate.h"
 #include "net/http_client.h"
@@ -40,6 +43,7 @@
         std::function<void(result<jobs::job_state>)> done) override
     {
         completion = std::move(done);
+        ++submissions;
         submitted.set_value();
         return submission;
     }
@@ -60,6 +64,7 @@
     jobs::configuration_gate gate { clock };
     std::atomic<int> heldRequests { 0 };
     static constexpr std::uint64_t submission = 7;
+    std::atomic<int> submissions { 0 };
     std::atomic<std::uint64_t> withdrawn { 0 };
     std::promise<void> submitted;
     std::function<void(result<jobs::job_state>)> completion;
@@ -123,6 +128,105 @@
     BOOST_TEST(server.pendingRequests() == 0U);
 }
 
+namespace {
+
+/// A server whose only thread is busy, as that of a frozen VM, until `resume`. Its system accepts connections all the while.
+struct frozen_server {
+    frozen_server()
+    {
+        BOOST_REQUIRE(server.start());
+        client.send(callTo("/freeze"), [](const auto&) {});
+        frozen.get_future().wait();
+    }
+
+    ~frozen_server() { resume(); }
+
+    frozen_server(const frozen_server&) = delete;
+    frozen_server& operator=(const frozen_server&) = delete;
+
+    net::http_call callTo(const std::string& path) const
+    {
+        net::http_call call;
+        call.url = fmt::format("http://127.0.0.1:{}{}", server.port(), path);
+        return call;
+    }
+
+    /// Sends a job on a connection of its own and returns the socket.
+    int submit() const
+    {
+        const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(server.port());
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE(connect(caller, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+        const std::string body = R"({"best_effort":true,"phases":[{"count":1}]})";
+        const std::string request = fmt::format(
+            "POST /queue/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: host.example\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+        BOOST_REQUIRE(::send(caller, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+        return caller;
+    }
+
+    void resume()
+    {
+        if (!std::exchange(resumed, true))
+            thawed.set_value();
+    }
+
+    /// Waits until the server has handled a number of requests.
+    void waitForRequests(int number) const
+    {
+        const auto deadline = std::chrono::steady_clock::now() + 5s;
+        while (handled < number && std::chrono::steady_clock::now() < deadline)
+            std::this_thread::sleep_for(1ms);
+        BOOST_REQUIRE(handled == number);
+    }
+
+    silent_service service;
+    net::http_handler api = platform::clientHandler(service);
+    std::promise<void> frozen;
+    std::promise<void> thawed;
+    bool resumed = false;
+    std::atomic<int> handled { 0 };
+    net::http_server server { platform::clientServerOptions({ .threads = 1 }),
+        [this](const net::http_request& request, const std::shared_ptr<net::responder>& responder) {
+            if (request.path == "/freeze") {
+                frozen.set_value();
+                thawed.get_future().wait();
+                responder->reply({});
+            } else {
+                api(request, responder);
+            }
+            ++handled;
+        } };
+    net::http_client client;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_client_api_that_was_frozen, frozen_server)
+
+// Guards against two runs at a time (issue 41): a request lay in the socket of a frozen VM, its caller left and submitted the job
+// in another failure domain, and the VM started it when it ran on.
+BOOST_AUTO_TEST_CASE(does_not_submit_the_job_of_a_caller_that_has_left)
+{
+    close(submit());
+    resume();
+    waitForRequests(2);
+    BOOST_TEST(service.submissions == 0);
+}
+
+BOOST_AUTO_TEST_CASE(submits_the_job_of_a_caller_that_still_waits)
+{
+    const int caller = submit();
+    resume();
+    waitForRequests(2);
+    BOOST_TEST(service.submissions == 1);
+    close(caller);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_client_api_without_a_configuration)
 
 namespace {
