cells: Start nothing in the first 0.1 s after a pause of the process

Cause: in the first moments after a pause, what arrived meanwhile is handled in any order. A close of the client's connection that arrives late, or is looked at later, and a withdrawal by another VM came after the start: of requests that had waited in a socket, and of tasks that waited in the queue of an owner and got their place by an answer of a worker that was read first.

Change: owner and router recognize by their clock, which goes on during a suspension, that the process did not run for 0.6 s. For 0.1 s after that, the router sends no job to an owner, and the owner starts, lends and repeats nothing: two checks for callers that have left. Runs whose callers are found to have left then are stopped at once instead of 0.5 s later. Callers that still wait are served after that time. Shorter pauses can't hide a resubmission. The log names the length of a pause, and `pauses_total` counts them.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -163,8 +163,20 @@
         deferredCalls.push_back(onTermSuperseded);
 }
 
+bool cell_owner::data::isSettling()
+{
+    // The caller may have read the clock before the pause.
+    const time_point now = clock.now();
+    if (const auto pause = pauses.noteRunning(now); pause.count() > 0) {
+        ++counters.pauses;
+        writeLog(log_level::warning, "cell", "process did not run", { { "duration_ms", fmt::to_string(pause.count()) } });
+    }
+    return pauses.isSettling(now);
+}
+
 void cell_owner::data::tick(time_point now)
 {
+    const bool settling = isSettling();
     writeOwnerRecord(now);
     if (tail)
         tail->tick(now);
@@ -178,7 +190,8 @@
     verifyOwnership(now);
     checkSuspicions(now);
     schedule(now);
-    lendWaitingJobs(now);
+    if (!settling)
+        lendWaitingJobs(now);
     refuseHopelessJobs(now);
     checkUnstoredJobs(now);
     if (lentJobsQueryCompleted && !lentJobsComplete && now >= nextLentJobsQuery)
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -141,6 +141,8 @@
     std::array<std::uint64_t, refusalReasonCount> refusedJobs {};
     /// Jobs whose callers had all left, indexed by `withdrawal_outcome`.
     std::array<std::uint64_t, withdrawalOutcomeCount> withdrawnJobs {};
+    /// Times for which the process did not run, counted from `pause_monitor::shortestPause` on.
+    std::uint64_t pauses = 0;
     /// Crashes of workers, counted for each task that may have caused them.
     std::uint64_t workerCrashes = 0;
     /// Jobs that failed because a task of theirs crashes the workers that start it.
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -16,6 +16,7 @@
 #include "cells/start_pace.h"
 #include "cells/worker_session.h"
 #include "core/log.h"
+#include "core/pause_monitor.h"
 #include "jobs/record_tail.h"
 
 namespace coriandermount::cells {
@@ -81,6 +82,7 @@
     time_point countArrivalsFrom;
     return_schedule returns;
     owner_lag lag;
+    pause_monitor pauses;
     start_pace pace;
     /// Tasks that wait for a start, while starts are limited.
     std::size_t waitingStarts = 0;
@@ -197,6 +199,8 @@
     bool acceptsRequest(const jobs::run_request& request) const;
     /// Returns whether orders may be sent: the records are replayed and orders are not paused.
     bool givesOrders() const { return phase == owner_phase::serving && !paused; }
+    /// Returns whether the process has just run on after a pause, so that the withdrawals of waiting jobs may be still unread.
+    bool isSettling();
 
     // Term: cell_owner.cpp.
     void beginTerm(const ownership_term& next);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -215,7 +215,7 @@
 void cell_owner::data::schedule(time_point now)
 {
     workersAwaitVerification = false;
-    if (!givesOrders() || waitingJobs() == 0)
+    if (!givesOrders() || waitingJobs() == 0 || isSettling())
         return;
     // Jobs that can still meet their objective come first, because a late job is worth less to its caller.
     moveLateJobs(now);
--- a/cells/cell_owner_orders.cpp
+++ b/cells/cell_owner_orders.cpp
@@ -208,7 +208,7 @@
 bool cell_owner::data::retryStart(worker_session& session, const task_key& key, const worker_run& current, time_point now)
 {
     open_job* job = jobTable.find(key.jobId);
-    if (!job || job->ended || current.state != run_state::starting || current.tries >= maxStartTries)
+    if (!job || job->ended || current.state != run_state::starting || current.tries >= maxStartTries || isSettling())
         return false;
     // The attempt number stays the same, so the worker executes at most one of the orders.
     sendStart(*job, key, session, now);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -100,7 +100,8 @@
         deferredCalls.emplace_back([self = shared_from_this(), cell = *job.lentTo, id] { self->neighbors->withdraw(cell, id); });
         discardWithdrawnJob(job, withdrawal_outcome::returned);
     } else if (job.isPlaced()) {
-        job.giveUpAt = std::min(job.giveUpAt, now + withdrawnRunLimit);
+        // After a pause, the caller may have left long ago.
+        job.giveUpAt = std::min(job.giveUpAt, isSettling() ? now : now + withdrawnRunLimit);
     } else if (job.offset != newestOffset) {
         // An earlier owner may have started tasks that are not known yet, so the job stays known, but no task of it starts.
         dequeue(job);
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "core/log.h"
+#include "core/pause_monitor.h"
 
 namespace coriandermount::cells {
 
@@ -79,6 +80,7 @@
     /// Since when the cell has had no known owner; empty while it has one.
     std::optional<time_point> ownerlessSince;
     return_schedule returns;
+    pause_monitor pauses;
 
     data(const clock_source& time, cell_owner& local, owner_link& remote, target_source source,
         std::shared_ptr<const admission_policy> policy)
@@ -115,7 +117,9 @@
             return;
         pending_run& current = found->second;
         current.retryAt = now + retryPause;
-        if (!location)
+        (void)pauses.noteRunning(now);
+        // After a pause, the caller may have left without that being noticed yet.
+        if (!location || pauses.isSettling(now))
             return;
         request.accepted = current.accepted;
         request.mayHaveStarted = current.mayHaveRun;
@@ -240,6 +244,7 @@
 void job_router::data::noteOwner(bool known, time_point now)
 {
     const std::scoped_lock lock(mutex);
+    (void)pauses.noteRunning(now);
     if (known)
         ownerlessSince.reset();
     else if (!ownerlessSince)
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -466,7 +466,8 @@
     const auto calls = store.counters();
     std::vector<metrics::metric_sample> samples { { "task_starts_total", {}, cellCounters.starts },
         { "jobs_given_up_total", {}, cellCounters.jobsGivenUp }, { "worker_crashes_total", {}, cellCounters.workerCrashes },
-        { "jobs_lent_total", {}, cellCounters.lentJobs }, { "jobs_ended_total", "completed", cellCounters.completedJobs },
+        { "pauses_total", {}, cellCounters.pauses }, { "jobs_lent_total", {}, cellCounters.lentJobs },
+        { "jobs_ended_total", "completed", cellCounters.completedJobs },
         { "jobs_ended_total", "failed", cellCounters.failedJobs },
         { "jobs_ended_total", "cancelled", cellCounters.cancelledJobs }, { "store_calls_total", "append", calls.appends },
         { "store_calls_total", "read", calls.reads }, { "store_calls_total", "refused", calls.refused },
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -1,5 +1,8 @@
 #include "tests/fakes/cell_fleet.h"
 
+#include <deque>
+#include <utility>
+
 #include <fmt/format.h>
 
 namespace coriandermount::fakes {
@@ -42,6 +45,9 @@
     /// Until when the processor handles the messages that have arrived.
     time_point busyUntil;
     bool alive = true;
+    bool frozen = false;
+    /// What has arrived since the VM was frozen.
+    std::deque<std::function<void()>> arrived;
     bool workerSourceStarted = false;
     cell_owner owner;
     cell_member member;
@@ -75,6 +81,10 @@
     /// Runs `call` once the processor has handled what arrived before. Has no effect if the VM has ended by then.
     void handle(std::function<void()> call)
     {
+        if (frozen) {
+            arrived.push_back([this, call = std::move(call)] { handle(call); });
+            return;
+        }
         if (processorMillis == 0) {
             call();
             return;
@@ -88,6 +98,15 @@
         });
     }
 
+    /// Runs `call` at once, or when the VM runs on if it is frozen.
+    void receive(std::function<void()> call)
+    {
+        if (frozen)
+            arrived.push_back(std::move(call));
+        else
+            call();
+    }
+
     std::optional<run_target> target() const
     {
         if (member.isOwner())
@@ -201,7 +220,7 @@
     {
         fleet.loop.after(networkDelay, [&fleet = fleet, from = name, address, jobId, request] {
             if (vm* target = fleet.reachable(from, address))
-                target->owner.withdraw(jobId, request);
+                target->receive([target, jobId, request] { target->owner.withdraw(jobId, request); });
         });
     }
 
@@ -309,7 +328,7 @@
         loop.after(networkDelay + disconnectDelay, [this, call] {
             const auto called = m_vms.find(call.address);
             if (called != m_vms.end() && !m_partitioned.contains(call.address))
-                called->second->owner.withdraw(call.jobId, call.request);
+                called->second->receive([target = called->second, call] { target->owner.withdraw(call.jobId, call.request); });
         });
     }
     std::erase_if(m_runCalls, [&from](const run_call& call) { return call.from == from; });
@@ -317,9 +336,11 @@
 
 void cell_fleet::disconnectCaller(const std::string& vm, const std::string& jobId)
 {
-    loop.after(disconnectDelay, [this, vm, number = m_callerRequests.at({ vm, jobId })] {
-        if (isAlive(vm))
-            m_vms.at(vm)->router.withdraw(number);
+    m_vms.at(vm)->receive([this, vm, jobId] {
+        loop.after(disconnectDelay, [this, vm, number = m_callerRequests.at({ vm, jobId })] {
+            if (isAlive(vm))
+                m_vms.at(vm)->receive([target = m_vms.at(vm), number] { target->router.withdraw(number); });
+        });
     });
 }
 
@@ -354,6 +375,16 @@
     });
 }
 
+void cell_fleet::freeze(const std::string& vm) { m_vms.at(vm)->frozen = true; }
+
+void cell_fleet::thaw(const std::string& vm)
+{
+    const auto target = m_vms.at(vm);
+    target->frozen = false;
+    for (const auto& call : std::exchange(target->arrived, {}))
+        call();
+}
+
 void cell_fleet::deliver(const std::string& vm, const heartbeat& garbled)
 {
     m_vms.at(vm)->directory.onHeartbeat(garbled);
@@ -402,12 +433,14 @@
 {
     if (!isAlive(vm))
         return;
-    m_callerRequests[{ vm, jobId }] = m_vms.at(vm)->router.run(
-        { makeJob(jobId, tasks, duration, true), false, timeLeft }, [this, vm, jobId](const result<jobs::job_state>& answer) {
-            answers.push_back({ jobId, answer, loop.now(), vm });
-            if (onAnswer)
-                onAnswer(answers.back());
-        });
+    m_vms.at(vm)->receive([this, vm, jobId, job = makeJob(jobId, tasks, duration, true), timeLeft] {
+        m_callerRequests[{ vm, jobId }]
+            = m_vms.at(vm)->router.run({ job, false, timeLeft }, [this, vm, jobId](const result<jobs::job_state>& answer) {
+                  answers.push_back({ jobId, answer, loop.now(), vm });
+                  if (onAnswer)
+                      onAnswer(answers.back());
+              });
+    });
 }
 
 void cell_fleet::store(const std::string& vm, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration)
--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -67,6 +67,11 @@
         partitioned ? (void)m_partitioned.insert(vm) : (void)m_partitioned.erase(vm);
     }
 
+    /// Freezes a VM: it does not run, and what arrives waits until `thaw`.
+    void freeze(const std::string& vm);
+    /// Lets a frozen VM run on. It handles what has arrived in the order of arrival.
+    void thaw(const std::string& vm);
+
     /// Delivers a heartbeat to a VM, as one that was garbled on its way.
     void deliver(const std::string& vm, const cells::heartbeat& garbled);
 
