cells: Don't start a request that is read after its withdrawal

Cause: a VM sends a request and its withdrawal on different connections. When the owner was frozen, both wait in its sockets, and the withdrawal may be read first. It had no effect then, and the job ran without a caller until its deadline.

Evidence: before the change at_most_once/when_a_vm_was_frozen/a_request_that_is_read_after_its_withdrawal_is_not_started failed: the job ran.

Ids are unique, so a later request for the same job is not affected.

Result: the test and all other tests of cells/ pass.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -181,6 +181,7 @@
     if (tail)
         tail->tick(now);
     expireWatches(now);
+    std::erase_if(withdrawnEarly, [now](const auto& entry) { return now > entry.second; });
     lag.noteTick(now);
     limitStarts(now);
     countWaitingStarts();
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -142,6 +142,8 @@
     };
     std::multimap<std::string, state_watch> stateWatches;
 
+    /// Requests that were withdrawn before they arrived, and the time until which they are remembered.
+    std::map<jobs::request_id, time_point> withdrawnEarly;
     /// Ids of unstored jobs that have ended and are not yet removed from the table of open jobs.
     std::vector<std::string> endedUnstoredJobs;
     /// Tasks that completed before their unstored job was resubmitted to the new owner, by job.
@@ -260,6 +262,8 @@
     /// Returns the cell that may run the job because it was lent before; empty if no such cell is known.
     std::optional<cell_number> earlierBorrower(const std::string& id) const;
     void lendTo(cell_number cell, open_job& job, time_point now);
+    /// Completes and removes a waiting request of a job; returns false if the job has no such request.
+    bool removeWaiter(open_job& job, const jobs::request_id& request);
     /// Handles the loss of a caller.
     void withdraw(const std::string& id, const jobs::request_id& request, time_point now);
     /// Stops the runs of an unknown job that the earlier owner has started.
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -22,6 +22,11 @@
 {
     const auto now = clock.now();
     const std::string& id = request.accepted.work.id;
+    if (withdrawnEarly.erase(request.id) > 0) {
+        deferredCalls.emplace_back(
+            [done = std::move(done)] { done(fail(error_kind::cancelled_before_start, "the caller has left")); });
+        return;
+    }
     if (!givesOrders() || !acceptsRequest(request)) {
         deferredCalls.emplace_back([done = std::move(done)] {
             done(fail(error_kind::claim_unavailable, "this VM does not own the cell in the requested term"));
@@ -63,20 +68,30 @@
 
 void cell_owner::data::withdraw(const std::string& id, const jobs::request_id& request, time_point now)
 {
+    if (request.number == 0)
+        return;
     open_job* job = jobTable.find(id);
-    if (!job && request.number > 0)
+    if (!job)
         stopOrphans(id, now);
-    if (!job || job->ended || request.number == 0)
+    if (!job || !removeWaiter(*job, request)) {
+        // The messages of one VM come on different connections, so this one may have overtaken its request.
+        withdrawnEarly.insert_or_assign(request, now + unstoredRetention);
         return;
+    }
+    if (!job->ended && job->waiters.empty())
+        withdrawJob(*job, now);
+}
+
+bool cell_owner::data::removeWaiter(open_job& job, const jobs::request_id& request)
+{
     const auto found = std::find_if(
-        job->waiters.begin(), job->waiters.end(), [&request](const job_waiter& waiter) { return waiter.request == request; });
-    if (found == job->waiters.end())
-        return;
+        job.waiters.begin(), job.waiters.end(), [&request](const job_waiter& waiter) { return waiter.request == request; });
+    if (found == job.waiters.end())
+        return false;
     deferredCalls.emplace_back(
         [done = std::move(found->done)] { done(fail(error_kind::cancelled_while_running, "the caller has left")); });
-    job->waiters.erase(found);
-    if (job->waiters.empty())
-        withdrawJob(*job, now);
+    job.waiters.erase(found);
+    return true;
 }
 
 void cell_owner::data::stopOrphans(const std::string& id, time_point now)
--- a/jobs/record_codec.h
+++ b/jobs/record_codec.h
@@ -58,7 +58,7 @@
     /// Number of the request at its sender, from 1; 0 if the request cannot be withdrawn.
     std::uint64_t number = 0;
 
-    friend bool operator==(const request_id&, const request_id&) = default;
+    friend auto operator<=>(const request_id&, const request_id&) = default;
 };
 
 /// Request to the owner of a cell to run a job and to answer with the job's final state.
--- a/tests/cells/frozen_vm_test.cpp
+++ b/tests/cells/frozen_vm_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "tests/fakes/fleet_checks.h"
+#include "tests/fakes/single_owner.h"
 
 using namespace coriandermount;
 using namespace coriandermount::fakes;
@@ -143,6 +144,32 @@
     }
 }
 
+// Guards against a run without a caller (issue 41): of two messages that wait for a frozen owner, the withdrawal was read before
+// its request, and had no effect.
+BOOST_FIXTURE_TEST_CASE(a_request_that_is_read_after_its_withdrawal_is_not_started, single_owner)
+{
+    constexpr std::uint64_t epoch = 2;
+    workers.add("worker-1", "0", 16000);
+    owner.takeOver({ epoch, false });
+    owner.setWorkers(workers.registrations("0"));
+    runFor(4s);
+    auto withdrawn = request(epoch, "a", 1, 100ms);
+    withdrawn.id = { 5, 6 };
+    auto resubmitted = withdrawn;
+    resubmitted.id = { 5, 7 };
+    owner.withdraw("a", withdrawn.id);
+    run(withdrawn);
+    runFor(1s);
+    BOOST_TEST(workers.runs().empty());
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers[0].error().kind == error_kind::cancelled_before_start));
+    // A later request for the job is another one.
+    run(resubmitted);
+    runFor(1s);
+    BOOST_REQUIRE(answers.size() == 2U);
+    BOOST_TEST((answers[1] == jobs::job_state::completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
