cells: Look at waiting jobs behind those that can't be placed

Cause: a pass over a queue ended after 48 jobs that could not be placed, and each pass began at the front. Stored jobs are never refused, so 48 that no worker could take kept all others from being looked at.

Change: a pass ends at the front after 32 such jobs and looks at up to 16 more behind them, from where the last pass ended. So the work of a pass is bounded as before, the order at the front is kept, and every job has its turn.

--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -114,6 +114,9 @@
     /// to `lateJobs` and come after all others.
     std::set<queue_rank> readyJobs;
     std::set<queue_rank> lateJobs;
+    /// Where the next pass over these queues goes on behind their fronts.
+    queue_rank resumeReadyAt;
+    queue_rank resumeLateAt;
     time_point nextRefusalCheck;
     time_point nextLateCheck;
     /// Passes the records that are read in one term to the owner.
@@ -328,7 +331,13 @@
     using largest_free_cpu = std::map<service_id, std::int64_t>;
     largest_free_cpu largestFreeCpu(time_point now) const;
     void moveLateJobs(time_point now);
-    void scheduleQueue(std::set<queue_rank>& queue, largest_free_cpu& largestFree, time_point now);
+    /// Starts tasks of the jobs at the front of a queue. Of the jobs behind those that can't be placed, a part is looked at in
+    /// each pass, from `resumeAt` on, so that every job has its turn.
+    void scheduleQueue(std::set<queue_rank>& queue, queue_rank& resumeAt, largest_free_cpu& largestFree, time_point now);
+    /// Starts tasks of the jobs from `entry` on until `maxBlocked` jobs could not be placed; returns the first job that was not
+    /// looked at.
+    std::set<queue_rank>::iterator scheduleFrom(std::set<queue_rank>& queue, std::set<queue_rank>::iterator entry, int maxBlocked,
+        largest_free_cpu& largestFree, time_point now);
     /// Returns whether the tasks of the job that wait may fit on a worker.
     bool mayFit(const open_job& job, const largest_free_cpu& largestFree) const;
     void requeue(const task_key& key, const worker_id& from, std::uint64_t attempt);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-    /// Number of jobs without enough free capacity after which the scan of the queue ends.
-    constexpr int maxBlockedJobs = 48;
+    /// Number of jobs that can't be placed after which a pass leaves the front of a queue.
+    constexpr int maxBlockedAtFront = 32;
+    /// Number of jobs behind the front that can't be placed after which a pass over a queue ends.
+    constexpr int maxBlockedBehind = 16;
     /// Weight of the share of a worker's CPU that stays free after a placement, relative to the worker's measured slowness.
     constexpr double unusedShareWeight = 0.15;
     /// Weight of each task of a long-running step that already runs on a worker. Spreads the tasks, so that the loss of one
@@ -220,15 +222,26 @@
     // Jobs that can still meet their objective come first, because a late job is worth less to its caller.
     moveLateJobs(now);
     auto largestFree = largestFreeCpu(now);
-    scheduleQueue(readyJobs, largestFree, now);
-    scheduleQueue(lateJobs, largestFree, now);
+    scheduleQueue(readyJobs, resumeReadyAt, largestFree, now);
+    scheduleQueue(lateJobs, resumeLateAt, largestFree, now);
     verifyOwnership(now);
 }
 
-void cell_owner::data::scheduleQueue(std::set<queue_rank>& queue, largest_free_cpu& largestFree, time_point now)
+void cell_owner::data::scheduleQueue(
+    std::set<queue_rank>& queue, queue_rank& resumeAt, largest_free_cpu& largestFree, time_point now)
+{
+    const auto first = scheduleFrom(queue, queue.begin(), maxBlockedAtFront, largestFree, now);
+    if (first == queue.end())
+        return;
+    const auto next = scheduleFrom(queue, queue.lower_bound(std::max(resumeAt, *first)), maxBlockedBehind, largestFree, now);
+    resumeAt = next == queue.end() ? queue_rank() : *next;
+}
+
+std::set<queue_rank>::iterator cell_owner::data::scheduleFrom(std::set<queue_rank>& queue, std::set<queue_rank>::iterator entry,
+    int maxBlocked, largest_free_cpu& largestFree, time_point now)
 {
     int blocked = 0;
-    for (auto entry = queue.begin(); entry != queue.end() && blocked < maxBlockedJobs;) {
+    while (entry != queue.end() && blocked < maxBlocked) {
         open_job* job = jobTable.find(std::get<std::string>(*entry));
         if (!job || job->ended) {
             entry = queue.erase(entry);
@@ -262,6 +275,7 @@
         blocked += placedAll || isRestricted(*job) ? 0 : 1;
         entry = placedAll ? queue.erase(entry) : std::next(entry);
     }
+    return entry;
 }
 
 bool cell_owner::data::runsOnAnyWorker(const task_key& key) const
--- a/tests/cells/stored_jobs_test.cpp
+++ b/tests/cells/stored_jobs_test.cpp
@@ -1,5 +1,6 @@
 // Checks jobs that are written to the store before they are accepted.
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include "tests/fakes/fleet_checks.h"
 
@@ -159,4 +160,27 @@
     BOOST_TEST(answers.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(run_behind_jobs_for_which_no_worker_is_left)
+{
+    // Guards against lost jobs (issue 2, review/4): 48 jobs that waited for a label kept all jobs behind them from being looked
+    // at, with nearly all workers idle.
+    constexpr int jobsOfEachKind = 150;
+    cell_fleet fleet(1, 2, 3);
+    fleet.runFor(2s);
+    jobs::step unplaceable;
+    unplaceable.taskCount = 1;
+    unplaceable.need = { 500, 64, 0 };
+    unplaceable.requiredLabel = "missing";
+    for (int number = 0; number < jobsOfEachKind; ++number)
+        fleet.store(cell_fleet::vmName(0, 0), fmt::format("unplaceable-{}", number), unplaceable, 50ms);
+    fleet.runFor(100ms);
+    for (int number = 0; number < jobsOfEachKind; ++number)
+        fleet.store(cell_fleet::vmName(0, 0), fmt::format("plain-{}", number), 1, 50ms);
+    fleet.runFor(8s);
+    for (int number = 0; number < jobsOfEachKind; ++number)
+        BOOST_TEST((fleet.state(0, fmt::format("plain-{}", number)) == jobs::job_state::completed));
+    BOOST_TEST((fleet.state(0, "unplaceable-0") == jobs::job_state::queued));
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
