--- a/tests/cells/random_faults_test.cpp
+++ b/tests/cells/random_faults_test.cpp
@@ -259,6 +259,43 @@
     }));
 }
 
+/// Submits jobs while VMs freeze and run on. No connection breaks; callers leave when their time is over.
+void applyFreezes(cell_fleet& fleet, const std::vector<fault_event>& events)
+{
+    resubmitting_callers callers(fleet);
+    fleet.runFor(2s);
+    for (std::uint64_t index = 0; index < events.size(); ++index) {
+        const fault_event& event = events[index];
+        const std::string vm = cell_fleet::vmName(event.domain, event.number);
+        if (event.kind == 0)
+            fleet.freeze(vm);
+        else if (event.kind == 1)
+            fleet.thaw(vm);
+        else
+            callers.submit(vm, index, 1 + index % 4, std::chrono::milliseconds(50 + index % 7 * 300));
+        fleet.runFor(event.pause);
+    }
+    for (unsigned domain = 0; domain < 2; ++domain) {
+        for (unsigned number = 0; number < 3; ++number)
+            fleet.thaw(cell_fleet::vmName(domain, number));
+    }
+    fleet.runFor(10s);
+}
+
+// Guards against two runs at a time of a job that a frozen VM has kept, and starts when its caller has submitted it again
+// elsewhere (issue 41).
+BOOST_AUTO_TEST_CASE(no_task_runs_twice_at_a_time_when_vms_freeze)
+{
+    constexpr unsigned freezeEventKindCount = 6;
+    BOOST_TEST(rc::check([] {
+        const auto events = *eventsOnDisturbedPaths(freezeEventKindCount);
+        cell_fleet fleet(2, 3, 3);
+        applyFreezes(fleet, events);
+        for (const auto& violation : violationsOf(fleet))
+            RC_FAIL(violation);
+    }));
+}
+
 // Guards against second starts on disturbed paths (issue 21), apart from those of jobs that arrive in two domains.
 BOOST_AUTO_TEST_CASE(no_task_runs_twice_at_a_time_on_disturbed_paths_of_one_domain)
 {
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -313,6 +313,7 @@
     if (found == m_vms.end())
         return;
     found->second->alive = false;
+    found->second->arrived.clear();
     // `alive` is cleared before the VM is destroyed, so that its pending completions have no effect.
     const auto ended = found->second;
     m_vms.erase(found);
@@ -336,6 +337,7 @@
 
 void cell_fleet::disconnectCaller(const std::string& vm, const std::string& jobId)
 {
+    m_leftSubmissions.insert(m_submissions.at({ vm, jobId }));
     m_vms.at(vm)->receive([this, vm, jobId] {
         loop.after(disconnectDelay, [this, vm, number = m_callerRequests.at({ vm, jobId })] {
             if (isAlive(vm))
@@ -433,13 +435,15 @@
 {
     if (!isAlive(vm))
         return;
-    m_vms.at(vm)->receive([this, vm, jobId, job = makeJob(jobId, tasks, duration, true), timeLeft] {
-        m_callerRequests[{ vm, jobId }]
-            = m_vms.at(vm)->router.run({ job, false, timeLeft }, [this, vm, jobId](const result<jobs::job_state>& answer) {
-                  answers.push_back({ jobId, answer, loop.now(), vm });
-                  if (onAnswer)
-                      onAnswer(answers.back());
-              });
+    const std::uint64_t submission = ++m_lastSubmission;
+    m_submissions[{ vm, jobId }] = submission;
+    m_vms.at(vm)->receive([this, vm, jobId, submission, job = makeJob(jobId, tasks, duration, true), timeLeft] {
+        m_callerRequests[{ vm, jobId }] = m_vms.at(vm)->router.run(
+            { job, false, timeLeft }, [this, vm, jobId, submission](const result<jobs::job_state>& answer) {
+                answers.push_back({ jobId, answer, loop.now(), vm });
+                if (onAnswer && !m_leftSubmissions.contains(submission))
+                    onAnswer(answers.back());
+            });
     });
 }
 
--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -109,7 +109,7 @@
     virtual_workers workers { loop };
     /// Answers in the order of their arrival.
     std::vector<recorded_answer> answers;
-    /// Called with each answer to an unstored job, if set.
+    /// Called with each answer to an unstored job that reaches its caller, if set.
     std::function<void(const recorded_answer&)> onAnswer;
     /// Ids of the jobs that the store has accepted.
     std::vector<std::string> stored;
@@ -136,6 +136,11 @@
     std::uint64_t m_lastIncarnation = 0;
     /// Numbers of the last requests of callers at their routers, by VM and job.
     std::map<std::pair<std::string, std::string>, std::uint64_t> m_callerRequests;
+    std::uint64_t m_lastSubmission = 0;
+    /// Numbers of the last submissions of callers, by VM and job.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_submissions;
+    /// Submissions whose callers have closed their connections, so that no answer reaches them.
+    std::set<std::uint64_t> m_leftSubmissions;
     /// Call of a VM to run a job.
     struct run_call {
         std::string from;
