cells, docs: Log why a job is abandoned and what becomes of an orphaned run

The logs tell neither whether a VM abandoned a job because it stopped or because the caller's time was over, nor when and why a new owner resolves the runs that it finds.

Change: "abandoned a job" names its reason; "run of an earlier owner resolved" names the outcome and the time since the takeover; jobs_abandoned_total and orphaned_runs_total count them. No decision changes.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -31,6 +31,12 @@
     return names[static_cast<std::size_t>(value)];
 }
 
+std::string_view nameOf(orphan_outcome value)
+{
+    constexpr std::array<std::string_view, orphanOutcomeCount> names { "adopted", "withdrawn", "not_resubmitted" };
+    return names[static_cast<std::size_t>(value)];
+}
+
 std::string_view nameOfResolution(std::size_t index)
 {
     constexpr std::array<std::string_view, resolutionBounds.size() + 1> names { "within_30_ms", "within_60_ms", "within_120_ms",
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -108,6 +108,22 @@
 /// Returns the name of a value, as used in logs and metrics.
 std::string_view nameOf(withdrawal_outcome value);
 
+/// What became of a run of an earlier owner whose job was not known when the run was found.
+enum class orphan_outcome {
+    /// A VM submitted the job again.
+    adopted,
+    /// A VM told that the caller had left.
+    withdrawn,
+    /// It was stopped because no VM submitted the job again in time.
+    not_resubmitted,
+};
+
+/// Number of values of `orphan_outcome`.
+inline constexpr std::size_t orphanOutcomeCount = static_cast<std::size_t>(orphan_outcome::not_resubmitted) + 1;
+
+/// Returns the name of a value, as used in logs and metrics.
+std::string_view nameOf(orphan_outcome value);
+
 /// Number of values of `refusal_reason`.
 inline constexpr std::size_t refusalReasonCount = static_cast<std::size_t>(refusal_reason::owner_overloaded) + 1;
 
@@ -156,6 +172,8 @@
     std::uint64_t incompleteEndLists = 0;
     /// Runs of this term that counted as ended and that their worker listed afterwards.
     std::uint64_t runsFoundAgain = 0;
+    /// Runs of earlier owners whose jobs were not known when they were found, indexed by `orphan_outcome`.
+    std::array<std::uint64_t, orphanOutcomeCount> orphanedRuns {};
     /// Start orders that failed, indexed by `order_failure`.
     std::array<std::uint64_t, orderFailureCount> startFailures {};
     /// Decisions about these orders, indexed by `start_decision`.
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -276,6 +276,8 @@
     /// Ends and removes a job. `job` is not valid afterwards.
     void discardWithdrawnJob(open_job& job, withdrawal_outcome outcome);
     void noteWithdrawal(const std::string& id, withdrawal_outcome outcome);
+    /// Counts and logs what became of a run of an earlier owner.
+    void noteOrphan(const task_key& key, const worker_id& worker, orphan_outcome outcome, time_point now);
     void onLentAnswer(const std::string& id, const result<jobs::job_state>& result);
     void queryLentJobs();
     void onLentJobs(const lent_jobs& lent, bool complete, time_point now);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -102,11 +102,23 @@
             if (key.jobId == id && current.orphaned && current.state != run_state::stopping)
                 orphans.push_back(key);
         }
-        for (const task_key& key : orphans)
+        for (const task_key& key : orphans) {
+            noteOrphan(key, worker, orphan_outcome::withdrawn, now);
             stopRun(session, key, now);
+        }
     }
 }
 
+void cell_owner::data::noteOrphan(const task_key& key, const worker_id& worker, orphan_outcome outcome, time_point now)
+{
+    ++counters.orphanedRuns[static_cast<std::size_t>(outcome)];
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - takenOverAt);
+    writeLog(log_level::info, "cell", "run of an earlier owner resolved",
+        { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
+            { "worker", worker.value }, { "outcome", std::string(nameOf(outcome)) },
+            { "since_takeover_ms", fmt::to_string(age.count()) } });
+}
+
 void cell_owner::data::withdrawJob(open_job& job, time_point now)
 {
     const std::string id = job.accepted.work.id;
@@ -319,6 +331,7 @@
             job.started = true;
         }
         for (const auto& key : found) {
+            noteOrphan(key, worker, orphan_outcome::adopted, clock.now());
             worker_run known = *session.find(key);
             known.need = job.accepted.work.steps[key.step].need;
             known.estimate = job.accepted.work.steps[key.step].estimate;
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -346,6 +346,7 @@
     if (session.isEstablished(*current))
         suspicion.noteEstablished(listed.task);
     if (current->orphaned && now > takenOverAt + resubmissionLimit) {
+        noteOrphan(listed.task, session.registration().id, orphan_outcome::not_resubmitted, now);
         stopRun(session, listed.task, now);
         return;
     }
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -64,6 +64,12 @@
 
 } // namespace
 
+std::string_view nameOf(abandon_reason value)
+{
+    constexpr std::array<std::string_view, abandonReasonCount> names { "deadline", "not_accepted", "stopping" };
+    return names[static_cast<std::size_t>(value)];
+}
+
 struct job_router::data : std::enable_shared_from_this<job_router::data> {
     const clock_source& clock;
     cell_owner& owner;
@@ -81,6 +87,7 @@
     std::optional<time_point> ownerlessSince;
     return_schedule returns;
     pause_monitor pauses;
+    std::array<std::uint64_t, abandonReasonCount> abandoned {};
 
     data(const clock_source& time, cell_owner& local, owner_link& remote, target_source source,
         std::shared_ptr<const admission_policy> policy)
@@ -101,7 +108,7 @@
     void repeatWithdrawals(const std::optional<run_target>& location, time_point now);
     std::vector<std::uint64_t> dueRuns(time_point now, const std::optional<run_target>& location);
     std::vector<std::uint64_t> expiredRuns(time_point now) const;
-    void expire(std::uint64_t number);
+    void expire(std::uint64_t number, bool isStopping);
     void noteOwner(bool known, time_point now);
 };
 
@@ -264,8 +271,9 @@
     return expired;
 }
 
-void job_router::data::expire(std::uint64_t number)
+void job_router::data::expire(std::uint64_t number, bool isStopping)
 {
+    abandon_reason reason = abandon_reason::stopping;
     bool mayHaveRun = false;
     std::string id;
     std::chrono::milliseconds waited { 0 };
@@ -278,6 +286,9 @@
         if (found == runs.end())
             return;
         mayHaveRun = found->second.mayHaveRun;
+        if (!isStopping)
+            reason = now > found->second.deadline - answerReserve ? abandon_reason::deadline : abandon_reason::not_accepted;
+        ++abandoned[static_cast<std::size_t>(reason)];
         id = found->second.accepted.work.id;
         waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second.since);
         if (ownerlessSince)
@@ -287,7 +298,7 @@
     }
     writeLog(log_level::warning, "router", "abandoned a job",
         { { "job", id }, { "outcome", mayHaveRun ? "may_have_run" : "not_run" }, { "waited_ms", fmt::to_string(waited.count()) },
-            { "ownerless_ms", fmt::to_string(ownerless.count()) } });
+            { "ownerless_ms", fmt::to_string(ownerless.count()) }, { "reason", std::string(nameOf(reason)) } });
     if (mayHaveRun)
         finish(number,
             fail(error_kind::deadline_passed_while_running,
@@ -353,7 +364,7 @@
     for (const std::uint64_t number : m_data->dueRuns(now, location))
         m_data->sendToOwner(number);
     for (const std::uint64_t number : m_data->expiredRuns(now))
-        m_data->expire(number);
+        m_data->expire(number, false);
 }
 
 void job_router::dropAll()
@@ -372,7 +383,7 @@
             numbers.push_back(number);
     }
     for (const std::uint64_t number : numbers)
-        m_data->expire(number);
+        m_data->expire(number, true);
 }
 
 std::size_t job_router::waiting() const
@@ -381,4 +392,10 @@
     return m_data->runs.size();
 }
 
+std::array<std::uint64_t, abandonReasonCount> job_router::abandonedJobs() const
+{
+    const std::scoped_lock lock(m_data->mutex);
+    return m_data->abandoned;
+}
+
 } // namespace coriandermount::cells
--- a/cells/job_router.h
+++ b/cells/job_router.h
@@ -1,11 +1,14 @@
 /// Routes jobs from any VM to the owner of their cell and tracks them until they end.
 #pragma once
 
+#include <array>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "cells/cell_owner.h"
 #include "core/clock.h"
@@ -40,6 +43,22 @@
     virtual void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(lent_report)> done) = 0;
 };
 
+/// Why a job was abandoned by the VM that its caller waits at.
+enum class abandon_reason {
+    /// The caller stops waiting.
+    deadline,
+    /// No owner accepted the job early enough.
+    not_accepted,
+    /// The VM ends its orderly stop.
+    stopping,
+};
+
+/// Number of values of `abandon_reason`.
+inline constexpr std::size_t abandonReasonCount = static_cast<std::size_t>(abandon_reason::stopping) + 1;
+
+/// Returns the name of a value, as used in logs and metrics.
+std::string_view nameOf(abandon_reason value);
+
 /// Sends each job to the current owner of the cell, again to every later owner, and answers its caller. Thread-safe.
 class job_router {
 public:
@@ -76,6 +95,8 @@
 
     /// Returns the number of pending jobs.
     std::size_t waiting() const;
+    /// Returns how many jobs were abandoned so far, indexed by `abandon_reason`.
+    std::array<std::uint64_t, abandonReasonCount> abandonedJobs() const;
 
 private:
     struct data;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -482,6 +482,13 @@
     for (std::size_t outcome = 0; outcome < cells::withdrawalOutcomeCount; ++outcome)
         samples.push_back({ "jobs_withdrawn_total", cells::nameOf(static_cast<cells::withdrawal_outcome>(outcome)),
             cellCounters.withdrawnJobs[outcome] });
+    const auto abandoned = router.abandonedJobs();
+    for (std::size_t reason = 0; reason < abandoned.size(); ++reason)
+        samples.push_back(
+            { "jobs_abandoned_total", cells::nameOf(static_cast<cells::abandon_reason>(reason)), abandoned[reason] });
+    for (std::size_t outcome = 0; outcome < cells::orphanOutcomeCount; ++outcome)
+        samples.push_back({ "orphaned_runs_total", cells::nameOf(static_cast<cells::orphan_outcome>(outcome)),
+            cellCounters.orphanedRuns[outcome] });
     for (std::size_t bound = 0; bound < cellCounters.resolvedStarts.size(); ++bound)
         samples.push_back(
             { "unanswered_starts_resolved_total", cells::nameOfResolution(bound), cellCounters.resolvedStarts[bound] });
