cells: Withdraw a job whose caller was told that it is given up

Cause: a router that gave a job up at its deadline answered the caller, but did not withdraw the request. If the owner was lost just before it would have given the job up itself, its successor kept the run for 0.8 s, and nobody told it that the caller had its answer. The caller submitted the job again 1.3 s later, and both runs were at work.

Change: job_router ends a job at its deadline as it does when the caller leaves: it withdraws the request at the owner, and at later owners for 1.3 s. takeOut is the part that both have in common.

Result: two new cases fail on the code before, and pass now. In virtual time an owner freezes 1 to 46 ms before the deadline of its job: two runs at a time in 10 of 10 cases before. In job_router_test the owner of a job without an answer got no withdrawal before.

--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -103,6 +103,9 @@
     void onAnswer(std::uint64_t number, std::uint64_t epoch, const result<jobs::job_state>& answer);
     void finish(std::uint64_t number, const result<jobs::job_state>& answer);
     void withdraw(std::uint64_t number);
+    /// Returns a pending job and removes it; returns nothing if it has ended. If an owner may run the job, its request is
+    /// withdrawn there, and at later owners.
+    std::optional<pending_run> takeOut(std::uint64_t number);
     void sendWithdrawal(const run_target& location, const std::string& jobId, const jobs::request_id& request);
     /// Tells a new owner of the requests that were withdrawn at the last one.
     void repeatWithdrawals(const std::optional<run_target>& location, time_point now);
@@ -189,26 +192,34 @@
     done(answer);
 }
 
-void job_router::data::withdraw(std::uint64_t number)
+std::optional<pending_run> job_router::data::takeOut(std::uint64_t number)
 {
-    pending_run withdrawn;
+    pending_run taken;
     {
         const std::scoped_lock lock(mutex);
         const auto found = runs.find(number);
         if (found == runs.end())
-            return;
-        withdrawn = std::move(found->second);
+            return std::nullopt;
+        taken = std::move(found->second);
         runs.erase(found);
         const auto now = clock.now();
         // The next owner of a cell that lends jobs queries them, and submits them again.
-        if (withdrawn.mayHaveRun && !withdrawn.lentBy)
+        if (taken.mayHaveRun && !taken.lentBy)
             withdrawnRuns.push_back(
-                { withdrawn.accepted.work.id, withdrawn.lastRequest, withdrawn.lastSentEpoch, now + withdrawalRetention, now });
+                { taken.accepted.work.id, taken.lastRequest, taken.lastSentEpoch, now + withdrawalRetention, now });
     }
-    if (withdrawn.inFlight)
-        sendWithdrawal(withdrawn.lastTarget, withdrawn.accepted.work.id, withdrawn.lastRequest);
-    withdrawn.done(fail(
-        withdrawn.mayHaveRun ? error_kind::cancelled_while_running : error_kind::cancelled_before_start, "the caller has left"));
+    if (taken.inFlight)
+        sendWithdrawal(taken.lastTarget, taken.accepted.work.id, taken.lastRequest);
+    return taken;
+}
+
+void job_router::data::withdraw(std::uint64_t number)
+{
+    const auto withdrawn = takeOut(number);
+    if (!withdrawn)
+        return;
+    withdrawn->done(fail(
+        withdrawn->mayHaveRun ? error_kind::cancelled_while_running : error_kind::cancelled_before_start, "the caller has left"));
 }
 
 void job_router::data::sendWithdrawal(const run_target& location, const std::string& jobId, const jobs::request_id& request)
@@ -273,39 +284,34 @@
 
 void job_router::data::expire(std::uint64_t number, bool isStopping)
 {
-    abandon_reason reason = abandon_reason::stopping;
-    bool mayHaveRun = false;
-    std::string id;
-    std::chrono::milliseconds waited { 0 };
+    const auto expired = takeOut(number);
+    if (!expired)
+        return;
+    const auto now = clock.now();
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - expired->since);
     std::chrono::milliseconds ownerless { 0 };
     std::chrono::milliseconds returnAfter { 0 };
+    auto reason = abandon_reason::stopping;
+    if (!isStopping)
+        reason = now > expired->deadline - answerReserve ? abandon_reason::deadline : abandon_reason::not_accepted;
     {
-        const auto now = clock.now();
         const std::scoped_lock lock(mutex);
-        const auto found = runs.find(number);
-        if (found == runs.end())
-            return;
-        mayHaveRun = found->second.mayHaveRun;
-        if (!isStopping)
-            reason = now > found->second.deadline - answerReserve ? abandon_reason::deadline : abandon_reason::not_accepted;
         ++abandoned[static_cast<std::size_t>(reason)];
-        id = found->second.accepted.work.id;
-        waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second.since);
         if (ownerlessSince)
             ownerless = std::chrono::duration_cast<std::chrono::milliseconds>(now - *ownerlessSince);
-        if (!mayHaveRun)
+        if (!expired->mayHaveRun)
             returnAfter = returns.reserve(now, std::max(usualTakeover - ownerless, std::chrono::milliseconds(0)), returnSpacing);
     }
     writeLog(log_level::warning, "router", "abandoned a job",
-        { { "job", id }, { "outcome", mayHaveRun ? "may_have_run" : "not_run" }, { "waited_ms", fmt::to_string(waited.count()) },
-            { "ownerless_ms", fmt::to_string(ownerless.count()) }, { "reason", std::string(nameOf(reason)) } });
-    if (mayHaveRun)
-        finish(number,
-            fail(error_kind::deadline_passed_while_running,
-                "the owner of the cell did not answer before the deadline of the job"));
-    else
-        finish(number,
+        { { "job", expired->accepted.work.id }, { "outcome", expired->mayHaveRun ? "may_have_run" : "not_run" },
+            { "waited_ms", fmt::to_string(waited.count()) }, { "ownerless_ms", fmt::to_string(ownerless.count()) },
+            { "reason", std::string(nameOf(reason)) } });
+    if (!expired->mayHaveRun)
+        expired->done(
             tl::unexpected(error { error_kind::no_worker, "no owner of the cell accepted the job in time", returnAfter }));
+    else
+        expired->done(fail(
+            error_kind::deadline_passed_while_running, "the owner of the cell did not answer before the deadline of the job"));
 }
 
 job_router::job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target,
--- a/tests/cells/frozen_vm_test.cpp
+++ b/tests/cells/frozen_vm_test.cpp
@@ -127,6 +127,28 @@
     }
 }
 
+// Guards against two runs at a time (issue 41): an owner froze just before it would have given the job up, and the VM of the
+// caller told no later owner that it had given the job up.
+BOOST_AUTO_TEST_CASE(a_run_that_it_would_have_given_up_is_not_kept_beside_the_resubmission)
+{
+    constexpr auto timeLeft = 2s;
+    for (auto left = 1ms; left <= 46ms; left += 5ms) {
+        BOOST_TEST_CONTEXT("frozen " << left.count() << " ms before the deadline")
+        {
+            frozen_vm world(2, 3);
+            const std::string entry = world.member();
+            world.fleet.run(entry, "a", 1, 8s, timeLeft);
+            world.fleet.runFor(timeLeft - left);
+            world.fleet.freeze(world.owner);
+            while (world.fleet.answers.empty())
+                world.fleet.runFor(1ms);
+            world.fleet.runFor(retransmissionDelay);
+            world.fleet.run(world.fleet.owner(1), "a", 1, runTime, 4s);
+            world.expectOneRunAtATime();
+        }
+    }
+}
+
 // Guards against a VM that starts nothing after a pause: callers that still wait are served.
 BOOST_AUTO_TEST_CASE(a_request_that_it_reads_late_is_started_if_its_caller_still_waits)
 {
--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -44,6 +44,16 @@
     std::vector<result<jobs::job_state>> answers;
 };
 
+/// A job that was sent to the owner of epoch 1, and the requests that were withdrawn since.
+struct withdrawn_job : routed_job {
+    void withdraw(const std::string& address, const std::string&, const jobs::request_id& request) override
+    {
+        withdrawals.emplace_back(address, request);
+    }
+
+    std::vector<std::pair<std::string, jobs::request_id>> withdrawals;
+};
+
 outcome outcomeOf(const result<jobs::job_state>& answer) { return answer ? outcome::done : rowOf(answer.error().kind).result; }
 
 } // namespace
@@ -109,3 +119,26 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_job_without_an_answer_at_its_deadline, withdrawn_job)
+
+// Guards against a run that goes on although its caller was told that the job is given up: the owner that follows kept it (issue
+// 41).
+BOOST_AUTO_TEST_CASE(is_withdrawn_at_its_owner_and_at_the_next_one)
+{
+    local.loop.runFor(requests[0].timeLeft);
+    router.tick();
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((outcomeOf(answers[0]) == outcome::may_have_run));
+    BOOST_REQUIRE(withdrawals.size() == 1);
+    BOOST_TEST(withdrawals[0].first == "owner");
+    BOOST_TEST((withdrawals[0].second == requests[0].id));
+    target = { false, "next owner", 2 };
+    local.loop.runFor(100ms);
+    router.tick();
+    BOOST_REQUIRE(withdrawals.size() == 2);
+    BOOST_TEST(withdrawals[1].first == "next owner");
+    BOOST_TEST((withdrawals[1].second == requests[0].id));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
