cells: End runs that a new owner finds before lost callers return

A new owner kept runs whose job it didn't know for 0.8 s from its takeover, and stopped them with the next poll that listed them. The callers that were lost with the earlier owner return 1.3 s after that loss, maybe in another domain: with a takeover after 0.5 s, the two runs overlapped.

The owner now keeps such runs only until the VMs of its cell have had the time to submit their jobs again: until all whose heartbeats arrive name its epoch and it has accepted requests for 0.2 s since. It does not keep them for longer than 1.0 s after the last sign of life of an owner that was lost, nor, as before, for longer than 0.8 s after the takeover. It stops them in its tick and does not wait for a poll.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -63,6 +63,8 @@
     /// Whether the previous owner had released the cell before the claim.
     bool claimedAfterRelease = false;
     bool draining = false;
+    /// Whether the owner was told that the other VMs know of its term.
+    bool termKnown = false;
 
     data(jobs::record_store& target, const clock_source& time, cell_owner& controlled, worker_source& workerSource,
         jobs::record_stream cellStream, cell_number cell, vm_incarnation vm, ownership_settings limits)
@@ -101,6 +103,8 @@
             ownershipChanged();
     }
     void handleOwnershipChange();
+    /// Tells the owner once the other VMs know of its term.
+    void checkTermKnown(time_point now);
     /// Returns whether this owner has to release the cell now.
     bool shouldRelease(time_point now);
     /// Pauses or resumes the orders of this owner, also while an append is in flight.
@@ -179,7 +183,8 @@
         return;
     }
     state.onOwnershipVerified(clock.now());
-    const ownership_term term { state.epoch(), claimedAfterRelease };
+    const ownership_term term { state.epoch(), claimedAfterRelease, state.previousOwnerSeenAt() };
+    termKnown = false;
     deferredCalls.emplace_back([self = shared_from_this(), term] {
         self->owner.takeOver(term);
         self->workers.start();
@@ -187,6 +192,14 @@
     });
 }
 
+void cell_member::data::checkTermKnown(time_point now)
+{
+    if (termKnown || !state.isKnownToPeers(now))
+        return;
+    termKnown = true;
+    deferredCalls.emplace_back([self = shared_from_this(), epoch = state.epoch()] { self->owner.noteTermKnown(epoch); });
+}
+
 void cell_member::data::appendRecords(jobs::append_request request, std::function<void(const result<std::uint64_t>&)> done)
 {
     appendInFlight = true;
@@ -336,6 +349,7 @@
 void cell_member::data::tick(time_point now)
 {
     handleOwnershipChange();
+    checkTermKnown(now);
     runDueActions(now);
     deferredCalls.emplace_back([self = shared_from_this(), now] {
         self->tail->tick(now);
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -63,6 +63,8 @@
     term = next;
     phase = owner_phase::fencing;
     takenOverAt = clock.now();
+    acceptingSince.reset();
+    termKnownAt.reset();
     countArrivalsFrom = takenOverAt + resubmissionLimit;
     recordsAsOf = {};
     ownershipVerifiedAt = {};
@@ -193,6 +195,9 @@
     countWaitingStarts();
     if (!givesOrders())
         return;
+    if (!acceptingSince)
+        acceptingSince = now;
+    stopUnclaimedRuns(now);
     pollWorkers(now);
     verifyOwnership(now);
     checkSuspicions(now);
@@ -236,6 +241,7 @@
         if (!m_data->paused && m_data->phase != owner_phase::idle)
             writeLog(log_level::warning, "cell", "orders paused: ownership is not verified");
         m_data->paused = true;
+        m_data->acceptingSince.reset();
     });
 }
 
@@ -248,6 +254,14 @@
     });
 }
 
+void cell_owner::noteTermKnown(std::uint64_t epoch)
+{
+    m_data->locked([&] {
+        if (m_data->phase != owner_phase::idle && m_data->term.epoch == epoch && !m_data->termKnownAt)
+            m_data->termKnownAt = m_data->clock.now();
+    });
+}
+
 void cell_owner::setNeighbors(neighbor_cells& neighbors)
 {
     m_data->locked([&] { m_data->neighbors = &neighbors; });
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -26,6 +26,8 @@
     std::uint64_t epoch = 0;
     /// Whether the previous owner has declared that it gives no more orders.
     bool previousOwnerStopped = false;
+    /// Last sign of life of the previous owner; empty if it has handed the cell over or there was none.
+    std::optional<time_point> previousOwnerSeenAt;
 };
 
 /// Load of a cell, used by VMs to decide whether to accept jobs for the cell.
@@ -206,6 +208,9 @@
     /// Allows orders and lease renewals again.
     void resume();
 
+    /// Notes that all reachable VMs of the cell know the term of `epoch`, so that they submit again the jobs whose callers wait.
+    void noteTermKnown(std::uint64_t epoch);
+
     /// Sets the cells that may run jobs for this one; none by default. `neighbors` is not used after the owner is destroyed.
     void setNeighbors(neighbor_cells& neighbors);
 
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -95,6 +95,10 @@
     std::uint64_t termNumber = 0;
     ownership_term term;
     time_point takenOverAt;
+    /// Since when this owner has accepted requests without a pause; empty while it does not.
+    std::optional<time_point> acceptingSince;
+    /// When all reachable VMs of the cell knew of this term; empty before.
+    std::optional<time_point> termKnownAt;
     /// Position of the owner record: records after it were appended in this term.
     std::uint64_t ownerRecordOffset = 0;
     bool ownerRecordInFlight = false;
@@ -278,6 +282,10 @@
     void noteWithdrawal(const std::string& id, withdrawal_outcome outcome);
     /// Counts and logs what became of a run of an earlier owner.
     void noteOrphan(const task_key& key, const worker_id& worker, orphan_outcome outcome, time_point now);
+    /// Returns whether VMs may still submit again jobs of which an earlier owner has started runs.
+    bool awaitsResubmissions(time_point now) const;
+    /// Stops the runs of earlier owners whose jobs no VM has submitted again in time.
+    void stopUnclaimedRuns(time_point now);
     void onLentAnswer(const std::string& id, const result<jobs::job_state>& result);
     void queryLentJobs();
     void onLentJobs(const lent_jobs& lent, bool complete, time_point now);
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -345,11 +345,6 @@
     current->state = run_state::running;
     if (session.isEstablished(*current))
         suspicion.noteEstablished(listed.task);
-    if (current->orphaned && now > takenOverAt + resubmissionLimit) {
-        noteOrphan(listed.task, session.registration().id, orphan_outcome::not_resubmitted, now);
-        stopRun(session, listed.task, now);
-        return;
-    }
     if (open_job* job = jobTable.find(listed.task.jobId); job && job->contains(listed.task))
         noteCheckpoint(*job, listed.task, listed.checkpoint);
     checkProgress(session, listed.task, *current, now);
@@ -369,7 +364,7 @@
     added.progressAt = now;
     added.percent = listed.percent;
     const bool known = job && job->contains(listed.task);
-    added.orphaned = !job && !jobTable.isFinished(listed.task.jobId) && now < takenOverAt + resubmissionLimit;
+    added.orphaned = !job && !jobTable.isFinished(listed.task.jobId) && awaitsResubmissions(now);
     if (known) {
         added.need = job->accepted.work.steps[listed.task.step].need;
         added.estimate = job->accepted.work.steps[listed.task.step].estimate;
@@ -408,6 +403,33 @@
         session.reservedFor = listed.task.jobId;
 }
 
+bool cell_owner::data::awaitsResubmissions(time_point now) const
+{
+    time_point limit = takenOverAt + resubmissionLimit;
+    if (term.previousOwnerSeenAt)
+        limit = std::min(limit, *term.previousOwnerSeenAt + lostCallersLimit);
+    if (termKnownAt && acceptingSince)
+        limit = std::min(limit, std::max(*termKnownAt, *acceptingSince) + resubmissionMargin + lagAllowance(now));
+    return now < limit;
+}
+
+void cell_owner::data::stopUnclaimedRuns(time_point now)
+{
+    if (awaitsResubmissions(now))
+        return;
+    for (auto& [worker, session] : sessions) {
+        std::vector<task_key> unclaimed;
+        for (const auto& [key, current] : session.runs()) {
+            if (current.orphaned && current.state != run_state::stopping)
+                unclaimed.push_back(key);
+        }
+        for (const task_key& key : unclaimed) {
+            noteOrphan(key, worker, orphan_outcome::not_resubmitted, now);
+            stopRun(session, key, now);
+        }
+    }
+}
+
 void cell_owner::data::dropUnlistedRuns(worker_session& session, time_point sentAt, const poll_answer& answer, time_point now)
 {
     std::set<task_key> listed;
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -75,9 +75,14 @@
 inline constexpr std::chrono::milliseconds verificationRetryPause { 500 };
 /// Number of records after which no more jobs are added to a write; well below the platform's limit for one call.
 inline constexpr std::size_t maxFlushedRecords = 2000;
-/// Time after a takeover within which other VMs resubmit the unstored jobs whose callers they serve: two heartbeat intervals
-/// and one call.
+/// Longest time after a takeover within which other VMs resubmit the unstored jobs whose callers they serve.
 inline constexpr std::chrono::milliseconds resubmissionLimit { 800 };
+/// Time within which VMs that know the owner resubmit these jobs: one heartbeat interval of the owner, one pause between the
+/// tries of a router and one call.
+inline constexpr std::chrono::milliseconds resubmissionMargin { 200 };
+/// Time after the last sign of life of a lost owner from which no run is kept whose caller is not known: the platform's delay of
+/// resubmissions, 1.3 s, less the time that a stop takes. The caller may have been lost together with the owner.
+inline constexpr std::chrono::milliseconds lostCallersLimit { 1000 };
 /// Time limit for the other cells to report which jobs they run for a cell with a new owner; several round trips.
 inline constexpr std::chrono::milliseconds lentJobsAnswerLimit { 300 };
 /// Time between queries for lent jobs while some cells have not reported all their runs.
--- a/cells/ownership.cpp
+++ b/cells/ownership.cpp
@@ -45,6 +45,10 @@
     if (m_owner && record.epoch < m_owner->epoch)
         return;
     const bool changed = !m_owner || record.epoch > m_owner->epoch;
+    if (changed) {
+        const bool wasLost = m_owner && !m_owner->released;
+        m_previousOwnerSeenAt = wasLost ? std::optional(std::max(m_ownerHeartbeatAt, m_ownerRecordAt)) : std::nullopt;
+    }
     m_owner = record;
     m_highestEpoch = std::max(m_highestEpoch, record.epoch);
     if (!changed)
@@ -102,6 +106,16 @@
     });
 }
 
+bool ownership::isKnownToPeers(time_point now) const
+{
+    if (!isOwner() || now - m_startedAt < m_settings.firstClaimDelay)
+        return false;
+    return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        const peer_state& peer = entry.second;
+        return peer.view && peer.view->epoch != m_owner->epoch && now - peer.lastHeartbeatAt < m_settings.heartbeatTimeout;
+    });
+}
+
 std::uint64_t ownership::epoch() const { return m_owner ? m_owner->epoch : 0; }
 
 bool ownership::storeReachable(time_point now) const { return now - m_storeContactAt < storeContactTimeout; }
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -109,6 +109,11 @@
     std::uint64_t epoch() const;
     /// Returns the newest owner record; empty if there is none.
     const std::optional<owner_record>& owner() const { return m_owner; }
+    /// Returns the last sign of life of the owner before the newest one; empty if it has released the cell or there was none.
+    const std::optional<time_point>& previousOwnerSeenAt() const { return m_previousOwnerSeenAt; }
+    /// Returns whether this VM owns the cell and every other VM of the cell whose heartbeats arrive knows of that. Returns false
+    /// for `firstClaimDelay` after the start, while this VM may not know the other VMs yet.
+    bool isKnownToPeers(time_point now) const;
     /// Returns whether the record store has answered recently.
     bool storeReachable(time_point now) const;
     /// Returns the state of the cell as this VM sees it, without the load.
@@ -153,6 +158,7 @@
     std::optional<owner_record> m_owner;
     time_point m_ownerHeartbeatAt;
     time_point m_ownerRecordAt;
+    std::optional<time_point> m_previousOwnerSeenAt;
     std::map<vm_id, peer_state> m_peers;
     std::uint64_t m_highestEpoch = 0;
     time_point m_storeContactAt;
