cells: Look for unclaimed runs once a term

Cause: after the time for resubmissions, every tick of an owner looked at all runs of all workers for those that no VM had claimed. None can be added then, and the time a VM lags behind could open the search again.

Change: the search is made once in each term, when that time is over; a run that is found later is stopped at once.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -65,6 +65,7 @@
     takenOverAt = clock.now();
     acceptingSince.reset();
     termKnownAt.reset();
+    resubmissionsOver = false;
     countArrivalsFrom = takenOverAt + resubmissionLimit;
     recordsAsOf = {};
     ownershipVerifiedAt = {};
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -99,6 +99,8 @@
     std::optional<time_point> acceptingSince;
     /// When all reachable VMs of the cell knew of this term; empty before.
     std::optional<time_point> termKnownAt;
+    /// Whether the time is over in which runs of earlier owners are kept for jobs that are submitted again.
+    bool resubmissionsOver = false;
     /// Position of the owner record: records after it were appended in this term.
     std::uint64_t ownerRecordOffset = 0;
     bool ownerRecordInFlight = false;
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -364,7 +364,7 @@
     added.progressAt = now;
     added.percent = listed.percent;
     const bool known = job && job->contains(listed.task);
-    added.orphaned = !job && !jobTable.isFinished(listed.task.jobId) && awaitsResubmissions(now);
+    added.orphaned = !job && !jobTable.isFinished(listed.task.jobId) && !resubmissionsOver && awaitsResubmissions(now);
     if (known) {
         added.need = job->accepted.work.steps[listed.task.step].need;
         added.estimate = job->accepted.work.steps[listed.task.step].estimate;
@@ -415,8 +415,9 @@
 
 void cell_owner::data::stopUnclaimedRuns(time_point now)
 {
-    if (awaitsResubmissions(now))
+    if (resubmissionsOver || awaitsResubmissions(now))
         return;
+    resubmissionsOver = true;
     for (auto& [worker, session] : sessions) {
         std::vector<task_key> unclaimed;
         for (const auto& [key, current] : session.runs()) {
