cells, main: Let a VM that stops accept only what it can end

Cause: a VM that got SIGTERM accepted jobs until its limit, and then answered all that was pending with 504 and ended. Callers submit such jobs again 1.3 s later, maybe in another failure domain. The owner heard of it by the closed connection and stopped the runs 0.5 s later; if it was lost before, nobody was left who could tell the next owner, which kept the runs for 0.8 s.

Change: orderly_stop has a time by which all callers are answered, 0.7 s before its limit. From the signal on, job_router::endBy bounds the deadlines of all jobs by it, so that owners start nothing that can't end. What has not ended by then is answered with 504 and withdrawn, and the VM goes on until the owner has had the time to stop the runs. A job that may have run before is never refused as not run. The simulated fleet does the same, and its VMs answer their callers before they end, unless they are frozen.

--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -1,5 +1,6 @@
 #include "cells/job_router.h"
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <random>
@@ -25,6 +26,8 @@
     constexpr std::chrono::milliseconds usualTakeover { 1000 };
     /// How long the owners that follow are told of a withdrawn request: the platform's delay of resubmissions.
     constexpr std::chrono::milliseconds withdrawalRetention { 1300 };
+    /// Time within which the owner ends the runs of a withdrawn request, `withdrawnRunLimit` and a stop among it.
+    constexpr std::chrono::milliseconds withdrawalTime { 650 };
     /// Pause between two of these messages; the next owner finds the runs of the last one little by little.
     constexpr std::chrono::milliseconds withdrawalPause { 100 };
     /// Time between the returns of callers that were refused because their cell had no owner.
@@ -87,6 +90,8 @@
     std::optional<time_point> ownerlessSince;
     return_schedule returns;
     pause_monitor pauses;
+    /// Time by which all jobs have to end because the VM stops; empty if it does not.
+    std::optional<time_point> endLimit;
     std::array<std::uint64_t, abandonReasonCount> abandoned {};
 
     data(const clock_source& time, cell_owner& local, owner_link& remote, target_source source,
@@ -106,12 +111,14 @@
     /// Returns a pending job and removes it; returns nothing if it has ended. If an owner may run the job, its request is
     /// withdrawn there, and at later owners.
     std::optional<pending_run> takeOut(std::uint64_t number);
+    /// Returns the answer to a job that can't end before the VM stops; empty if it can.
+    std::optional<error> refuseForStop(const pending_run& added, time_point now);
     void sendWithdrawal(const run_target& location, const std::string& jobId, const jobs::request_id& request);
     /// Tells a new owner of the requests that were withdrawn at the last one.
     void repeatWithdrawals(const std::optional<run_target>& location, time_point now);
     std::vector<std::uint64_t> dueRuns(time_point now, const std::optional<run_target>& location);
     std::vector<std::uint64_t> expiredRuns(time_point now) const;
-    void expire(std::uint64_t number, bool isStopping);
+    void expire(std::uint64_t number);
     void noteOwner(bool known, time_point now);
 };
 
@@ -282,7 +289,7 @@
     return expired;
 }
 
-void job_router::data::expire(std::uint64_t number, bool isStopping)
+void job_router::data::expire(std::uint64_t number)
 {
     const auto expired = takeOut(number);
     if (!expired)
@@ -291,11 +298,13 @@
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - expired->since);
     std::chrono::milliseconds ownerless { 0 };
     std::chrono::milliseconds returnAfter { 0 };
-    auto reason = abandon_reason::stopping;
-    if (!isStopping)
-        reason = now > expired->deadline - answerReserve ? abandon_reason::deadline : abandon_reason::not_accepted;
+    auto reason = abandon_reason::deadline;
     {
         const std::scoped_lock lock(mutex);
+        if (endLimit && expired->deadline >= *endLimit)
+            reason = abandon_reason::stopping;
+        else if (now <= expired->deadline - answerReserve)
+            reason = abandon_reason::not_accepted;
         ++abandoned[static_cast<std::size_t>(reason)];
         if (ownerlessSince)
             ownerless = std::chrono::duration_cast<std::chrono::milliseconds>(now - *ownerlessSince);
@@ -309,11 +318,23 @@
     if (!expired->mayHaveRun)
         expired->done(
             tl::unexpected(error { error_kind::no_worker, "no owner of the cell accepted the job in time", returnAfter }));
+    else if (reason == abandon_reason::stopping)
+        expired->done(fail(error_kind::shutdown_limit_reached, "the VM that the caller waits at stopped before the job ended"));
     else
         expired->done(fail(
             error_kind::deadline_passed_while_running, "the owner of the cell did not answer before the deadline of the job"));
 }
 
+std::optional<error> job_router::data::refuseForStop(const pending_run& added, time_point now)
+{
+    if (!endLimit || now + jobs::criticalPathLength(added.accepted.work) <= *endLimit - answerReserve)
+        return std::nullopt;
+    if (added.mayHaveRun)
+        return error { error_kind::shutdown_limit_reached, "the VM stops before the job could end", std::nullopt };
+    const auto returnAfter = returns.reserve(now, std::chrono::milliseconds(0), returnSpacing);
+    return error { error_kind::shutting_down, "the VM stops before the job could end", returnAfter };
+}
+
 job_router::job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target,
     std::shared_ptr<const admission_policy> admission)
     : m_data(std::make_shared<data>(clock, owner, link, std::move(target), std::move(admission)))
@@ -325,26 +346,45 @@
 std::uint64_t job_router::run(jobs::run_request request, job_completion done)
 {
     std::uint64_t number = 0;
+    std::optional<error> refusal;
     {
         const std::scoped_lock lock(m_data->mutex);
+        const auto now = m_data->clock.now();
         number = ++m_data->lastNumber;
-        pending_run& added = m_data->runs[number];
+        pending_run added;
         added.accepted = std::move(request.accepted);
         added.lentBy = request.lentBy;
-        added.since = m_data->clock.now();
-        added.deadline = added.since + request.timeLeft;
+        added.since = now;
+        added.deadline = std::min(now + request.timeLeft, m_data->endLimit.value_or(time_point::max()));
         added.latestStart = m_data->admission->latestStart({ added.since, added.since + added.accepted.objective, added.deadline,
             jobs::criticalPathLength(added.accepted.work), 0 });
         // The home cell of a lent job may have free capacity again.
         if (added.lentBy)
             added.latestStart = std::min(added.latestStart, added.since + resubmissionLimit);
-        added.done = std::move(done);
         added.mayHaveRun = request.mayHaveStarted;
+        refusal = m_data->refuseForStop(added, now);
+        if (!refusal) {
+            added.done = std::move(done);
+            m_data->runs.emplace(number, std::move(added));
+        }
     }
-    m_data->sendToOwner(number);
+    if (refusal)
+        done(tl::unexpected(std::move(*refusal)));
+    else
+        m_data->sendToOwner(number);
     return number;
 }
 
+void job_router::endBy(time_point limit)
+{
+    const std::scoped_lock lock(m_data->mutex);
+    m_data->endLimit = std::min(limit, m_data->endLimit.value_or(limit));
+    for (auto& [number, current] : m_data->runs) {
+        current.deadline = std::min(current.deadline, limit);
+        current.latestStart = std::min(current.latestStart, limit - jobs::criticalPathLength(current.accepted.work));
+    }
+}
+
 void job_router::withdraw(std::uint64_t number) { m_data->withdraw(number); }
 
 void job_router::withdrawJob(const std::string& jobId)
@@ -370,7 +410,7 @@
     for (const std::uint64_t number : m_data->dueRuns(now, location))
         m_data->sendToOwner(number);
     for (const std::uint64_t number : m_data->expiredRuns(now))
-        m_data->expire(number, false);
+        m_data->expire(number);
 }
 
 void job_router::dropAll()
@@ -382,6 +422,7 @@
 
 void job_router::stop()
 {
+    endBy(m_data->clock.now());
     std::vector<std::uint64_t> numbers;
     {
         const std::scoped_lock lock(m_data->mutex);
@@ -389,7 +430,7 @@
             numbers.push_back(number);
     }
     for (const std::uint64_t number : numbers)
-        m_data->expire(number, true);
+        m_data->expire(number);
 }
 
 std::size_t job_router::waiting() const
@@ -398,6 +439,14 @@
     return m_data->runs.size();
 }
 
+std::size_t job_router::unsettledWithdrawals() const
+{
+    const std::scoped_lock lock(m_data->mutex);
+    const auto settled = m_data->clock.now() + withdrawalRetention - withdrawalTime;
+    return static_cast<std::size_t>(std::count_if(m_data->withdrawnRuns.begin(), m_data->withdrawnRuns.end(),
+        [settled](const withdrawn_run& withdrawn) { return withdrawn.until > settled; }));
+}
+
 std::array<std::uint64_t, abandonReasonCount> job_router::abandonedJobs() const
 {
     const std::scoped_lock lock(m_data->mutex);
--- a/cells/job_router.h
+++ b/cells/job_router.h
@@ -90,11 +90,19 @@
     /// Discards all pending jobs without calling their completions.
     void dropAll();
 
+    /// Ends all jobs by `limit`, because the VM stops. Owners get no more time than that; a new job that needs more is refused
+    /// with `shutting_down`; one that may have run and has not ended by then is withdrawn, and fails with
+    /// `shutdown_limit_reached`.
+    void endBy(time_point limit);
+
     /// Answers all pending jobs with an error that says whether they may have run.
     void stop();
 
     /// Returns the number of pending jobs.
     std::size_t waiting() const;
+    /// Returns the number of withdrawn requests whose runs may still be at work if their owner was lost, so that the next one has
+    /// to be told.
+    std::size_t unsettledWithdrawals() const;
     /// Returns how many jobs were abandoned so far, indexed by `abandon_reason`.
     std::array<std::uint64_t, abandonReasonCount> abandonedJobs() const;
 
--- a/cells/orderly_stop.cpp
+++ b/cells/orderly_stop.cpp
@@ -10,6 +10,8 @@
     constexpr std::chrono::milliseconds shutdownReserve { 600 };
     /// Time in which a VM with little processor time takes a cell over that was released.
     constexpr std::chrono::milliseconds handoverReserve { 500 };
+    /// Time for which the requests that were given up are withdrawn at new owners: `withdrawnRunLimit` and a stop.
+    constexpr std::chrono::milliseconds withdrawalReserve { 700 };
 
 } // namespace
 
@@ -21,11 +23,13 @@
 
 time_point orderly_stop::preferenceLimit() const { return m_limit - handoverReserve; }
 
-bool orderly_stop::mayEnd(time_point now, std::size_t pendingRequests, bool ownsCell) const
+time_point orderly_stop::answerLimit() const { return m_limit - withdrawalReserve; }
+
+bool orderly_stop::mayEnd(time_point now, std::size_t openRequests, bool ownsCell) const
 {
     if (now >= m_limit)
         return true;
-    return now >= m_startedAt + loadBalancerDelay && pendingRequests == 0 && !ownsCell;
+    return now >= m_startedAt + loadBalancerDelay && openRequests == 0 && !ownsCell;
 }
 
 } // namespace coriandermount::cells
--- a/cells/orderly_stop.h
+++ b/cells/orderly_stop.h
@@ -18,9 +18,14 @@
     /// of the grace period to hand the cell over to another VM.
     time_point preferenceLimit() const;
 
+    /// Returns the time by which all callers have to be answered. Until the VM ends, it tells new owners of the cell which of
+    /// these jobs were given up.
+    time_point answerLimit() const;
+
     /// Returns whether the VM may close its connections: the load balancer sends it no more connections, all its callers are
-    /// answered and it owns no cell, or its time is over.
-    bool mayEnd(time_point now, std::size_t pendingRequests, bool ownsCell) const;
+    /// answered and it owns no cell, or its time is over. `openRequests` counts the requests that are not answered or whose
+    /// withdrawal is still repeated.
+    bool mayEnd(time_point now, std::size_t openRequests, bool ownsCell) const;
 
 private:
     time_point m_startedAt;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -551,8 +551,10 @@
     const cells::orderly_stop stop(m_data->clock.now(), m_data->settings.shutdownGrace);
     writeLog(log_level::info, "node", "shutting down", { { "pending", fmt::to_string(m_data->clientServer.pendingRequests()) } });
     m_data->draining.store(true);
+    m_data->router.endBy(stop.answerLimit());
     m_data->member.drain(stop.preferenceLimit());
-    while (!stop.mayEnd(m_data->clock.now(), m_data->clientServer.pendingRequests(), m_data->member.isOwner()))
+    const auto openRequests = [this] { return m_data->clientServer.pendingRequests() + m_data->router.unsettledWithdrawals(); };
+    while (!stop.mayEnd(m_data->clock.now(), openRequests(), m_data->member.isOwner()))
         std::this_thread::sleep_for(shutdownPoll);
     m_data->member.release();
     std::this_thread::sleep_for(releaseDelay);
--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -142,3 +142,57 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_router_that_ends_its_jobs_by_a_time, withdrawn_job)
+
+// Guards against jobs that are accepted although the VM ends before them (issue 44).
+BOOST_AUTO_TEST_CASE(refuses_a_job_that_can_not_end_and_sends_it_to_no_owner)
+{
+    router.endBy(local.loop.now() + 1s);
+    router.run(local.request(0, "b", 1, 1s), [this](const result<jobs::job_state>& answer) { answers.push_back(answer); });
+    BOOST_TEST(requests.size() == 1U);
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((answers[0].error().kind == error_kind::shutting_down));
+    BOOST_TEST(answers[0].error().retryAfter.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(does_not_say_of_a_job_that_may_have_run_that_it_has_not)
+{
+    router.endBy(local.loop.now() + 1s);
+    auto request = local.request(0, "b", 1, 1s);
+    request.mayHaveStarted = true;
+    router.run(std::move(request), [this](const result<jobs::job_state>& answer) { answers.push_back(answer); });
+    BOOST_TEST(requests.size() == 1U);
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((outcomeOf(answers[0]) == outcome::may_have_run));
+}
+
+BOOST_AUTO_TEST_CASE(gives_owners_no_more_time_than_that)
+{
+    router.endBy(local.loop.now() + 1s);
+    sendTo(2);
+    BOOST_TEST(requests.back().timeLeft.count() == 900);
+    router.run(local.request(0, "b", 1, 100ms), [](const auto&) {});
+    BOOST_TEST(requests.back().timeLeft.count() == 900);
+}
+
+// Guards against runs of a stopped VM that nobody tells the next owner of (issue 44).
+BOOST_AUTO_TEST_CASE(withdraws_what_has_not_ended_until_the_runs_are_stopped)
+{
+    router.endBy(local.loop.now() + 1s);
+    local.loop.runFor(1s);
+    router.tick();
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((answers[0].error().kind == error_kind::shutdown_limit_reached));
+    BOOST_TEST(withdrawals.size() == 1U);
+    BOOST_TEST(router.waiting() == 0U);
+    BOOST_TEST(router.unsettledWithdrawals() == 1U);
+    target.epoch = 2;
+    router.tick();
+    BOOST_TEST(withdrawals.size() == 2U);
+    local.loop.runFor(2s);
+    router.tick();
+    BOOST_TEST(router.unsettledWithdrawals() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cells/orderly_stop_test.cpp
+++ b/tests/cells/orderly_stop_test.cpp
@@ -37,4 +37,12 @@
     BOOST_TEST((stop.preferenceLimit() <= start + 5000ms));
 }
 
+// Guards against callers that are answered so late that no later owner can be told of their jobs.
+BOOST_AUTO_TEST_CASE(answers_all_callers_before_it_has_to_end)
+{
+    const orderly_stop stop(start, 6000ms);
+    BOOST_TEST(!stop.mayEnd(stop.answerLimit() + 200ms, 1, false));
+    BOOST_TEST((stop.answerLimit() > start + 4500ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -357,6 +357,7 @@
     if (!isAlive(vm))
         return;
     const orderly_stop stop(loop.now(), stopGrace);
+    m_vms.at(vm)->router.endBy(stop.answerLimit());
     m_vms.at(vm)->member.drain(stop.preferenceLimit());
     continueStop(vm, stop, downtime);
 }
@@ -366,12 +367,16 @@
     const auto found = m_vms.find(name);
     if (found == m_vms.end())
         return;
-    if (!stop.mayEnd(loop.now(), found->second->router.waiting(), found->second->member.isOwner())) {
+    const std::size_t openRequests = found->second->router.waiting() + found->second->router.unsettledWithdrawals();
+    if (!stop.mayEnd(loop.now(), openRequests, found->second->member.isOwner())) {
         loop.after(stopCheckInterval, [this, name, stop, downtime] { continueStop(name, stop, downtime); });
         return;
     }
     found->second->member.release();
     loop.after(releaseDelay, [this, name, downtime] {
+        // The platform ends a frozen VM, which can't answer its callers any more.
+        if (isAlive(name) && !m_vms.at(name)->frozen)
+            m_vms.at(name)->router.stop();
         kill(name);
         loop.after(downtime, [this, name] { start(name); });
     });
