--- a/tests/cells/ownership_test.cpp
+++ b/tests/cells/ownership_test.cpp
@@ -367,4 +367,71 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_was_just_claimed)
+
+namespace {
+
+/// Returns the state of a VM that has claimed the cell of `other` at `now`, and that has received heartbeats until then.
+ownership claimant(time_point now)
+{
+    ownership state = follower(now);
+    state.onOwnerRecord({ 2, self, 1, false }, now);
+    return state;
+}
+
+} // namespace
+
+// Guards against a new owner that stops the runs of VMs that do not know it yet.
+BOOST_AUTO_TEST_CASE(is_known_once_all_peers_that_are_heard_name_its_epoch)
+{
+    const time_point now = start + 1s;
+    ownership state = claimant(now);
+    state.onHeartbeat(heartbeatFrom(other, 2, false, 10ms), now + 50ms);
+    BOOST_TEST(!state.isKnownToPeers(now + 50ms));
+    state.onHeartbeat(heartbeatFrom(third, 2, false, 10ms), now + 60ms);
+    BOOST_TEST(state.isKnownToPeers(now + 60ms));
+}
+
+// Guards against a new owner that waits for VMs that are lost.
+BOOST_AUTO_TEST_CASE(is_known_once_the_peers_that_do_not_know_it_are_silent)
+{
+    const time_point now = start + 1s;
+    ownership state = claimant(now);
+    state.onHeartbeat(heartbeatFrom(third, 2, false, 10ms), now + 60ms);
+    BOOST_TEST(!state.isKnownToPeers(now + 690ms));
+    BOOST_TEST(state.isKnownToPeers(now + 700ms));
+}
+
+// Guards against an owner that has just started, knows no VM yet, and waits for none.
+BOOST_AUTO_TEST_CASE(is_not_known_while_the_owner_may_not_have_heard_its_peers)
+{
+    ownership state(cell, { self, 2 }, {}, start);
+    state.onOwnerRecord({ 4, self, 2, false }, start);
+    BOOST_TEST(!state.isKnownToPeers(start + 390ms));
+    BOOST_TEST(state.isKnownToPeers(start + 400ms));
+}
+
+// Guards against runs that a new owner keeps after the callers of a lost owner have returned.
+BOOST_AUTO_TEST_CASE(tells_when_a_lost_owner_was_last_heard)
+{
+    const time_point now = start + 1s;
+    ownership state = follower(now);
+    BOOST_TEST(!state.previousOwnerSeenAt().has_value());
+    state.onOwnerRecord({ 2, self, 1, false }, now + 600ms);
+    BOOST_REQUIRE(state.previousOwnerSeenAt().has_value());
+    BOOST_TEST((*state.previousOwnerSeenAt() == now));
+}
+
+// Guards against a handover that counts as a loss, whose callers have not left.
+BOOST_AUTO_TEST_CASE(does_not_count_an_owner_that_released_it_as_lost)
+{
+    const time_point now = start + 1s;
+    ownership state = follower(now);
+    state.onOwnerRecord({ 1, other, 1, true }, now + 10ms);
+    state.onOwnerRecord({ 2, self, 1, false }, now + 20ms);
+    BOOST_TEST(!state.previousOwnerSeenAt().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
