--- /dev/null
+++ b/tests/soak/play.py
@@ -0,0 +1,680 @@
+"""One play of the soak: real entry daemons against the stand-ins of this folder, disturbed as the seed says.
+
+    play.py PROGRAM SEED SECONDS FOLDER [--large]
+
+Prints what happened; FOLDER/summary.json holds the counts. Exit status: 0 without violations, 1 with some, 2 if it could not run."""
+
+import asyncio
+import ctypes
+import json
+import os
+import random
+import re
+import signal
+import socket
+import sys
+import time
+
+import wire
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+RETRANSMIT_S = 1.3
+GRACE_S = 6
+RESTART_S = 0.5
+KILL_GRACE_S = 0.05
+STABLE_WINDOW_S = 3
+# A stand-in or a VM that continues after a pause needs a moment to notice it.
+WAKE_S = 0.02
+# Lag of this process from which a moment says nothing about how soon a VM answers.
+LAG_S = 0.2
+QUIET_S = 4
+READY_LIMIT_S = 30
+SUBMISSIONS = 3
+FRONT, READY, CONTROL, PEER_FIRST, PEER_LAST = 8161, 8167, 8166, 7720, 7735
+HOST, SERVICE = "soak.example", "soak-service"
+LENGTHS_MS = (50, 170, 300, 500, 760, 1000, 1300, 1600, 1800, 2000)
+COUNTS = (1, 1, 2, 2, 3, 4, 8)
+KINDS = {"roll": 5, "freeze": 2, "term_frozen": 1, "kill": 2, "starve": 2, "pause_workers": 2, "late": 2, "store_down": 1,
+         "store_loses": 2, "hup": 1, "config": 1}
+LIBC = ctypes.CDLL(None)
+
+
+def die_with_parent():
+    pr_set_pdeathsig = 1
+    LIBC.prctl(pr_set_pdeathsig, signal.SIGKILL)
+
+
+def overlap(low, high, spans):
+    """Returns how much of the time from `low` to `high` lies outside `spans`."""
+    left = [(low, high)]
+    for start, end in spans:
+        left = [part for first, last in left for part in ((first, min(last, start)), (max(first, end), last)) if part[0] < part[1]]
+    return sum(last - first for first, last in left)
+
+
+class Process:
+    """A process of the play. `spans` holds the times for which it was stopped by SIGSTOP."""
+
+    def __init__(self, name, command, output, environment=None):
+        self.name, self.command, self.output, self.environment = name, command, output, environment
+        self.process = None
+        self.spans = []
+        self.stops = 0
+
+    async def start(self):
+        with open(self.output, "ab") as output:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.command, stdin=asyncio.subprocess.DEVNULL, stdout=output, stderr=output, env=self.environment,
+                preexec_fn=die_with_parent)
+
+    def is_running(self):
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number):
+        if self.is_running():
+            try:
+                self.process.send_signal(number)
+            except ProcessLookupError:
+                pass
+
+    async def pause(self, seconds):
+        """Stops the process for a time. Pauses may overlap; it continues at the end of the last."""
+        if not self.is_running():
+            return
+        process = self.process
+        self.stops += 1
+        if self.stops == 1:
+            self.spans.append([time.monotonic(), float("inf")])
+            self.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.stops -= 1
+        if self.stops == 0:
+            self.spans[-1][1] = time.monotonic() + WAKE_S
+            if process is self.process:
+                self.signal(signal.SIGCONT)
+
+
+class Vm(Process):
+    def __init__(self, play, name, domain, ip):
+        self.settings = os.path.join(play.folder, name + ".toml")
+        environment = {"PATH": os.environ.get("PATH", "/usr/bin:/bin"), "HOME": "/tmp", "LANG": "C.UTF-8",
+                       "CORIANDERMOUNT_BOOT": self.settings}
+        super().__init__(name, [play.program], os.path.join(play.folder, name + ".log"), environment)
+        self.play, self.domain, self.ip = play, domain, ip
+        self.front, self.ready = f"{ip}:{FRONT}", f"{ip}:{READY}"
+        self.told = False
+        self.restarting = None
+        # Times of disruptions as [from, to].
+        self.disturbed = []
+        self.idle = []
+
+    def write_settings(self, bootstrap, extra=""):
+        play = self.play
+        seeds = [f"{vm.ip}:{CONTROL}" for vm in list(play.vms.values())[:3]]
+        domains = "\n".join(f"{domain} = \"soak-region\"" for domain in play.domains)
+        text = f"""node_name = "{self.name}"
+role = "entry"
+machine_class = "edge"
+serves = ["edge"]
+ip = "{self.ip}"
+zone = "{self.domain}"
+region = "soak-region"
+port_range = [{PEER_FIRST},{PEER_LAST}]
+seeds = {json.dumps(seeds)}
+bootstrap = {str(bootstrap).lower()}
+discovery = "platform"
+entry = "vip"
+heartbeat_ms = 1500
+contracts = ["base","drain","config","recover","sched","platform"]
+control_mode = "push"
+{extra}
+[zones]
+{domains}
+[listen]
+front = "{self.front}"
+ready = "{self.ready}"
+control = "{self.ip}:{CONTROL}"
+[limits]
+cpu_share = 0.5
+cores = 1
+memory_mb = 260
+max_fds = 4100
+link_mbps = 1000.0
+disk_mb = 0
+[bounds]
+stable_window_ms = {STABLE_WINDOW_S * 1000}
+drain_ms = 2000
+grace_s = {GRACE_S}
+loss_slack_ms = 200
+config_apply_ms = 2000
+recovery_s = 12
+max_hold_ms = 1000
+kill_grace_ms = {int(KILL_GRACE_S * 1000)}
+cancel_ms = 3000
+visible_ms = 3000
+finish_s = 14
+status_s = 120
+fencing_enforced = true
+lease_ms = 3000
+thaw_ms = 300
+retransmit_ms = {int(RETRANSMIT_S * 1000)}
+[platform]
+addr = "{play.store_address}"
+form = "log"
+writes_per_s = 800
+reads_per_s = 2000
+parts = 32
+append_ms = 2.0
+partition_mb_s = 20.0
+read_mb_s = 80.0
+max_record_bytes = 262144
+max_call_bytes = 2097152
+keep_s = 300
+partition_mb = 200
+min_ttl_ms = 1000
+"""
+        temporary = self.settings + ".new"
+        with open(temporary, "w", encoding="utf-8") as file:
+            file.write(text)
+        os.replace(temporary, self.settings)
+
+    async def start(self):
+        self.told = False
+        await super().start()
+        asyncio.ensure_future(self.watch(self.process))
+
+    async def watch(self, process):
+        """Reports a VM that ends without having been told, or that ends its orderly stop with an error."""
+        status = await process.wait()
+        if self.play.is_closing:
+            return
+        if not self.told:
+            self.play.violation("ENDED", f"{self.name} ended by itself with status {status}")
+        elif status not in (0, -signal.SIGKILL):
+            self.play.violation("ENDED", f"{self.name} ended its stop with status {status}")
+
+    async def stop_and_restart(self, number):
+        """Sends SIGTERM or SIGKILL, kills after the grace period, and starts the VM again."""
+        if not self.is_running() or self.told:
+            return
+        self.told = True
+        self.play.note(f"{signal.Signals(number).name} for {self.name}")
+        span = [time.monotonic(), float("inf")]
+        self.disturbed.append(span)
+        process = self.process
+        self.signal(number)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE_S)
+        except asyncio.TimeoutError:
+            self.play.note(f"{self.name} has not ended within its grace and is killed")
+            self.play.killed_after_grace += 1
+            self.signal(signal.SIGKILL)
+            await process.wait()
+        while self.idle:
+            self.idle.pop().close()
+        await asyncio.sleep(RESTART_S)
+        await self.start()
+        span[1] = time.monotonic()
+
+    async def freeze(self, seconds):
+        span = [time.monotonic(), float("inf")]
+        self.disturbed.append(span)
+        await self.pause(seconds)
+        span[1] = time.monotonic()
+
+
+class Play:
+    def __init__(self, program, seed, seconds, folder, large):
+        self.program, self.seed, self.seconds, self.folder = os.path.abspath(program), seed, seconds, folder
+        self.dice = random.Random(seed)
+        self.began = time.monotonic()
+        self.is_closing = False
+        self.violations, self.notes = [], []
+        self.answers, self.unanswered = {}, {}
+        self.jobs = {}
+        self.lags = []
+        self.killed_after_grace = 0
+        self.version = 100
+        self.done_kinds = {}
+        self.processes = []
+        if large:
+            self.vms_each, self.workers_each, self.together = [10] * 4, [25] * 4, 5
+        else:
+            count = self.dice.randint(2, 4)
+            self.vms_each = [self.dice.randint(2, 4) for _ in range(count)]
+            self.workers_each, self.together = [self.dice.randint(3, 6) for _ in range(count)], 1
+        self.domains = [f"domain-{chr(ord('a') + number)}" for number in range(len(self.vms_each))]
+        self.rate = (1.0 if large else 1.6) * sum(self.workers_each)
+        self.vms, self.workers = {}, {}
+
+    def note(self, text):
+        self.notes.append((time.monotonic() - self.began, text))
+
+    def violation(self, rule, text):
+        self.violations.append((rule, text))
+        self.note(f"{rule}: {text}")
+
+    # Set-up.
+
+    def reserve_network(self):
+        """Picks 127.N.0.0/16 with all ports free. A listener on a fixed address of it keeps other plays away."""
+        numbers = list(range(16, 250))
+        random.SystemRandom().shuffle(numbers)
+        for number in numbers:
+            guard = socket.socket()
+            try:
+                guard.bind((f"127.{number}.255.1", FRONT))
+                guard.listen(1)
+                for domain, count in enumerate(self.vms_each):
+                    for index in range(count):
+                        for port in (FRONT, READY, CONTROL, *range(PEER_FIRST, PEER_LAST + 1)):
+                            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                                with socket.socket(socket.AF_INET, kind) as probe:
+                                    probe.bind((f"127.{number}.{domain + 1}.{index + 1}", port))
+            except OSError:
+                guard.close()
+                continue
+            self.guard = guard
+            return f"127.{number}"
+        raise RuntimeError("no free loopback addresses")
+
+    async def set_up(self):
+        network = self.reserve_network()
+        self.store_address = f"{network}.0.1:{FRONT}"
+        python = [sys.executable, "-S", "-E", "-B"]
+        store = Process("store", python + [os.path.join(HERE, "store.py"), self.store_address, "32"],
+                        os.path.join(self.folder, "store.log"))
+        self.processes.append(store)
+        await store.start()
+        await self.until_served(store, "serving")
+        await self.configure({})
+        for number, domain in enumerate(self.domains):
+            listed = [f"w-{domain[-1]}-{index}={network}.{number + 101}.{index + 1}:{FRONT}"
+                      for index in range(self.workers_each[number])]
+            for first in range(0, len(listed), self.together):
+                group = listed[first:first + self.together]
+                process = Process(f"workers-{domain[-1]}-{first}", python + [
+                    os.path.join(HERE, "workers.py"), self.store_address, domain, SERVICE, *group],
+                    os.path.join(self.folder, f"workers-{domain[-1]}-{first}.log"))
+                self.processes.append(process)
+                for item in group:
+                    self.workers[item.split("=")[0]] = (process, item.split("=")[1])
+                await process.start()
+            for index in range(self.vms_each[number]):
+                vm = Vm(self, f"vm-{domain[-1]}-{index}", domain, f"{network}.{number + 1}.{index + 1}")
+                self.vms[vm.name] = vm
+                self.processes.append(vm)
+        for process in {id(process): process for process, _ in self.workers.values()}.values():
+            await self.until_served(process, "serving")
+        for vm in self.vms.values():
+            vm.write_settings(True)
+        for vm in self.vms.values():
+            await vm.start()
+            vm.write_settings(False)
+        if not await self.until_ready():
+            raise RuntimeError("the VMs do not become ready")
+        await asyncio.sleep(1)
+
+    async def until_served(self, process, word):
+        for _ in range(600):
+            with open(process.output, "rb") as file:
+                if word.encode() in file.read():
+                    return
+            if not process.is_running():
+                break
+            await asyncio.sleep(0.05)
+        raise RuntimeError(f"{process.name} does not start")
+
+    async def until_ready(self):
+        end = time.monotonic() + READY_LIMIT_S
+        while time.monotonic() < end:
+            answers = await asyncio.gather(*(wire.call_once(vm.ready, "GET", "/api/readyz") for vm in self.vms.values()))
+            if all(status == 200 for status, _ in answers):
+                return True
+            await asyncio.sleep(0.2)
+        return False
+
+    async def configure(self, extra, timeout_ms=8000):
+        self.version += self.dice.randint(1, 5)
+        routes = [{"name": "main", "host": HOST, "path_prefix": "/main/", "service": SERVICE, "timeout_ms": timeout_ms,
+                   "priority": 0, "max_attempts": 3, "slack_factor": 2, "target_latency_ms": 60}]
+        routes += [{**routes[0], "name": name, "path_prefix": f"/{name}/"} for name in sorted(extra)]
+        body = {"version": self.version, "routes": routes, "limits": {},
+                "services": [{"name": SERVICE, "health_path": "/healthz", "admission_control": True}]}
+        await wire.call_once(self.store_address, "POST", "/standin/put?topic=keyed.op&part=0&key=config", json.dumps(body).encode())
+
+    # Callers.
+
+    async def connect(self):
+        """Returns a VM and a connection to it: often one that is open already, else a new one to any VM."""
+        if self.dice.random() < 0.75:
+            open_ones = [vm for vm in self.vms.values() if vm.idle]
+            if open_ones:
+                vm = self.dice.choice(open_ones)
+                while vm.idle:
+                    connection = vm.idle.pop()
+                    if connection.is_open():
+                        return vm, connection
+                    connection.close()
+        vm = self.dice.choice(list(self.vms.values()))
+        try:
+            return vm, await asyncio.wait_for(wire.Connection.open(vm.front), 1)
+        except (OSError, asyncio.TimeoutError):
+            return vm, None
+
+    async def submit(self, job, body, wait, submissions):
+        """Sends a job once and returns the status, or None when there was no answer."""
+        vm, connection = await self.connect()
+        if connection is None:
+            return None
+        process = vm.process
+        sent = time.monotonic()
+        closes = self.dice.random() < 0.1
+        headers = [("Host", HOST), ("Coriandermount-Deadline-Ms", str(int(wait * 1000)))]
+        headers += [("Connection", "close")] if closes else []
+        status, keep, how = None, False, "timeout"
+        try:
+            status, answered, _ = await asyncio.wait_for(connection.call("POST", f"/main/{job}", body, headers), wait)
+            told_to_close = answered.get("connection", "").lower() == "close"
+            keep = not closes and not (told_to_close and self.dice.random() < 0.5)
+        except asyncio.TimeoutError:
+            pass
+        except (OSError, EOFError, ValueError):
+            how = "broken"
+        finally:
+            if keep and connection.is_open() and vm.process is process:
+                vm.idle.append(connection)
+            else:
+                connection.close()
+        ended = time.monotonic()
+        submissions.append((vm.name, sent - self.began, ended - self.began, status if status is not None else how))
+        self.answers[status if status is not None else how] = self.answers.get(status if status is not None else how, 0) + 1
+        if status is None:
+            self.check_unanswered(job, vm, process, sent, ended, how)
+        return status
+
+    def check_unanswered(self, job, vm, process, sent, ended, how):
+        low = sent - STABLE_WINDOW_S
+        if vm.process is not process or any(start < ended and end > low for start, end in vm.disturbed):
+            return
+        if overlap(low, ended, self.lags) < ended - low - 0.001:
+            return
+        self.violation("UNANSWERED", f"job {job}: {vm.name} did not answer ({how}), sent {sent - self.began:.3f}, "
+                                     f"left {ended - self.began:.3f}")
+
+    def new_job(self):
+        job = f"{self.dice.getrandbits(64):016x}"
+        ms, count = self.dice.choice(LENGTHS_MS), self.dice.choice(COUNTS)
+        phase = {"count": count, "cpu": 2000, "mem_mb": 64, "estimate_ms": ms}
+        phases = [phase]
+        if ms <= 500 and self.dice.random() < 0.2:
+            phases.append({**phase, "count": 1, "after": [0]})
+        spec = json.dumps({"ms": ms, "cpu": 2000})
+        body = json.dumps({"spec": spec, "best_effort": True, "phases": phases}).encode()
+        return job, body, max(1.5, len(phases) * ms / 1000 + 0.7)
+
+    async def caller(self):
+        job, body, wait = self.new_job()
+        submissions = self.jobs.setdefault(job, [])
+        for _ in range(SUBMISSIONS):
+            status = await self.submit(job, body, wait, submissions)
+            if status not in (None, 502, 504):
+                return
+            await asyncio.sleep(RETRANSMIT_S)
+
+    async def quiet_caller(self):
+        """Submits a job after the disruptions until it is served, as a caller with patience does."""
+        job, body, wait = self.new_job()
+        submissions = self.jobs.setdefault(job, [])
+        for _ in range(6):
+            status = await self.submit(job, body, wait + 1, submissions)
+            if status == 200:
+                return
+            await asyncio.sleep(RETRANSMIT_S)
+        self.violation("UNSERVED", f"job {job}, submitted after the last disruption: {submissions}")
+
+    # Disruptions.
+
+    async def roll(self):
+        order = list(self.vms.values())
+        self.dice.shuffle(order)
+        distance = self.dice.uniform(0.2, 0.6)
+        self.note(f"roll, {distance:.2f} s apart")
+        tasks = []
+        for vm in order:
+            tasks.append(asyncio.ensure_future(vm.stop_and_restart(signal.SIGTERM)))
+            await asyncio.sleep(distance)
+        await asyncio.gather(*tasks)
+
+    async def freeze(self):
+        vm, seconds = self.dice.choice(list(self.vms.values())), self.dice.uniform(0.5, 6)
+        self.note(f"freeze of {vm.name} for {seconds:.2f} s")
+        await vm.freeze(seconds)
+
+    async def term_frozen(self):
+        vm, seconds = self.dice.choice(list(self.vms.values())), self.dice.uniform(1, 5)
+        self.note(f"freeze of {vm.name} for {seconds:.2f} s")
+        frozen = asyncio.ensure_future(vm.freeze(seconds))
+        await asyncio.sleep(self.dice.uniform(0, 0.8 * seconds))
+        await asyncio.gather(frozen, vm.stop_and_restart(signal.SIGTERM))
+
+    async def kill(self):
+        vms = self.dice.sample(list(self.vms.values()), self.dice.choice([1, 1, 2]))
+        await asyncio.gather(*(vm.stop_and_restart(signal.SIGKILL) for vm in vms))
+
+    async def starve(self):
+        vms = self.dice.sample(list(self.vms.values()), self.dice.randint(1, min(3, len(self.vms))))
+        end = time.monotonic() + self.dice.uniform(3, 8)
+        self.note(f"12 ms of every 100 ms for {', '.join(vm.name for vm in vms)}")
+
+        async def slowed(vm):
+            span = [time.monotonic(), float("inf")]
+            vm.disturbed.append(span)
+            while time.monotonic() < end:
+                await vm.pause(0.088)
+                await asyncio.sleep(0.012)
+            span[1] = time.monotonic()
+
+        await asyncio.gather(*(slowed(vm) for vm in vms))
+
+    async def pause_workers(self):
+        processes = list({id(process): process for process, _ in self.workers.values()}.values())
+        chosen = self.dice.sample(processes, min(4, len(processes)))
+        tasks = []
+        for process in chosen:
+            seconds = self.dice.uniform(0.2, 1.2)
+            self.note(f"{process.name} pauses for {seconds:.2f} s")
+            tasks.append(process.pause(seconds))
+        await asyncio.gather(*tasks)
+
+    async def late(self):
+        share, seconds = self.dice.choice([0.1, 0.2, 0.3]), self.dice.uniform(2, 5)
+        self.note(f"a share of {share} of the orders is late for {seconds:.2f} s")
+        await asyncio.gather(*(wire.call_once(address, "POST", f"/standin/late?seconds={seconds}&share={share}")
+                               for _, address in self.workers.values()))
+        await asyncio.sleep(seconds)
+
+    async def store_down(self):
+        seconds, silent = self.dice.uniform(0.5, 4), self.dice.randint(0, 1)
+        self.note(f"store down for {seconds:.2f} s, {'without answers' if silent else '503'}")
+        await wire.call_once(self.store_address, "POST", f"/standin/down?seconds={seconds}&silent={silent}")
+        await asyncio.sleep(seconds)
+
+    async def store_loses(self):
+        seconds = self.dice.uniform(1, 4)
+        self.note(f"store loses answers for {seconds:.2f} s")
+        await wire.call_once(self.store_address, "POST", f"/standin/lose?seconds={seconds}&share=0.3")
+        await asyncio.sleep(seconds)
+
+    async def hup(self):
+        for vm in self.vms.values():
+            if vm.is_running() and not vm.told:
+                vm.write_settings(False, "note = \"changed\"")
+                vm.signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+        self.note("SIGHUP for all VMs")
+
+    async def config(self):
+        self.note("config: a route comes, time-out changes, the route goes")
+        name = f"extra-{self.dice.randint(0, 99)}"
+        for extra, timeout_ms in (({name}, 8000), ({name}, 5000), ({}, 8000)):
+            await self.configure(extra, timeout_ms)
+            await asyncio.sleep(self.dice.uniform(0.3, 1.5))
+
+    async def series(self, dice, end, first):
+        """Plays disruptions one after another. Each series has dice of its own, so that its draws don't depend on the others."""
+        kind = first
+        while True:
+            await asyncio.sleep(dice.uniform(0.2, 2.5))
+            if time.monotonic() > end:
+                return
+            kind = kind or dice.choices(list(KINDS), list(KINDS.values()))[0]
+            self.done_kinds[kind] = self.done_kinds.get(kind, 0) + 1
+            await getattr(self, kind)()
+            kind = None
+
+    async def measure_lag(self):
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.02)
+            now = time.monotonic()
+            if now - before > LAG_S:
+                self.lags.append((before, now))
+
+    # Checks.
+
+    def events(self):
+        for process in {id(process): process for process, _ in self.workers.values()}.values():
+            with open(process.output, encoding="utf-8", errors="replace") as lines:
+                for line in lines:
+                    try:
+                        event = json.loads(line)
+                    except ValueError:
+                        continue
+                    if "worker" in event:
+                        yield event
+
+    def check_runs(self):
+        runs, stops = {}, {}
+        for event in self.events():
+            key = (event["task"], event["worker"], event["attempt"])
+            if event["event"] == "start":
+                runs[key] = {"from": event["t"], "to": float("inf"), "how": "running", "token": event["token"]}
+            elif event["event"] == "end":
+                runs[key].update(to=event["t"], how=event["how"])
+            else:
+                stops.setdefault(key, event["t"])
+        by_task = {}
+        for (task, worker, attempt), run in runs.items():
+            by_task.setdefault(task, []).append({**run, "worker": worker, "attempt": attempt,
+                                                 "stop": stops.get((task, worker, attempt))})
+        for task, same in by_task.items():
+            job = task.split(".")[0]
+            statuses = [submission[3] for submission in self.jobs.get(job, [])]
+            if statuses and all(status in (429, 503) for status in statuses):
+                self.violation("REFUSED", f"task {task} has started, but its job was refused: {self.jobs[job]}")
+            same.sort(key=lambda run: run["from"])
+            for index, first in enumerate(same):
+                for second in same[index + 1:]:
+                    spans = [span for run in (first, second) for span in self.workers[run["worker"]][0].spans]
+                    together = overlap(second["from"], min(first["to"], second["to"]), spans)
+                    if together > KILL_GRACE_S:
+                        self.violation("TWICE", f"task {task}: {together:.3f} s together; " + "; ".join(
+                            f"{run['from'] - self.began:.3f} to {run['to'] - self.began:.3f} {run['how']} on {run['worker']}, "
+                            f"attempt {run['attempt']}, token {run['token']}, first stop "
+                            + (f"{run['stop'] - self.began:.3f}" if run["stop"] else "none") for run in (first, second))
+                            + f"; submissions {[(vm, round(sent, 3), round(end, 3), how) for vm, sent, end, how in self.jobs.get(job, [])]}")
+        return runs
+
+    def vm_lines(self):
+        for vm in self.vms.values():
+            with open(vm.output, encoding="utf-8", errors="replace") as lines:
+                for line in lines:
+                    yield vm.name, line.rstrip()
+
+    def report(self):
+        runs = self.check_runs()
+        abandoned = {}
+        broken_jobs = set(re.findall(r"\b[0-9a-f]{16}\b", " ".join(text for _, text in self.violations)))
+        named = []
+        for name, line in self.vm_lines():
+            if "abandoned a job" in line:
+                found = re.search(r"\"?reason\"?\s*[:=]\s*\"?([\w-]+)", line) or re.search(r"\"?outcome\"?\s*[:=]\s*\"?([\w-]+)", line)
+                reason = found.group(1) if found else "none given"
+                abandoned[reason] = abandoned.get(reason, 0) + 1
+            if any(job in line for job in broken_jobs):
+                named.append(f"    {name}: {line[:600]}")
+        if self.violations:
+            for when, text in sorted(self.notes):
+                print(f"  {when:8.3f} {text}")
+            print("\n".join(named[:200]))
+        rules = {}
+        for rule, _ in self.violations:
+            rules[rule] = rules.get(rule, 0) + 1
+        return {"seed": self.seed, "vms": self.vms_each, "workers": self.workers_each, "disruptions": self.done_kinds,
+                "jobs": len(self.jobs), "answers": {str(key): value for key, value in sorted(self.answers.items(), key=str)},
+                "runs": len(runs), "abandoned": abandoned, "killed_after_grace": self.killed_after_grace,
+                "lagged_s": round(sum(end - start for start, end in self.lags), 1), "violations": rules}
+
+    async def run(self):
+        await self.set_up()
+        self.began = time.monotonic()
+        self.note(f"seed {self.seed}: VMs {self.vms_each}, workers {self.workers_each}")
+        lag = asyncio.ensure_future(self.measure_lag())
+        end = self.began + self.seconds
+        dice = random.Random(self.seed * 1000003)
+        firsts = ["roll"] + [None] * dice.randint(0, 2)
+        series = [asyncio.ensure_future(self.series(random.Random(self.seed * 1000003 + number + 1), end, first))
+                  for number, first in enumerate(firsts)]
+        callers = []
+        while time.monotonic() < end:
+            callers.append(asyncio.ensure_future(self.caller()))
+            await asyncio.sleep(self.dice.expovariate(self.rate))
+        await asyncio.gather(*series)
+        await asyncio.gather(*callers)
+        self.note("quiet")
+        if not await self.until_ready():
+            self.violation("UNSERVED", f"not all VMs are ready {READY_LIMIT_S} s after the last disruption")
+        await asyncio.sleep(STABLE_WINDOW_S)
+        end = time.monotonic() + QUIET_S
+        callers = []
+        while time.monotonic() < end:
+            callers.append(asyncio.ensure_future(self.quiet_caller()))
+            await asyncio.sleep(0.2)
+        await asyncio.gather(*callers)
+        lag.cancel()
+
+    async def close(self):
+        self.is_closing = True
+        for vm in self.vms.values():
+            while vm.idle:
+                vm.idle.pop().close()
+        for process in self.processes:
+            process.signal(signal.SIGKILL)
+        for process in self.processes:
+            if process.process is not None:
+                await process.process.wait()
+
+
+async def main():
+    program, seed, seconds, folder = sys.argv[1], int(sys.argv[2]), float(sys.argv[3]), sys.argv[4]
+    play = Play(program, seed, seconds, folder, "--large" in sys.argv[5:])
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    try:
+        await play.run()
+    except (Exception, asyncio.CancelledError) as problem:  # pylint: disable=broad-except
+        print(f"  could not run: {type(problem).__name__} {problem}")
+        return 2
+    finally:
+        await play.close()
+    summary = play.report()
+    with open(os.path.join(folder, "summary.json"), "w", encoding="utf-8") as file:
+        json.dump(summary, file)
+    print(json.dumps(summary))
+    return 1 if summary["violations"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- /dev/null
+++ b/tests/soak/workers.py
@@ -0,0 +1,183 @@
+"""Stand-in for workers of the platform. One process carries the workers of one failure domain that pause together.
+
+    workers.py STORE DOMAIN SERVICE ID=ADDRESS...
+
+Each worker has a clock, leases, fencing tokens and a list of ends of its own. Starts, ends and stops go to standard output, one JSON
+object a line, with the time of the steady clock."""
+
+import asyncio
+import json
+import random
+import sys
+import time
+
+import wire
+
+HEARTBEAT_S = 1.5
+MAX_HOLD_MS = 1000
+MOST_ENDS = 500
+CAPACITY = {"cpu": 16000, "mem_mb": 32000, "gpu": 0}
+LONGEST_STOP_S = 0.04
+
+
+def note(**fields):
+    print(json.dumps({"t": time.monotonic(), **fields}), flush=True)
+
+
+class Worker:
+    def __init__(self, name, address):
+        self.name, self.address = name, address
+        self.born = int(time.time() * 1000)
+        self.started = time.monotonic()
+        self.rate = random.uniform(0.98, 1.0)
+        self.offset = random.randint(1000, 900000)
+        self.token = 0
+        self.lease = 0
+        self.runs = {}
+        self.ended_up_to = {}
+        self.ends = []
+        self.last_end = 0
+        self.changed = asyncio.Event()
+        self.late_until = 0.0
+        self.late_share = 0.0
+        self.timer = None
+
+    def clock(self):
+        return self.offset + int((time.monotonic() - self.started) * 1000 * self.rate)
+
+    def end(self, key, how):
+        run = self.runs.pop(key)
+        task, attempt = key
+        self.ended_up_to[task] = max(self.ended_up_to.get(task, 0), attempt)
+        self.last_end += 1
+        self.ends.append([self.last_end, task, attempt, how, ""])
+        note(event="end", worker=self.name, task=task, attempt=attempt, how=how, token=run["token"])
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def advance(self):
+        """Carries out what is due: ends of work and stops before the lease, and the lease's end."""
+        now, clock = time.monotonic(), self.clock()
+        lapsed_at = now - (clock - self.lease) / 1000 / self.rate if clock >= self.lease else float("inf")
+        for key, run in sorted(self.runs.items(), key=lambda item: item[1]["until"]):
+            if run["until"] <= min(now, lapsed_at):
+                self.end(key, run["how"])
+            elif lapsed_at <= now:
+                self.end(key, "lapsed")
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        if self.runs:
+            due = min([run["until"] for run in self.runs.values()] + [now + max(1, self.lease - clock) / 1000 / self.rate])
+            self.timer = asyncio.get_running_loop().call_at(due + 0.001, self.advance)
+
+    def hold(self, fields):
+        if "deadline_ms" in fields:
+            self.lease = max(self.lease, min(int(fields["deadline_ms"]), self.clock() + MAX_HOLD_MS))
+
+    def refuse(self, reason):
+        return 409, {"clock_ms": self.clock(), "reason": reason, "born": self.born}
+
+    def start(self, fields):
+        task, attempt = fields["task"], fields["attempt"]
+        work = json.loads(fields["spec"])
+        if int(fields["deadline_ms"]) <= self.clock():
+            return self.refuse("late")
+        if (task, attempt) in self.runs:
+            self.hold(fields)
+            return 200, {"clock_ms": self.clock(), "born": self.born}
+        known = [run for name, run in self.runs if name == task]
+        if attempt <= max([self.ended_up_to.get(task, 0)] + known):
+            self.hold(fields)
+            return self.refuse("old")
+        if sum(run["cpu"] for run in self.runs.values()) + work["cpu"] > CAPACITY["cpu"]:
+            self.hold(fields)
+            return self.refuse("room")
+        self.hold(fields)
+        self.runs[task, attempt] = {"began": time.monotonic(), "until": time.monotonic() + work["ms"] / 1000, "how": "done",
+                                    "ms": work["ms"], "cpu": work["cpu"], "token": fields["fencing_token"]}
+        note(event="start", worker=self.name, task=task, attempt=attempt, token=fields["fencing_token"])
+        self.advance()
+        return 200, {"clock_ms": self.clock(), "born": self.born}
+
+    def stop(self, fields):
+        task, attempt = fields["task"], fields["attempt"]
+        self.ended_up_to[task] = max(self.ended_up_to.get(task, 0), attempt)
+        for (name, number), run in self.runs.items():
+            if name == task and number <= attempt and run["how"] == "done":
+                note(event="stop", worker=self.name, task=task, attempt=number, token=fields["fencing_token"])
+                stopped = time.monotonic() + random.uniform(0.005, LONGEST_STOP_S)
+                if stopped < run["until"]:
+                    run["until"], run["how"] = stopped, "stopped"
+        self.advance()
+        return 200, {"clock_ms": self.clock(), "born": self.born}
+
+    async def poll(self, fields):
+        self.hold(fields)
+        self.advance()
+        acknowledged = int(fields.get("ack_seq", 0))
+        self.ends = [row for row in self.ends if row[0] > acknowledged]
+        until = time.monotonic() + min(int(fields.get("wait_ms", 0)), 2000) / 1000
+        while not any(row[0] > acknowledged for row in self.ends) and (left := until - time.monotonic()) > 0:
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                break
+        self.advance()
+        now = time.monotonic()
+        running = [[task, attempt, "", min(100, int(100 * (now - run["began"]) / (run["ms"] / 1000))), 0]
+                   for (task, attempt), run in self.runs.items()]
+        rows = [row for row in self.ends if row[0] > acknowledged][:MOST_ENDS]
+        return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "finished": rows}
+
+    async def carry_out(self, path, fields):
+        self.advance()
+        token = int(fields.get("fencing_token", 0))
+        if token < self.token:
+            return self.refuse("fence")
+        self.token = token
+        if path == "/api/run-start":
+            return self.start(fields)
+        if path == "/api/run-stop":
+            return self.stop(fields)
+        return await self.poll(fields)
+
+    async def handle(self, method, path, query, headers, body):
+        if path == "/standin/late":
+            self.late_until = time.monotonic() + float(query["seconds"])
+            self.late_share = float(query["share"])
+            return 200, {}
+        if path == "/healthz":
+            return 200, {}
+        if path not in ("/api/run-start", "/api/run-stop", "/api/hold"):
+            return 404, {}
+        if headers.get("coriandermount-expect-instance", self.name) != self.name:
+            return 421, {"clock_ms": self.clock()}
+        fields = json.loads(body)
+        if time.monotonic() < self.late_until and random.random() < self.late_share:
+            delay = random.choice([0, random.uniform(0.05, 3)])
+            asyncio.get_running_loop().call_later(delay, lambda: asyncio.ensure_future(self.carry_out(path, fields)))
+            raise wire.Silent
+        return await self.carry_out(path, fields)
+
+    async def register(self, store, domain, service):
+        sequence = 0
+        while True:
+            sequence += 1
+            entry = {"service": service, "addr": self.address, "zone": domain, "version": "1", "slots": 8, "state": "ready",
+                     "cold_left_ms": 0, "sequence": sequence, "capacity": CAPACITY, "labels": ["common", f"r{domain}-1"],
+                     "born": self.born, "machine": f"m-{self.name}"}
+            await wire.call_once(
+                store, "POST", f"/standin/put?topic=keyed.servers&part=0&key={self.name}", json.dumps(entry).encode())
+            await asyncio.sleep(HEARTBEAT_S)
+
+
+async def main():
+    store, domain, service, *listed = sys.argv[1:]
+    workers = [Worker(*item.split("=")) for item in listed]
+    servers = [await wire.serve(worker.address, worker.handle) for worker in workers]
+    print(json.dumps({"event": "serving", "workers": len(servers)}), flush=True)
+    await asyncio.gather(*(worker.register(store, domain, service) for worker in workers))
+
+
+asyncio.run(main())
