cells: End the runs of callers that have left before a cell is handed over

Cause: an owner lets the runs of a caller that has left go on for up to 0.5 s. If it handed its cell over meanwhile, it forgot them, and the next owner kept them as runs whose jobs might be submitted again, beside the resubmission in another domain.

Change: such jobs are given up, and their runs stopped, before the term ends.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -231,7 +231,9 @@
     m_data->locked([&] {
         if (m_data->phase == owner_phase::idle)
             return;
-        m_data->storeUnstoredEnds(m_data->clock.now());
+        const auto now = m_data->clock.now();
+        m_data->endWithdrawnJobs(now);
+        m_data->storeUnstoredEnds(now);
         m_data->endTerm();
     });
 }
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -279,6 +279,8 @@
     void stopOrphans(const std::string& id, time_point now);
     /// Ends, or lets end, a job that no caller waits for any more.
     void withdrawJob(open_job& job, time_point now);
+    /// Ends the jobs whose callers have left, because the next owner can't tell their runs from those of callers that wait.
+    void endWithdrawnJobs(time_point now);
     /// Ends and removes a job. `job` is not valid afterwards.
     void discardWithdrawnJob(open_job& job, withdrawal_outcome outcome);
     void noteWithdrawal(const std::string& id, withdrawal_outcome outcome);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -137,6 +137,15 @@
     }
 }
 
+void cell_owner::data::endWithdrawnJobs(time_point now)
+{
+    for (auto& [id, job] : jobTable.open()) {
+        if (job.withdrawnAt && !job.ended)
+            job.giveUpAt = std::min(job.giveUpAt, now - std::chrono::milliseconds(1));
+    }
+    checkUnstoredJobs(now);
+}
+
 void cell_owner::data::discardWithdrawnJob(open_job& job, withdrawal_outcome outcome)
 {
     const std::string id = job.accepted.work.id;
