--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -141,6 +141,21 @@
     BOOST_TEST((withdrawals[1].second == requests[0].id));
 }
 
+// Guards against a run that an owner keeps because it refused the job before it found the run, and is not told that the caller
+// has left (issue 44).
+BOOST_AUTO_TEST_CASE(is_withdrawn_at_an_owner_that_has_refused_it)
+{
+    pending(fail(error_kind::owner_unknown));
+    sendTo(2);
+    pending(fail(error_kind::claim_unavailable));
+    router.endBy(local.loop.now());
+    router.tick();
+    BOOST_REQUIRE(answers.size() == 1);
+    router.tick();
+    BOOST_REQUIRE(withdrawals.size() == 1);
+    BOOST_TEST(withdrawals[0].first == "owner");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(a_router_that_ends_its_jobs_by_a_time, withdrawn_job)
