cells: Stop the runs of a caller that has its answer at once

Cause: the owner of a withdrawn request lets runs that are placed go on for 0.5 s, for a caller that submits the job again soon. A caller that was answered by its VM, at the deadline or in a stop, comes 1.3 s later. If the owner was lost in these 0.5 s, the next one kept the runs, and they ran beside the resubmission. A VM that stopped also had to give all callers up 0.7 s before its limit.

Change: a withdrawal says whether the caller has left or was answered; in the second case the owner stops the runs at once, and so does the cell that the job was lent to. It is a method of its own on the wire, which owners of earlier builds answer with an error, so that the job goes on there. A VM that stops needs 0.25 s for it in place of 0.7 s, so that it accepts all that can end until then.

Two new cases fail with the former pause and reserve put back: both runs go on 0.1 s after the answer, and a job of 2 s that comes 2.9 s after the signal is not served.

--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -20,6 +20,14 @@
 /// Called once with the final state of the job, or with the error for which its final state is not known.
 using job_completion = std::function<void(result<jobs::job_state>)>;
 
+/// Why a request is withdrawn.
+enum class withdrawal_reason {
+    /// The caller has left. It may submit the job again and take over runs that are about to end.
+    caller_left,
+    /// The caller has its answer, so that nobody takes the result of the runs.
+    answered,
+};
+
 /// Caller that waits for the end of a job.
 struct job_waiter {
     jobs::request_id request;
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -98,7 +98,7 @@
     returned,
     /// It ended within `withdrawnRunLimit`.
     ended,
-    /// Its runs were stopped after `withdrawnRunLimit`.
+    /// Its runs were stopped, after `withdrawnRunLimit` if the callers have left without an answer.
     stopped,
     /// A caller submitted it again in time.
     resubmitted,
@@ -237,10 +237,12 @@
     /// earlier owner may have started, cannot start in time. A job that was lent may also fail with an error of the other cell.
     void run(jobs::run_request request, job_completion done);
 
-    /// Withdraws a request because its caller has left; does nothing if the request has been answered or is not known. Once all
-    /// callers of a job have left, the job ends: at once if tasks of it wait for a start, after `withdrawnRunLimit` at the latest
-    /// otherwise, so that a caller that submits it again in this cell gets the result of runs that were about to end.
-    void withdraw(const std::string& jobId, const jobs::request_id& request);
+    /// Withdraws a request; does nothing if this owner has answered it or does not know it. Once all requests for a job are
+    /// withdrawn, the job ends: at once if tasks of it wait for a start or the caller has its answer, after `withdrawnRunLimit`
+    /// at the latest otherwise, so that a caller that submits it again in this cell gets the result of runs that were about to
+    /// end.
+    void withdraw(
+        const std::string& jobId, const jobs::request_id& request, withdrawal_reason reason = withdrawal_reason::caller_left);
 
     /// Like `state`, but waits up to `maxStateWait` for the end of a job whose tasks are all placed on workers.
     void awaitState(const std::string& jobId, job_completion done);
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -273,12 +273,12 @@
     void lendTo(cell_number cell, open_job& job, time_point now);
     /// Completes and removes a waiting request of a job; returns false if the job has no such request.
     bool removeWaiter(open_job& job, const jobs::request_id& request);
-    /// Handles the loss of a caller.
-    void withdraw(const std::string& id, const jobs::request_id& request, time_point now);
+    /// Removes the caller of a withdrawn request.
+    void withdraw(const std::string& id, const jobs::request_id& request, withdrawal_reason reason, time_point now);
     /// Stops the runs of an unknown job that the earlier owner has started.
     void stopOrphans(const std::string& id, time_point now);
     /// Ends, or lets end, a job that no caller waits for any more.
-    void withdrawJob(open_job& job, time_point now);
+    void withdrawJob(open_job& job, withdrawal_reason reason, time_point now);
     /// Ends the jobs whose callers have left, because the next owner can't tell their runs from those of callers that wait.
     void endWithdrawnJobs(time_point now);
     /// Ends and removes a job. `job` is not valid afterwards.
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -66,7 +66,7 @@
     schedule(now);
 }
 
-void cell_owner::data::withdraw(const std::string& id, const jobs::request_id& request, time_point now)
+void cell_owner::data::withdraw(const std::string& id, const jobs::request_id& request, withdrawal_reason reason, time_point now)
 {
     if (request.number == 0)
         return;
@@ -79,7 +79,7 @@
         return;
     }
     if (!job->ended && job->waiters.empty())
-        withdrawJob(*job, now);
+        withdrawJob(*job, reason, now);
 }
 
 bool cell_owner::data::removeWaiter(open_job& job, const jobs::request_id& request)
@@ -119,16 +119,18 @@
             { "since_takeover_ms", fmt::to_string(age.count()) } });
 }
 
-void cell_owner::data::withdrawJob(open_job& job, time_point now)
+void cell_owner::data::withdrawJob(open_job& job, withdrawal_reason reason, time_point now)
 {
     const std::string id = job.accepted.work.id;
     job.withdrawnAt = now;
     if (job.lentTo) {
-        deferredCalls.emplace_back([self = shared_from_this(), cell = *job.lentTo, id] { self->neighbors->withdraw(cell, id); });
+        deferredCalls.emplace_back(
+            [self = shared_from_this(), cell = *job.lentTo, id, reason] { self->neighbors->withdraw(cell, id, reason); });
         discardWithdrawnJob(job, withdrawal_outcome::returned);
     } else if (job.isPlaced()) {
         // After a pause, the caller may have left long ago.
-        job.giveUpAt = std::min(job.giveUpAt, isSettling() ? now : now + withdrawnRunLimit);
+        const bool endsAtOnce = reason == withdrawal_reason::answered || isSettling();
+        job.giveUpAt = std::min(job.giveUpAt, endsAtOnce ? now : now + withdrawnRunLimit);
     } else if (job.offset != newestOffset) {
         // An earlier owner may have started tasks that are not known yet, so the job stays known, but no task of it starts.
         dequeue(job);
@@ -401,9 +403,9 @@
     m_data->locked([&] { m_data->run(std::move(request), std::move(done)); });
 }
 
-void cell_owner::withdraw(const std::string& jobId, const jobs::request_id& request)
+void cell_owner::withdraw(const std::string& jobId, const jobs::request_id& request, withdrawal_reason reason)
 {
-    m_data->locked([&] { m_data->withdraw(jobId, request, m_data->clock.now()); });
+    m_data->locked([&] { m_data->withdraw(jobId, request, reason, m_data->clock.now()); });
 }
 
 } // namespace coriandermount::cells
--- a/cells/fleet_neighbors.cpp
+++ b/cells/fleet_neighbors.cpp
@@ -81,7 +81,10 @@
     m_routers[cell]->run(std::move(request), std::move(done));
 }
 
-void fleet_neighbors::withdraw(cell_number cell, const std::string& jobId) { m_routers[cell]->withdrawJob(jobId); }
+void fleet_neighbors::withdraw(cell_number cell, const std::string& jobId, withdrawal_reason reason)
+{
+    m_routers[cell]->withdrawJob(jobId, reason);
+}
 
 void fleet_neighbors::forgetLentJobs()
 {
--- a/cells/fleet_neighbors.h
+++ b/cells/fleet_neighbors.h
@@ -20,7 +20,7 @@
 
     std::optional<cell_number> reserveCapacity(const service_id& service, std::int64_t cpuMillis) override;
     void run(cell_number cell, jobs::run_request request, job_completion done) override;
-    void withdraw(cell_number cell, const std::string& jobId) override;
+    void withdraw(cell_number cell, const std::string& jobId, withdrawal_reason reason) override;
     void queryLentJobs(std::uint64_t epoch, std::function<void(const lent_jobs& lent, bool complete)> done) override;
     std::uint64_t announcedEpoch(cell_number cell) const override { return m_directory.highestEpoch(cell); }
     void forgetLentJobs() override;
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -26,8 +26,8 @@
     constexpr std::chrono::milliseconds usualTakeover { 1000 };
     /// How long the owners that follow are told of a withdrawn request: the platform's delay of resubmissions.
     constexpr std::chrono::milliseconds withdrawalRetention { 1300 };
-    /// Time within which the owner ends the runs of a withdrawn request, `withdrawnRunLimit` and a stop among it.
-    constexpr std::chrono::milliseconds withdrawalTime { 650 };
+    /// Time within which the owner stops the runs of a withdrawn request whose caller has its answer.
+    constexpr std::chrono::milliseconds stopTime { 150 };
     /// Pause between two of these messages; the next owner finds the runs of the last one little by little.
     constexpr std::chrono::milliseconds withdrawalPause { 100 };
     /// Time between the returns of callers that were refused because their cell had no owner.
@@ -61,6 +61,9 @@
         jobs::request_id request;
         /// Epoch of the owner that the request was withdrawn at.
         std::uint64_t epoch = 0;
+        withdrawal_reason reason = withdrawal_reason::caller_left;
+        /// Time by which that owner has stopped the runs if it is not lost.
+        time_point settledAt;
         time_point until;
         time_point nextMessage;
     };
@@ -107,13 +110,14 @@
     void sendToOwner(std::uint64_t number);
     void onAnswer(std::uint64_t number, std::uint64_t epoch, const result<jobs::job_state>& answer);
     void finish(std::uint64_t number, const result<jobs::job_state>& answer);
-    void withdraw(std::uint64_t number);
+    void withdraw(std::uint64_t number, withdrawal_reason reason);
     /// Returns a pending job and removes it; returns nothing if it has ended. If an owner may run the job, its request is
     /// withdrawn there, and at later owners.
-    std::optional<pending_run> takeOut(std::uint64_t number);
+    std::optional<pending_run> takeOut(std::uint64_t number, withdrawal_reason reason);
     /// Returns the answer to a job that can't end before the VM stops; empty if it can.
     std::optional<error> refuseForStop(const pending_run& added, time_point now);
-    void sendWithdrawal(const run_target& location, const std::string& jobId, const jobs::request_id& request);
+    void sendWithdrawal(
+        const run_target& location, const std::string& jobId, const jobs::request_id& request, withdrawal_reason reason);
     /// Tells a new owner of the requests that were withdrawn at the last one.
     void repeatWithdrawals(const std::optional<run_target>& location, time_point now);
     std::vector<std::uint64_t> dueRuns(time_point now, const std::optional<run_target>& location);
@@ -199,7 +203,7 @@
     done(answer);
 }
 
-std::optional<pending_run> job_router::data::takeOut(std::uint64_t number)
+std::optional<pending_run> job_router::data::takeOut(std::uint64_t number, withdrawal_reason reason)
 {
     pending_run taken;
     {
@@ -215,28 +219,31 @@
         const std::uint64_t toldEpoch
             = taken.inFlight ? taken.lastSentEpoch : std::max<std::uint64_t>(taken.lastSentEpoch, 1) - 1;
         if (taken.mayHaveRun && !taken.lentBy)
-            withdrawnRuns.push_back({ taken.accepted.work.id, taken.lastRequest, toldEpoch, now + withdrawalRetention, now });
+            withdrawnRuns.push_back({ taken.accepted.work.id, taken.lastRequest, toldEpoch, reason,
+                now + stopTime + (reason == withdrawal_reason::answered ? std::chrono::milliseconds(0) : withdrawnRunLimit),
+                now + withdrawalRetention, now });
     }
     if (taken.inFlight)
-        sendWithdrawal(taken.lastTarget, taken.accepted.work.id, taken.lastRequest);
+        sendWithdrawal(taken.lastTarget, taken.accepted.work.id, taken.lastRequest, reason);
     return taken;
 }
 
-void job_router::data::withdraw(std::uint64_t number)
+void job_router::data::withdraw(std::uint64_t number, withdrawal_reason reason)
 {
-    const auto withdrawn = takeOut(number);
+    const auto withdrawn = takeOut(number, reason);
     if (!withdrawn)
         return;
     withdrawn->done(fail(
         withdrawn->mayHaveRun ? error_kind::cancelled_while_running : error_kind::cancelled_before_start, "the caller has left"));
 }
 
-void job_router::data::sendWithdrawal(const run_target& location, const std::string& jobId, const jobs::request_id& request)
+void job_router::data::sendWithdrawal(
+    const run_target& location, const std::string& jobId, const jobs::request_id& request, withdrawal_reason reason)
 {
     if (location.local)
-        owner.withdraw(jobId, request);
+        owner.withdraw(jobId, request, reason);
     else
-        link.withdraw(location.address, jobId, request);
+        link.withdraw(location.address, jobId, request, reason);
 }
 
 void job_router::data::repeatWithdrawals(const std::optional<run_target>& location, time_point now)
@@ -253,7 +260,7 @@
         }
     }
     for (const withdrawn_run& withdrawn : due)
-        sendWithdrawal(*location, withdrawn.jobId, withdrawn.request);
+        sendWithdrawal(*location, withdrawn.jobId, withdrawn.request, withdrawn.reason);
 }
 
 std::vector<std::uint64_t> job_router::data::dueRuns(time_point now, const std::optional<run_target>& location)
@@ -293,7 +300,7 @@
 
 void job_router::data::expire(std::uint64_t number)
 {
-    const auto expired = takeOut(number);
+    const auto expired = takeOut(number, withdrawal_reason::answered);
     if (!expired)
         return;
     const auto now = clock.now();
@@ -387,9 +394,9 @@
     }
 }
 
-void job_router::withdraw(std::uint64_t number) { m_data->withdraw(number); }
+void job_router::withdraw(std::uint64_t number) { m_data->withdraw(number, withdrawal_reason::caller_left); }
 
-void job_router::withdrawJob(const std::string& jobId)
+void job_router::withdrawJob(const std::string& jobId, withdrawal_reason reason)
 {
     std::vector<std::uint64_t> numbers;
     {
@@ -400,7 +407,7 @@
         }
     }
     for (const std::uint64_t number : numbers)
-        m_data->withdraw(number);
+        m_data->withdraw(number, reason);
 }
 
 void job_router::tick()
@@ -444,9 +451,9 @@
 std::size_t job_router::unsettledWithdrawals() const
 {
     const std::scoped_lock lock(m_data->mutex);
-    const auto settled = m_data->clock.now() + withdrawalRetention - withdrawalTime;
+    const auto now = m_data->clock.now();
     return static_cast<std::size_t>(std::count_if(m_data->withdrawnRuns.begin(), m_data->withdrawnRuns.end(),
-        [settled](const withdrawn_run& withdrawn) { return withdrawn.until > settled; }));
+        [now](const withdrawn_run& withdrawn) { return withdrawn.settledAt > now; }));
 }
 
 std::array<std::uint64_t, abandonReasonCount> job_router::abandonedJobs() const
--- a/cells/job_router.h
+++ b/cells/job_router.h
@@ -34,9 +34,11 @@
     /// Asks the owner at `address` to run a job. Completes with `owner_unknown` if the outcome of the job is unknown.
     virtual void run(const std::string& address, const jobs::run_request& request, job_completion done) = 0;
 
-    /// Tells the owner at `address` that the caller of a request has left. There is no answer; an owner of an earlier build
-    /// ignores the message.
-    virtual void withdraw(const std::string& address, const std::string& jobId, const jobs::request_id& request) = 0;
+    /// Tells the owner at `address` that a request is withdrawn. There is no answer; an owner of an earlier build ignores the
+    /// message.
+    virtual void withdraw(
+        const std::string& address, const std::string& jobId, const jobs::request_id& request, withdrawal_reason reason)
+        = 0;
 
     /// Asks the owner at `address` which jobs it runs for the cell `home`, and to refuse jobs from earlier ownership terms of
     /// that cell. Completes with an empty, incomplete report if the owner does not answer.
@@ -82,7 +84,7 @@
     /// it with `cancelled_before_start` or `cancelled_while_running`.
     void withdraw(std::uint64_t number);
     /// Withdraws all requests for a job.
-    void withdrawJob(const std::string& jobId);
+    void withdrawJob(const std::string& jobId, withdrawal_reason reason);
 
     /// Sends pending jobs to a new owner, and answers those whose time is over. To be called every few tens of milliseconds.
     void tick();
--- a/cells/neighbor_cells.h
+++ b/cells/neighbor_cells.h
@@ -29,7 +29,7 @@
     virtual void run(cell_number cell, jobs::run_request request, job_completion done) = 0;
 
     /// Tells a cell that nobody waits any more for a job that was lent to it.
-    virtual void withdraw(cell_number cell, const std::string& jobId) = 0;
+    virtual void withdraw(cell_number cell, const std::string& jobId, withdrawal_reason reason) = 0;
 
     /// Asks the owners of all other cells which jobs they run on behalf of this cell, in the ownership term `epoch`.
     /// `complete` is true if every cell has an owner that answered and that knows all its running jobs.
--- a/cells/orderly_stop.cpp
+++ b/cells/orderly_stop.cpp
@@ -10,8 +10,8 @@
     constexpr std::chrono::milliseconds shutdownReserve { 600 };
     /// Time in which a VM with little processor time takes a cell over that was released.
     constexpr std::chrono::milliseconds handoverReserve { 500 };
-    /// Time for which the requests that were given up are withdrawn at new owners: `withdrawnRunLimit` and a stop.
-    constexpr std::chrono::milliseconds withdrawalReserve { 700 };
+    /// Time in which the owner stops the runs of the requests that were given up.
+    constexpr std::chrono::milliseconds withdrawalReserve { 250 };
 
 } // namespace
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -58,6 +58,8 @@
     constexpr const char* stateMethod = "job.state";
     constexpr const char* runMethod = "job.run";
     constexpr const char* withdrawMethod = "job.withdraw";
+    /// Withdraws a request whose caller has its answer. Owners of earlier builds do not know it, and let the job go on.
+    constexpr const char* withdrawAnsweredMethod = "job.withdraw_answered";
     constexpr const char* lentJobsMethod = "cell.lent";
     /// First word of the reply of an owner that does not know all its runs yet.
     constexpr const char* unknownRuns = "?";
@@ -214,7 +216,8 @@
     bool isDraining() const override { return draining.load(std::memory_order_relaxed); }
     void send(const std::string& address, const std::string& datagram) override { heartbeatSocket.send(address, datagram); }
     void run(const std::string& address, const jobs::run_request& request, cells::job_completion done) override;
-    void withdraw(const std::string& address, const std::string& jobId, const jobs::request_id& request) override;
+    void withdraw(const std::string& address, const std::string& jobId, const jobs::request_id& request,
+        cells::withdrawal_reason reason) override;
     void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(cells::lent_report)> done) override;
 };
 
@@ -274,15 +277,20 @@
                 onDisconnect([this, jobId = request->accepted.work.id, id = request->id] { owner.withdraw(jobId, id); });
             owner.run(std::move(*request), [reply](const result<jobs::job_state>& state) { reply(encodeState(state)); });
         });
-    peerService.addMethod(withdrawMethod, [this](const std::string& message, const peers::peer_service::reply_function& reply) {
-        jobs::request_id request;
-        std::string jobId;
-        std::istringstream text(message);
-        text >> request.sender >> request.number;
-        std::getline(text >> std::ws, jobId);
-        owner.withdraw(jobId, request);
-        reply({});
-    });
+    const auto addWithdrawal = [this](const char* method, cells::withdrawal_reason reason) {
+        peerService.addMethod(
+            method, [this, reason](const std::string& message, const peers::peer_service::reply_function& reply) {
+                jobs::request_id request;
+                std::string jobId;
+                std::istringstream text(message);
+                text >> request.sender >> request.number;
+                std::getline(text >> std::ws, jobId);
+                owner.withdraw(jobId, request, reason);
+                reply({});
+            });
+    };
+    addWithdrawal(withdrawMethod, cells::withdrawal_reason::caller_left);
+    addWithdrawal(withdrawAnsweredMethod, cells::withdrawal_reason::answered);
 }
 
 void entry_node::data::addLentJobsMethod()
@@ -399,10 +407,12 @@
     });
 }
 
-void entry_node::data::withdraw(const std::string& address, const std::string& jobId, const jobs::request_id& request)
+void entry_node::data::withdraw(
+    const std::string& address, const std::string& jobId, const jobs::request_id& request, cells::withdrawal_reason reason)
 {
-    peerLink.call(address, withdrawMethod, fmt::format("{} {} {}", request.sender, request.number, jobId), withdrawTimeout,
-        [](const auto&) {});
+    const char* method = reason == cells::withdrawal_reason::answered ? withdrawAnsweredMethod : withdrawMethod;
+    peerLink.call(
+        address, method, fmt::format("{} {} {}", request.sender, request.number, jobId), withdrawTimeout, [](const auto&) {});
 }
 
 void entry_node::data::queryLentJobs(const std::string& address, jobs::lender home, std::function<void(cells::lent_report)> done)
--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -23,7 +23,7 @@
         requests.push_back(request);
         pending = std::move(done);
     }
-    void withdraw(const std::string&, const std::string&, const jobs::request_id&) override { }
+    void withdraw(const std::string&, const std::string&, const jobs::request_id&, cells::withdrawal_reason) override { }
     void queryLentJobs(const std::string&, jobs::lender, std::function<void(cells::lent_report)>) override { }
 
     /// Sends the job to the owner of `epoch`.
@@ -46,12 +46,15 @@
 
 /// A job that was sent to the owner of epoch 1, and the requests that were withdrawn since.
 struct withdrawn_job : routed_job {
-    void withdraw(const std::string& address, const std::string&, const jobs::request_id& request) override
+    void withdraw(
+        const std::string& address, const std::string&, const jobs::request_id& request, cells::withdrawal_reason reason) override
     {
+        reasons.push_back(reason);
         withdrawals.emplace_back(address, request);
     }
 
     std::vector<std::pair<std::string, jobs::request_id>> withdrawals;
+    std::vector<cells::withdrawal_reason> reasons;
 };
 
 outcome outcomeOf(const result<jobs::job_state>& answer) { return answer ? outcome::done : rowOf(answer.error().kind).result; }
@@ -211,3 +214,24 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_withdrawal, withdrawn_job)
+
+BOOST_AUTO_TEST_CASE(says_whether_the_caller_has_left_or_was_answered)
+{
+    const auto number = router.run(local.request(0, "b", 1, 100ms), [](const auto&) {});
+    router.withdraw(number);
+    BOOST_REQUIRE(reasons.size() == 1);
+    BOOST_TEST((reasons[0] == cells::withdrawal_reason::caller_left));
+    local.loop.runFor(requests[0].timeLeft);
+    router.tick();
+    BOOST_REQUIRE(reasons.size() == 2);
+    BOOST_TEST((reasons[1] == cells::withdrawal_reason::answered));
+    target.epoch = 2;
+    local.loop.runFor(100ms);
+    router.tick();
+    BOOST_REQUIRE(reasons.size() == 3);
+    BOOST_TEST((reasons[2] == cells::withdrawal_reason::answered));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cells/other_owners_test.cpp
+++ b/tests/cells/other_owners_test.cpp
@@ -107,7 +107,7 @@
 struct announced_epochs : cells::neighbor_cells {
     std::optional<cells::cell_number> reserveCapacity(const service_id&, std::int64_t) override { return std::nullopt; }
     void run(cells::cell_number, jobs::run_request, cells::job_completion) override { }
-    void withdraw(cells::cell_number, const std::string&) override { }
+    void withdraw(cells::cell_number, const std::string&, cells::withdrawal_reason) override { }
     void queryLentJobs(std::uint64_t, std::function<void(const cells::lent_jobs&, bool)> done) override { done({}, true); }
     void forgetLentJobs() override { }
     std::uint64_t announcedEpoch(cells::cell_number cell) const override { return epochs.at(cell); }
--- a/tests/cells/stopping_vm_test.cpp
+++ b/tests/cells/stopping_vm_test.cpp
@@ -107,6 +107,31 @@
     BOOST_TEST(fleet.counterValues(home).starts == 1U);
 }
 
+// Guards against runs that go on for half a second for a caller that has its answer (issue 44).
+BOOST_AUTO_TEST_CASE(the_runs_of_an_abandoned_job_are_stopped_at_once)
+{
+    fleet.run(entry, "a", 2, 8s, 20s);
+    tellToStop();
+    awaitAnswerOrLoss("a");
+    fleet.runFor(100ms);
+    BOOST_REQUIRE(fleet.workers.runs().size() == 2U);
+    for (const auto& run : fleet.workers.runs())
+        BOOST_TEST(run.end.has_value());
+}
+
+// Guards against refusals of jobs that a stopping VM still has the time for.
+BOOST_AUTO_TEST_CASE(a_job_of_two_seconds_that_arrives_three_seconds_after_the_signal_is_served)
+{
+    fleet.run(entry, "keeps the VM open", 1, 8s, 20s);
+    tellToStop();
+    fleet.runFor(2900ms);
+    fleet.run(entry, "a", 2, 2s);
+    fleet.runFor(2100ms);
+    const auto* answer = answerTo("a");
+    BOOST_REQUIRE(answer);
+    BOOST_TEST((*answer == jobs::job_state::completed));
+}
+
 // Guards against refusals of jobs that a stopping VM still has the time for.
 BOOST_AUTO_TEST_CASE(a_job_that_ends_before_the_vm_is_served)
 {
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -216,11 +216,12 @@
         });
     }
 
-    void withdraw(const std::string& address, const std::string& jobId, const jobs::request_id& request) override
+    void withdraw(
+        const std::string& address, const std::string& jobId, const jobs::request_id& request, withdrawal_reason reason) override
     {
-        fleet.loop.after(networkDelay, [&fleet = fleet, from = name, address, jobId, request] {
+        fleet.loop.after(networkDelay, [&fleet = fleet, from = name, address, jobId, request, reason] {
             if (vm* target = fleet.reachable(from, address))
-                target->receive([target, jobId, request] { target->owner.withdraw(jobId, request); });
+                target->receive([target, jobId, request, reason] { target->owner.withdraw(jobId, request, reason); });
         });
     }
 
