tests: Check what a VM that stops tells callers that it refuses

Adds a case over the loopback interface: a job that is refused while the VM stops gets 503 with the outcome not_run and Retry-After, and the connection is closed.

--- a/tests/platform/client_api_test.cpp
+++ b/tests/platform/client_api_test.cpp
@@ -42,6 +42,10 @@
     std::uint64_t submit(jobs::job, const jobs::queue_rules&, std::chrono::milliseconds,
         std::function<void(result<jobs::job_state>)> done) override
     {
+        if (refusal) {
+            done(tl::unexpected(*refusal));
+            return submission;
+        }
         completion = std::move(done);
         ++submissions;
         submitted.set_value();
@@ -57,7 +61,7 @@
     result<std::uint32_t> pending(const std::string&) const override { return 0U; }
     void noteAnswer(std::optional<error_kind>, std::chrono::microseconds) override { }
     bool isReady() const override { return true; }
-    bool isDraining() const override { return false; }
+    bool isDraining() const override { return draining; }
 
     std::shared_ptr<jobs::queue_table> table = std::make_shared<jobs::queue_table>();
     manual_clock clock;
@@ -68,8 +72,29 @@
     std::atomic<std::uint64_t> withdrawn { 0 };
     std::promise<void> submitted;
     std::function<void(result<jobs::job_state>)> completion;
+    /// Answer to all submissions, if set.
+    std::optional<error> refusal;
+    std::atomic<bool> draining { false };
 };
 
+/// Sends `request` to a port of the loopback interface, and returns what arrives until the connection is closed.
+std::string exchange(std::uint16_t port, const std::string& request)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    BOOST_REQUIRE(::send(descriptor, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+    std::string received;
+    char buffer[4096];
+    for (ssize_t size = 0; (size = ::recv(descriptor, buffer, sizeof buffer, 0)) > 0;)
+        received.append(buffer, static_cast<std::size_t>(size));
+    ::close(descriptor);
+    return received;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(a_stopping_client_api)
@@ -96,6 +121,25 @@
     BOOST_TEST(reply->status == 504);
 }
 
+// Guards against callers that send a refused job again on the connection to the VM that stops.
+BOOST_AUTO_TEST_CASE(tells_a_refused_caller_when_to_return_and_closes_its_connection)
+{
+    silent_service service;
+    service.refusal = error { error_kind::shutting_down, "the VM stops before the job could end", 5ms };
+    service.draining = true;
+    net::http_server server(platform::clientServerOptions({}), platform::clientHandler(service));
+    BOOST_REQUIRE(server.start());
+    // Ends once the server has closed the connection.
+    const std::string reply = exchange(server.port(),
+        "POST /queue/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: host.example\r\nContent-Length: 44\r\n\r\n"
+        R"({"best_effort":true,"phases":[{"count":1}]} )");
+    BOOST_TEST(reply.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(reply.find("\r\nRetry-After: 1\r\n") != std::string::npos);
+    BOOST_TEST(reply.find("\r\nConnection: close\r\n") != std::string::npos);
+    BOOST_TEST(reply.find(R"("error":"shutting_down")") != std::string::npos);
+    BOOST_TEST(reply.find(R"("outcome":"not_run")") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against runs for callers that have left: libmicrohttpd does not report that a client closed the connection of a pending
