tests: Keep the exit status of the soak's processes

Popen.send_signal can reap a child before asyncio does, which then reports 255 (its warning "Unknown child process" was on stderr). Signals go through a pidfd now.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -62,6 +62,8 @@
     def __init__(self, name, command, output, environment=None):
         self.name, self.command, self.output, self.environment = name, command, output, environment
         self.process = None
+        # Signals go to this handle: Popen.send_signal may reap the child before asyncio does, which loses its status.
+        self.handle = None
         self.spans = []
         self.stops = 0
 
@@ -70,6 +72,9 @@
             self.process = await asyncio.create_subprocess_exec(
                 *self.command, stdin=asyncio.subprocess.DEVNULL, stdout=output, stderr=output, env=self.environment,
                 preexec_fn=die_with_parent)
+        if self.handle is not None:
+            os.close(self.handle)
+        self.handle = os.pidfd_open(self.process.pid)
 
     def is_running(self):
         return self.process is not None and self.process.returncode is None
@@ -77,7 +82,7 @@
     def signal(self, number):
         if self.is_running():
             try:
-                self.process.send_signal(number)
+                signal.pidfd_send_signal(self.handle, number)
             except ProcessLookupError:
                 pass
 
@@ -707,6 +712,9 @@
         print(f"  could not run: {type(problem).__name__} {problem}")
         return 2
     finally:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
         await play.close()
     summary = play.report()
     with open(os.path.join(folder, "summary.json"), "w", encoding="utf-8") as file:
