cells: Return early from a router that refuses a job

Cause: the linter reported the completion of a refused job as used after it was moved.

Change: the refusal is answered before the completion is moved. No behaviour changes.

--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -354,33 +354,29 @@
 
 std::uint64_t job_router::run(jobs::run_request request, job_completion done)
 {
-    std::uint64_t number = 0;
-    std::optional<error> refusal;
-    {
-        const std::scoped_lock lock(m_data->mutex);
-        const auto now = m_data->clock.now();
-        number = ++m_data->lastNumber;
-        pending_run added;
-        added.accepted = std::move(request.accepted);
-        added.lentBy = request.lentBy;
-        added.since = now;
-        added.deadline = std::min(now + request.timeLeft, m_data->endLimit.value_or(time_point::max()));
-        added.latestStart = m_data->admission->latestStart({ added.since, added.since + added.accepted.objective, added.deadline,
-            jobs::criticalPathLength(added.accepted.work), 0 });
-        // The home cell of a lent job may have free capacity again.
-        if (added.lentBy)
-            added.latestStart = std::min(added.latestStart, added.since + resubmissionLimit);
-        added.mayHaveRun = request.mayHaveStarted;
-        refusal = m_data->refuseForStop(added, now);
-        if (!refusal) {
-            added.done = std::move(done);
-            m_data->runs.emplace(number, std::move(added));
-        }
-    }
-    if (refusal)
+    std::unique_lock lock(m_data->mutex);
+    const auto now = m_data->clock.now();
+    const std::uint64_t number = ++m_data->lastNumber;
+    pending_run added;
+    added.accepted = std::move(request.accepted);
+    added.lentBy = request.lentBy;
+    added.since = now;
+    added.deadline = std::min(now + request.timeLeft, m_data->endLimit.value_or(time_point::max()));
+    added.latestStart = m_data->admission->latestStart({ added.since, added.since + added.accepted.objective, added.deadline,
+        jobs::criticalPathLength(added.accepted.work), 0 });
+    // The home cell of a lent job may have free capacity again.
+    if (added.lentBy)
+        added.latestStart = std::min(added.latestStart, added.since + resubmissionLimit);
+    added.mayHaveRun = request.mayHaveStarted;
+    if (auto refusal = m_data->refuseForStop(added, now)) {
+        lock.unlock();
         done(tl::unexpected(std::move(*refusal)));
-    else
-        m_data->sendToOwner(number);
+        return number;
+    }
+    added.done = std::move(done);
+    m_data->runs.emplace(number, std::move(added));
+    lock.unlock();
+    m_data->sendToOwner(number);
     return number;
 }
 
