cells: Put a comment of the router before its condition

Cause: the comment on jobs of cells that lend stood two lines above the condition that it explains.

Change: it stands before it. No code changes.

Result: the cases of the router and of VMs that stop pass; the lint of the file is clean.

--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -214,10 +214,10 @@
         taken = std::move(found->second);
         runs.erase(found);
         const auto now = clock.now();
-        // The next owner of a cell that lends jobs queries them, and submits them again.
         // An owner that did not accept the request may find runs of an earlier one, so it has to be told like a later owner.
         const std::uint64_t toldEpoch
             = taken.inFlight ? taken.lastSentEpoch : std::max<std::uint64_t>(taken.lastSentEpoch, 1) - 1;
+        // The next owner of a cell that lends jobs queries them, and submits them again.
         if (taken.mayHaveRun && !taken.lentBy)
             withdrawnRuns.push_back({ taken.accepted.work.id, taken.lastRequest, toldEpoch, reason,
                 now + stopTime + (reason == withdrawal_reason::answered ? std::chrono::milliseconds(0) : withdrawnRunLimit),
