metrics, cells: Tell how much of a caller's time had passed at a refusal, and why

Cause: 'job refused' has no time limit of the caller, so that nobody can tell a late refusal from an early one. Change: the owner logs the caller's time limit and what is left, and counts refusals by reason and share of that time; refusals of an overloaded owner get a line as well.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -17,6 +17,13 @@
     return names[static_cast<std::size_t>(value)];
 }
 
+std::string_view nameOfTimeUsed(std::size_t index)
+{
+    constexpr std::array<std::string_view, timeUsedBoundCount> names { "up_to_10_percent", "up_to_25_percent", "up_to_50_percent",
+        "up_to_75_percent", "up_to_90_percent", "more" };
+    return names[index];
+}
+
 std::string_view nameOf(withdrawal_outcome value)
 {
     constexpr std::array<std::string_view, withdrawalOutcomeCount> names { "discarded", "returned", "ended", "stopped",
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -147,6 +147,14 @@
 /// Returns the name of an entry of `cell_counters::resolvedStarts`, as used in metrics.
 std::string_view nameOfResolution(std::size_t index);
 
+/// Upper bounds, in percent of a caller's time, by which refusals are counted.
+inline constexpr std::array<int, 5> timeUsedBounds { 10, 25, 50, 75, 90 };
+/// Number of entries for each reason in `cell_counters::refusedByTimeUsed`.
+inline constexpr std::size_t timeUsedBoundCount = timeUsedBounds.size() + 1;
+
+/// Returns the name of an entry of `cell_counters::refusedByTimeUsed`, as used in metrics.
+std::string_view nameOfTimeUsed(std::size_t index);
+
 /// Counters for metrics, counted since the owner object was created.
 struct cell_counters {
     std::uint64_t lentJobs = 0;
@@ -157,6 +165,9 @@
     std::uint64_t cancelledJobs = 0;
     /// Jobs that were refused, indexed by `refusal_reason`.
     std::array<std::uint64_t, refusalReasonCount> refusedJobs {};
+    /// The same by the share of the caller's time that had passed since the job came to the owner. The bounds are those of
+    /// `timeUsedBounds`; the last entry counts the others.
+    std::array<std::array<std::uint64_t, timeUsedBoundCount>, refusalReasonCount> refusedByTimeUsed {};
     /// Jobs whose callers had all left, indexed by `withdrawal_outcome`.
     std::array<std::uint64_t, withdrawalOutcomeCount> withdrawnJobs {};
     /// Times for which the process did not run, counted from `pause_monitor::shortestPause` on.
--- a/cells/cell_owner_admission.cpp
+++ b/cells/cell_owner_admission.cpp
@@ -116,14 +116,25 @@
     }
 }
 
-void cell_owner::data::refuseJob(open_job& job, refusal_reason reason, std::chrono::milliseconds returnAfter, time_point now)
+void cell_owner::data::noteRefusal(const std::string& id, refusal_reason reason, std::chrono::milliseconds waited,
+    std::chrono::milliseconds timeLimit, std::chrono::milliseconds returnAfter)
 {
-    ++counters.refusedJobs[static_cast<std::size_t>(reason)];
-    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - job.arrivedAt);
+    const auto number = static_cast<std::size_t>(reason);
+    const auto isReached = [&](int percent) { return waited * 100 <= timeLimit * percent; };
+    const auto bound = std::find_if(timeUsedBounds.begin(), timeUsedBounds.end(), isReached) - timeUsedBounds.begin();
+    ++counters.refusedJobs[number];
+    ++counters.refusedByTimeUsed[number][static_cast<std::size_t>(bound)];
     writeLog(log_level::info, "cell", "job refused",
-        { { "job", job.accepted.work.id }, { "reason", std::string(nameOf(reason)) },
-            { "waited_ms", fmt::to_string(waited.count()) }, { "return_after_ms", fmt::to_string(returnAfter.count()) },
-            { "ready_jobs", fmt::to_string(waitingJobs()) } });
+        { { "job", id }, { "reason", std::string(nameOf(reason)) }, { "waited_ms", fmt::to_string(waited.count()) },
+            { "time_limit_ms", fmt::to_string(timeLimit.count()) },
+            { "time_left_ms", fmt::to_string((timeLimit - waited).count()) },
+            { "return_after_ms", fmt::to_string(returnAfter.count()) }, { "ready_jobs", fmt::to_string(waitingJobs()) } });
+}
+
+void cell_owner::data::refuseJob(open_job& job, refusal_reason reason, std::chrono::milliseconds returnAfter, time_point now)
+{
+    noteRefusal(job.accepted.work.id, reason, std::chrono::duration_cast<std::chrono::milliseconds>(now - job.arrivedAt),
+        std::chrono::duration_cast<std::chrono::milliseconds>(job.giveUpAt - job.arrivedAt), returnAfter);
     const bool firstSubmission = job.offset == newestOffset;
     error refusal { firstSubmission ? error_kind::overloaded : error_kind::deadline_passed_while_running,
         "no worker has free capacity early enough for the job to end before its caller stops waiting", returnAfter };
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -336,6 +336,9 @@
     void forecastQueue(const std::set<queue_rank>& queue, bool late, std::map<service_id, start_forecast>& forecasts,
         std::size_t& startsAhead, std::vector<std::pair<std::string, refusal_reason>>& refused, time_point now) const;
     void refuseJob(open_job& job, refusal_reason reason, std::chrono::milliseconds returnAfter, time_point now);
+    /// Counts and logs a refusal of a job whose caller had `timeLimit` when the job came to this owner.
+    void noteRefusal(const std::string& id, refusal_reason reason, std::chrono::milliseconds waited,
+        std::chrono::milliseconds timeLimit, std::chrono::milliseconds returnAfter);
 
     // Jobs: cell_owner_jobs.cpp.
     void enqueue(const open_job& job);
--- a/cells/cell_owner_overload.cpp
+++ b/cells/cell_owner_overload.cpp
@@ -82,9 +82,10 @@
         return std::nullopt;
     }
     pace.noteHeld(now);
-    ++counters.refusedJobs[static_cast<std::size_t>(refusal_reason::owner_overloaded)];
-    return returns.reserve(
+    const auto returnAfter = returns.reserve(
         now, std::chrono::ceil<std::chrono::milliseconds>(pace.timeUntilDone(waitingStarts)), pace.timeFor(tasks));
+    noteRefusal(work.id, refusal_reason::owner_overloaded, std::chrono::milliseconds(0), request.timeLeft, returnAfter);
+    return returnAfter;
 }
 
 } // namespace coriandermount::cells
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -305,6 +305,7 @@
         return;
     const auto now = clock.now();
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - expired->since);
+    const auto timeLimit = std::chrono::duration_cast<std::chrono::milliseconds>(expired->deadline - expired->since);
     std::chrono::milliseconds ownerless { 0 };
     std::chrono::milliseconds returnAfter { 0 };
     auto reason = abandon_reason::deadline;
@@ -322,8 +323,8 @@
     }
     writeLog(log_level::warning, "router", "abandoned a job",
         { { "job", expired->accepted.work.id }, { "outcome", expired->mayHaveRun ? "may_have_run" : "not_run" },
-            { "waited_ms", fmt::to_string(waited.count()) }, { "ownerless_ms", fmt::to_string(ownerless.count()) },
-            { "reason", std::string(nameOf(reason)) } });
+            { "waited_ms", fmt::to_string(waited.count()) }, { "time_limit_ms", fmt::to_string(timeLimit.count()) },
+            { "ownerless_ms", fmt::to_string(ownerless.count()) }, { "reason", std::string(nameOf(reason)) } });
     if (!expired->mayHaveRun)
         expired->done(
             tl::unexpected(error { error_kind::no_worker, "no owner of the cell accepted the job in time", returnAfter }));
--- a/jobs/job_service.h
+++ b/jobs/job_service.h
@@ -43,8 +43,11 @@
     /// not available for a cell.
     virtual result<std::uint32_t> pending(const std::string& queue) const = 0;
 
-    /// Counts an answer to a caller for metrics; `problem` is empty for a success.
-    virtual void noteAnswer(std::optional<error_kind> problem, std::chrono::microseconds took) = 0;
+    /// Counts an answer to a caller for metrics; `problem` is empty for a success, and `callerTimeout` is the time for which the
+    /// caller was ready to wait.
+    virtual void noteAnswer(
+        std::optional<error_kind> problem, std::chrono::microseconds took, std::chrono::milliseconds callerTimeout)
+        = 0;
 
     /// Returns whether the VM can serve callers.
     virtual bool isReady() const = 0;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -207,9 +207,10 @@
     void cancel(const std::string& jobId, std::function<void(result<void>)> done) override;
     void state(const std::string& jobId, std::function<void(result<jobs::job_state>)> done) override;
     result<std::uint32_t> pending(const std::string& queue) const override;
-    void noteAnswer(std::optional<error_kind> problem, std::chrono::microseconds took) override
+    void noteAnswer(
+        std::optional<error_kind> problem, std::chrono::microseconds took, std::chrono::milliseconds callerTimeout) override
     {
-        metrics.recordAnswer(problem, took);
+        metrics.recordAnswer(problem, took, callerTimeout);
     }
     void replyWithMetrics(const std::shared_ptr<net::responder>& responder) const;
     bool isReady() const override;
@@ -489,6 +490,11 @@
     for (std::size_t reason = 0; reason < cells::refusalReasonCount; ++reason)
         samples.push_back({ "jobs_refused_total", cells::nameOf(static_cast<cells::refusal_reason>(reason)),
             cellCounters.refusedJobs[reason] });
+    for (std::size_t reason = 0; reason < cells::refusalReasonCount; ++reason) {
+        for (std::size_t bound = 0; bound < cells::timeUsedBoundCount; ++bound)
+            samples.push_back({ "jobs_refused_by_time_used_total", cells::nameOf(static_cast<cells::refusal_reason>(reason)),
+                cellCounters.refusedByTimeUsed[reason][bound], cells::nameOfTimeUsed(bound) });
+    }
     for (std::size_t outcome = 0; outcome < cells::withdrawalOutcomeCount; ++outcome)
         samples.push_back({ "jobs_withdrawn_total", cells::nameOf(static_cast<cells::withdrawal_outcome>(outcome)),
             cellCounters.withdrawnJobs[outcome] });
--- a/metrics/entry_metrics.h
+++ b/metrics/entry_metrics.h
@@ -20,6 +20,8 @@
     /// Value of the label `reason`; empty for a metric without labels.
     std::string_view label;
     std::uint64_t value = 0;
+    /// Value of the label `time_used`; empty for a metric without it.
+    std::string_view timeUsed {};
 };
 
 /// Collects the metrics of one entry VM. Every method may be called from any thread.
@@ -31,8 +33,10 @@
     entry_metrics(const entry_metrics&) = delete;
     entry_metrics& operator=(const entry_metrics&) = delete;
 
-    /// Records an answer to a caller and the time since its request arrived. `problem` is empty for a success.
-    void recordAnswer(std::optional<error_kind> problem, std::chrono::microseconds elapsed);
+    /// Records an answer to a caller, the time since its request arrived, and the time for which the caller was ready to wait.
+    /// `problem` is empty for a success.
+    void recordAnswer(
+        std::optional<error_kind> problem, std::chrono::microseconds elapsed, std::chrono::milliseconds callerTimeout);
 
     /// Returns all metrics, followed by `samples`, in the Prometheus text format.
     std::string serialize(const std::vector<metric_sample>& samples) const;
--- a/tests/platform/client_api_test.cpp
+++ b/tests/platform/client_api_test.cpp
@@ -59,7 +59,10 @@
     void cancel(const std::string&, std::function<void(result<void>)>) override { }
     void state(const std::string&, std::function<void(result<jobs::job_state>)>) override { }
     result<std::uint32_t> pending(const std::string&) const override { return 0U; }
-    void noteAnswer(std::optional<error_kind>, std::chrono::microseconds) override { }
+    void noteAnswer(std::optional<error_kind>, std::chrono::microseconds, std::chrono::milliseconds callerTimeout) override
+    {
+        notedTimeout = callerTimeout;
+    }
     bool isReady() const override { return true; }
     bool isDraining() const override { return draining; }
 
@@ -75,6 +78,7 @@
     /// Answer to all submissions, if set.
     std::optional<error> refusal;
     std::atomic<bool> draining { false };
+    std::atomic<std::chrono::milliseconds> notedTimeout { std::chrono::milliseconds(0) };
 };
 
 /// Sends `request` to a port of the loopback interface, and returns what arrives until the connection is closed.
