cells: Refuse on arrival what can't be served, and keep what was promised

Callers saw: refusals after 0.85 to 0.96 of their time although nothing had changed since they came (no worker, all workers silent, a task that fits no worker), and in a crest mostly those with the most time. Cause: the test for a refusal was the last useful start. The forecast was hopeful (without capacity, all jobs at once; no sizes), and jobs that turned late fell behind all that were yet to arrive, so that nothing that was taken on was kept. Change: an owner promises a start when a job arrives: by its objective, or else before its caller stops waiting, from what the jobs leave that can meet theirs. start_plan keeps the promises: a later job of the same priority overtakes only where they hold. They end when capacity is lost or a higher priority comes, and the caller is told at the next forecast. Without workers that answer and are large enough, the refusal is no_worker or fits_no_worker. A job that an earlier owner may have started is taken on in the same way once the workers have listed their runs. An overloaded owner goes by the objective and its lag, not by 100 ms for all. The callers of tells_refused_callers_when_to_return had 1 s to spare, and are taken on; they have the usual objective now.

--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -88,19 +88,21 @@
     /// Estimated run time from the first start to the end, and estimated work in core milliseconds.
     std::chrono::milliseconds runTime { 0 };
     double work = 0;
-    /// Time until which the job is among those that can meet their objective.
-    time_point punctualUntil;
-    /// Place of the job in the order of starts.
+    /// Place of the job in the order of starts; earlier ones of the same priority start first.
     time_point startOrder;
-    /// Whether the job starts in the order of arrivals, because the owner is overloaded.
-    bool inOrderOfArrival = false;
+    /// Whether the job is stored and has missed its objective, so that it comes after the others of its priority.
+    bool isOverdue = false;
 
     // Members for unstored jobs, whose callers are answered at the end of the job.
     std::vector<job_waiter> waiters;
     /// Time at which the last caller left; empty while a caller waits.
     std::optional<time_point> withdrawnAt;
-    /// Latest useful time of the first start; a job that has not started by then is refused.
+    /// Latest useful time of the first start; a job that can't start by then is refused.
     time_point startBy;
+    /// Whether the job was promised a start. One that was not waits until it is known whether it can have one.
+    bool isPromised = false;
+    /// Start that the job was promised when it was taken on: by its objective, or by `startBy` if that can't be met.
+    time_point promisedStart;
     /// Home cell of the job if that cell has lent the job to this one; empty otherwise.
     std::optional<cell_number> lentBy;
     /// Cell that the job is lent to and that runs it; empty if the job is not lent.
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -12,8 +12,8 @@
 
 std::string_view nameOf(refusal_reason value)
 {
-    constexpr std::array<std::string_view, refusalReasonCount> names { "expected_too_late", "waited_too_long",
-        "owner_overloaded" };
+    constexpr std::array<std::string_view, refusalReasonCount> names { "expected_too_late", "waited_too_long", "owner_overloaded",
+        "no_worker", "fits_no_worker" };
     return names[static_cast<std::size_t>(value)];
 }
 
@@ -116,7 +116,10 @@
     jobTable.clear();
     sessions.clear();
     readyJobs.clear();
-    lateJobs.clear();
+    plans.clear();
+    ownerPlan.reset();
+    arriving.clear();
+    offered.clear();
     sequence = 0;
     flushNumber = 0;
     flush.reset();
@@ -200,7 +203,6 @@
     std::erase_if(withdrawnEarly, [now](const auto& entry) { return now > entry.second; });
     lag.noteTick(now);
     limitStarts(now);
-    countWaitingStarts();
     if (!givesOrders())
         return;
     if (!acceptingSince)
@@ -212,7 +214,7 @@
     schedule(now);
     if (!settling)
         lendWaitingJobs(now);
-    refuseHopelessJobs(now);
+    planStarts(now);
     checkUnstoredJobs(now);
     if (lentJobsQueryCompleted && !lentJobsComplete && now >= nextLentJobsQuery)
         queryLentJobs();
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -82,12 +82,16 @@
 
 /// Why the owner refused a job whose caller waits.
 enum class refusal_reason {
-    /// The job was not expected to start early enough to end before its caller stops waiting.
+    /// The work ahead of the job, which was promised to earlier callers or has a higher priority, leaves no room for it in time.
     expected_too_late,
-    /// The job has not started early enough for that.
+    /// The job was taken on and has not started early enough to end before its caller stops waiting.
     waited_too_long,
     /// The owner has too little processor time to start the job early enough.
     owner_overloaded,
+    /// No worker of the service answers and takes on tasks while the caller waits.
+    no_worker,
+    /// No worker of the service is large enough for a task of the job, or has the label that it requires.
+    fits_no_worker,
 };
 
 /// What became of a job whose callers had all left.
@@ -127,7 +131,7 @@
 std::string_view nameOf(orphan_outcome value);
 
 /// Number of values of `refusal_reason`.
-inline constexpr std::size_t refusalReasonCount = static_cast<std::size_t>(refusal_reason::owner_overloaded) + 1;
+inline constexpr std::size_t refusalReasonCount = static_cast<std::size_t>(refusal_reason::fits_no_worker) + 1;
 
 /// Returns the name of a value, as used in logs and metrics.
 std::string_view nameOf(refusal_reason value);
@@ -243,9 +247,10 @@
     void tick();
 
     /// Runs a job that is not stored. Completes with the final state of the job, or fails with `claim_unavailable` when this
-    /// VM does not own the cell, `owner_unknown` when the term ends before the job, `overloaded` when no task could start in
-    /// time, or `deadline_passed_while_running` when the time limit of the caller passes or when a resubmitted job, which an
-    /// earlier owner may have started, cannot start in time. A job that was lent may also fail with an error of the other cell.
+    /// VM does not own the cell, `owner_unknown` when the term ends before the job, `overloaded` or `no_worker` as soon as it is
+    /// known that no task can start in time, or `deadline_passed_while_running` when the time limit of the caller passes or when
+    /// a resubmitted job, which an earlier owner may have started, cannot start in time. A job that was lent may also fail with
+    /// an error of the other cell.
     void run(jobs::run_request request, job_completion done);
 
     /// Withdraws a request; does nothing if this owner has answered it or does not know it. Once all requests for a job are
--- a/cells/cell_owner_admission.cpp
+++ b/cells/cell_owner_admission.cpp
@@ -6,114 +6,303 @@
 
 namespace coriandermount::cells {
 
+namespace {
+
+    /// Time until a worker that was away is usually registered again: the platform lists workers that are alive again within
+    /// about two seconds.
+    constexpr std::chrono::milliseconds usualWorkerReturn { 2000 };
+
+    /// Returns the expected wait behind work that takes `wait`, while later arrivals that come ahead use `share` of the capacity.
+    std::chrono::microseconds waitBeside(std::chrono::microseconds wait, double share)
+    {
+        if (wait.count() == 0 || share <= 0)
+            return wait;
+        // Behind arrivals that use the whole capacity, nothing is expected to start.
+        constexpr std::chrono::microseconds never = std::chrono::hours(24);
+        return share >= 1 ? never : std::min(never, std::chrono::duration_cast<std::chrono::microseconds>(wait / (1 - share)));
+    }
+
+    std::string_view detailOf(refusal_reason reason)
+    {
+        switch (reason) {
+        case refusal_reason::owner_overloaded:
+            return "the owner of the cell has too little processor time to start the job early enough";
+        case refusal_reason::no_worker:
+            return "no worker of the service answers";
+        case refusal_reason::fits_no_worker:
+            return "no worker of the service is large enough for a task of the job or has the required label";
+        case refusal_reason::expected_too_late:
+        case refusal_reason::waited_too_long:
+            break;
+        }
+        return "no worker has free capacity early enough for the job to end before its caller stops waiting";
+    }
+
+    bool isMissingCapacity(refusal_reason reason)
+    {
+        return reason == refusal_reason::no_worker || reason == refusal_reason::fits_no_worker;
+    }
+
+} // namespace
+
 waiting_job cell_owner::data::waitingJob(const open_job& job)
 {
-    return { job.arrivedAt, job.objective, job.giveUpAt, job.runTime, job.started ? job.waitingWork() : job.work };
+    return { job.arrivedAt, job.objective, job.giveUpAt, job.runTime };
+}
+
+void cell_owner::data::takeOn(open_job& job, time_point now)
+{
+    // Whether an earlier owner has started the job is known once all workers have listed their runs.
+    const bool known = isRefusable(job) && mayStart(job, now);
+    if (!known) {
+        enqueue(job);
+    } else if (const auto refusal = queueInTime(job, now)) {
+        refuseJob(job, *refusal, now);
+        return;
+    }
+    const std::string id = job.accepted.work.id;
+    schedule(now);
+    const open_job* waiting = jobTable.find(id);
+    if (known && waiting && isRefusable(*waiting))
+        addToPlans(*waiting);
 }
 
-void cell_owner::data::setWaitLimits(open_job& job) const
+std::optional<refusal_reason> cell_owner::data::queueInTime(open_job& job, time_point now)
 {
-    const waiting_job waiting = waitingJob(job);
-    job.punctualUntil = settings.admission->punctualUntil(waiting);
-    job.startOrder = settings.admission->startOrder(waiting);
-    job.startBy = settings.admission->latestStart(waiting);
-    // The owner has promised to get to the job, so that later ones must not come ahead of it.
-    if (job.inOrderOfArrival) {
-        job.punctualUntil = job.startBy;
-        job.startOrder = job.arrivedAt;
+    if (const auto missing = findMissingCapacity(job))
+        return missing;
+    job.isPromised = true;
+    auto& plan = plans.try_emplace(job.accepted.service, now).first->second;
+    if (plan.isEmpty())
+        plan = start_plan(now);
+    const auto ownerTime = pace.timeFor(job.readyTasks());
+    const auto workerTime = serviceTime(job);
+    const auto needed = std::max(workerTime, ownerTime);
+    std::chrono::microseconds workerWait { 0 };
+    std::chrono::microseconds ownerWait { 0 };
+    const auto waitFrom = [&](time_point order) {
+        planned_job planned = plannedJob(job, workerTime);
+        planned.position.order = order;
+        planned.position = plan.positionFor(planned);
+        if (ownerPlan) {
+            planned.serviceTime = ownerTime;
+            planned.position = ownerPlan->positionFor(planned);
+            ownerWait = ownerPlan->waitAt(planned.position, now);
+        }
+        workerWait = plan.waitAt(planned.position, now);
+        job.startOrder = planned.position.order;
+        return std::max(workerWait, ownerWait);
+    };
+    // An owner that lags has read the request later than it came, and gives orders and handles ends as late.
+    const auto lagTime = 3 * lagAllowance(now);
+    const time_point latest = job.startBy - lagTime;
+    const time_point due = std::min(punctualStart(waitingJob(job)) - lagTime, latest);
+    const arrival_class arrivals(priorityOf(job), std::chrono::duration_cast<std::chrono::milliseconds>(due - now));
+    // The jobs that VMs have kept for this owner arrive at once, which says nothing about the rate of later ones.
+    const bool counts = now > countArrivalsFrom;
+    if (counts)
+        offered.add(arrivals, needed, now);
+    const double above = arriving.above(arrivals.priority, now);
+    const auto wait = waitBeside(waitFrom(due), above);
+    if (wait.count() == 0 || (now + wait <= due && !isFavored(arrivals, now))) {
+        if (counts)
+            arriving.add(arrivals, needed, now);
+        job.promisedStart = std::max(due, now);
+        // The rate of an overloaded owner is known badly, so that the jobs that it has taken on start in the order of their
+        // arrival.
+        if (ownerPlan)
+            job.startOrder = std::min(job.startOrder, now + wait);
+        enqueue(job);
+        return std::nullopt;
     }
+    // Behind its objective, a job gets what the jobs that are yet to arrive and can meet theirs will leave. An overloaded owner
+    // has nothing left.
+    job.promisedStart = job.startBy;
+    const auto lateWait
+        = waitBeside(waitFrom(latest), offered.above(arrivals.priority, now) + offered.of(arrivals.priority, now));
+    if (!ownerPlan && now + lateWait + needed <= latest) {
+        // Its caller's time is a limit and no aim: the job comes as soon as it was expected to.
+        job.startOrder = std::min(job.startOrder, now + lateWait);
+        enqueue(job);
+        return std::nullopt;
+    }
+    return ownerWait > workerWait ? refusal_reason::owner_overloaded : refusal_reason::expected_too_late;
+}
+
+bool cell_owner::data::isFavored(arrival_class arrivals, time_point now) const
+{
+    const double all = offered.of(arrivals.priority, now);
+    return all > 1 && arriving.in(arrivals, now) * all > arriving.of(arrivals.priority, now) * offered.in(arrivals, now);
 }
 
-bool cell_owner::data::isLate(const open_job& job, time_point now)
+std::optional<refusal_reason> cell_owner::data::findMissingCapacity(const open_job& job) const
 {
-    if (job.isLongRunning())
-        return false;
-    if (!job.accepted.work.answeredAtEnd)
-        return now > job.objective;
-    // A job that has started is worth nothing to its caller until its last task has ended.
-    return !job.started && now > job.punctualUntil;
+    if (!workersKnown)
+        return std::nullopt;
+    for (const auto& step : job.accepted.work.steps) {
+        if (usableCores(job.accepted.service, step, job.startBy) > 0)
+            continue;
+        bool offered = false;
+        bool fits = false;
+        for (const auto& [id, session] : sessions) {
+            const auto& worker = session.registration();
+            if (worker.service != job.accepted.service || session.deregistered)
+                continue;
+            // The registration of a new boot is still to be read.
+            if (worker.capacity.cpuMillis == 0)
+                return std::nullopt;
+            offered = true;
+            fits = fits || session.isLargeEnough(step);
+        }
+        return offered && !fits ? refusal_reason::fits_no_worker : refusal_reason::no_worker;
+    }
+    return std::nullopt;
 }
 
-double cell_owner::data::usableCores(const service_id& service) const
+double cell_owner::data::usableCores(const service_id& service, const jobs::step& step, time_point until) const
 {
-    std::int64_t cpuMillis = 0;
+    const auto silentFrom = clock.now() - leaseSilenceLimit - lagAllowance(clock.now());
+    double cores = 0;
     for (const auto& [id, session] : sessions) {
         const auto& worker = session.registration();
-        if (worker.service == service && !worker.draining && !session.deregistered
-            && (session.failedPolls <= 1 || session.lostCalls <= session.toleratedLosses))
-            cpuMillis += worker.capacity.cpuMillis;
+        // The owner does not extend the leases of a silent worker, so that what runs there ends.
+        const bool silent = session.failedPolls > 0 && session.lastAnswerAt < silentFrom;
+        if (worker.service != service || worker.draining || session.deregistered || silent || session.startsPausedUntil() > until
+            || !session.isLargeEnough(step))
+            continue;
+        cores += static_cast<double>(worker.capacity.cpuMillis) / 1000.0 * usableShare / session.slowness();
     }
-    return static_cast<double>(cpuMillis) / 1000.0 * usableShare;
+    return cores;
 }
 
-void cell_owner::data::lendWaitingJobs(time_point now)
+double cell_owner::data::usableCores(const open_job& job) const
 {
-    if (!neighbors)
-        return;
-    std::vector<std::string> waiting;
-    for (const auto* queue : { &readyJobs, &lateJobs }) {
-        for (auto entry = queue->begin(); entry != queue->end() && waiting.size() < maxLendTries; ++entry) {
-            const auto& id = std::get<std::string>(*entry);
-            const open_job* job = jobTable.find(id);
-            if (job && job->accepted.work.answeredAtEnd && !job->started && now >= job->arrivedAt + lendAgainDelay)
-                waiting.push_back(id);
-        }
+    const time_point until = isRefusable(job) ? job.startBy : time_point::max();
+    double least = std::numeric_limits<double>::max();
+    for (const auto& step : job.accepted.work.steps)
+        least = std::min(least, usableCores(job.accepted.service, step, until));
+    return least;
+}
+
+std::chrono::microseconds cell_owner::data::serviceTime(const open_job& job) const
+{
+    const double cores = usableCores(job);
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::duration<double, std::milli>(cores > 0 ? job.waitingWork() / cores : 0));
+}
+
+planned_job cell_owner::data::plannedJob(const open_job& job, std::chrono::microseconds serviceTime)
+{
+    const time_point latest = job.accepted.work.answeredAtEnd ? job.promisedStart : time_point::max();
+    return { { priorityOf(job), job.startOrder }, serviceTime, latest };
+}
+
+time_point cell_owner::data::addToPlans(const open_job& job)
+{
+    const auto now = clock.now();
+    auto& plan = plans.try_emplace(job.accepted.service, now).first->second;
+    const time_point start = plan.add(plannedJob(job, serviceTime(job)));
+    return ownerPlan ? std::max(start, ownerPlan->add(plannedJob(job, pace.timeFor(job.readyTasks())))) : start;
+}
+
+void cell_owner::data::moveOverdueJobs(time_point now)
+{
+    constexpr std::chrono::hours behindAll { 24 };
+    std::vector<std::string> overdue;
+    for (const auto& rank : readyJobs) {
+        const auto& id = std::get<std::string>(rank);
+        const open_job* job = jobTable.find(id);
+        if (job && !job->accepted.work.answeredAtEnd && !job->isLongRunning() && !job->isOverdue && now > job->objective)
+            overdue.push_back(id);
+    }
+    for (const auto& id : overdue) {
+        open_job& job = *jobTable.find(id);
+        dequeue(job);
+        job.isOverdue = true;
+        job.startOrder += behindAll;
+        enqueue(job);
     }
-    for (const auto& id : waiting)
-        lend(*jobTable.find(id), now);
 }
 
-void cell_owner::data::forecastQueue(const std::set<queue_rank>& queue, bool late,
-    std::map<service_id, start_forecast>& forecasts, std::size_t& startsAhead,
-    std::vector<std::pair<std::string, refusal_reason>>& refused, time_point now) const
+void cell_owner::data::planStarts(time_point now)
 {
-    for (const auto& rank : queue) {
-        const open_job* job = jobTable.find(std::get<std::string>(rank));
-        if (!job || job->ended || job->isLongRunning())
+    if (now < nextPlan)
+        return;
+    nextPlan = now + planInterval;
+    moveOverdueJobs(now);
+    plans.clear();
+    ownerPlan.reset();
+    if (pace.isLimited())
+        ownerPlan.emplace(now + pace.timeUntilDone(0));
+    if (readyJobs.empty() || isSettling())
+        return;
+    std::vector<std::pair<std::string, refusal_reason>> refused;
+    std::vector<std::string> unpromised;
+    for (const auto& rank : readyJobs) {
+        open_job* job = jobTable.find(std::get<std::string>(rank));
+        if (!job || job->ended || job->isLongRunning() || !mayStart(*job, now))
+            continue;
+        if (isRefusable(*job) && !job->isPromised) {
+            unpromised.push_back(job->accepted.work.id);
+            continue;
+        }
+        const auto missing = isRefusable(*job) ? findMissingCapacity(*job) : std::nullopt;
+        if (missing) {
+            refused.emplace_back(job->accepted.work.id, *missing);
             continue;
-        auto found = forecasts.find(job->accepted.service);
-        if (found == forecasts.end()) {
-            const start_forecast empty(now, usableCores(job->accepted.service), arriving.cores(now));
-            found = forecasts.emplace(job->accepted.service, empty).first;
         }
-        start_forecast& forecast = found->second;
-        const waiting_job waiting = waitingJob(*job);
-        const time_point start = late ? forecast.addLate(waiting) : forecast.addPunctual(waiting);
-        const time_point turn = now + pace.timeUntilDone(startsAhead);
-        startsAhead += job->readyTasks();
-        if (job->started || !job->accepted.work.answeredAtEnd)
+        auto& plan = plans.try_emplace(job->accepted.service, now).first->second;
+        const start_position position { priorityOf(*job), job->startOrder };
+        const auto workerWait = plan.waitAt(position, now);
+        const auto ownerWait = pace.isRateSettled(now) ? ownerPlan->waitAt(position, now) : std::chrono::microseconds(0);
+        if (isRefusable(*job) && now + std::max(workerWait, ownerWait) > job->startBy) {
+            refused.emplace_back(job->accepted.work.id,
+                now > job->startBy           ? refusal_reason::waited_too_long
+                    : ownerWait > workerWait ? refusal_reason::owner_overloaded
+                                             : refusal_reason::expected_too_late);
             continue;
-        const bool tooLate = now > job->startBy;
-        if (!tooLate && !(settings.admission->refusesEarly() && std::max(start, turn) > job->startBy))
+        }
+        if (now + std::max(workerWait, ownerWait) > job->promisedStart)
+            job->promisedStart = job->startBy;
+        addToPlans(*job);
+    }
+    for (const auto& [id, reason] : refused)
+        refuseJob(*jobTable.find(id), reason, now);
+    for (const auto& id : unpromised) {
+        // A start may have ended a job that crashes workers.
+        open_job* job = jobTable.find(id);
+        if (!job || !isRefusable(*job))
             continue;
-        late ? forecast.removeLate(waiting) : forecast.removePunctual(waiting);
-        startsAhead -= job->readyTasks();
-        refused.emplace_back(job->accepted.work.id,
-            turn > start  ? refusal_reason::owner_overloaded
-                : tooLate ? refusal_reason::waited_too_long
-                          : refusal_reason::expected_too_late);
+        dequeue(*job);
+        takeOn(*job, now);
     }
 }
 
-void cell_owner::data::refuseHopelessJobs(time_point now)
+void cell_owner::data::lendWaitingJobs(time_point now)
 {
-    if (waitingJobs() == 0 || now < nextRefusalCheck)
+    if (!neighbors)
         return;
-    nextRefusalCheck = now + refusalCheckInterval;
-    moveLateJobs(now);
-    std::map<service_id, start_forecast> forecasts;
-    std::vector<std::pair<std::string, refusal_reason>> refused;
-    std::size_t startsAhead = 0;
-    forecastQueue(readyJobs, false, forecasts, startsAhead, refused, now);
-    forecastQueue(lateJobs, true, forecasts, startsAhead, refused, now);
-    for (const auto& [id, reason] : refused) {
-        open_job& job = *jobTable.find(id);
-        const start_forecast& forecast = forecasts.at(job.accepted.service);
-        const auto drainTime
-            = std::max(forecast.drainTime(), std::chrono::ceil<std::chrono::milliseconds>(pace.timeUntilDone(startsAhead)));
-        const auto serviceTime = std::max(forecast.serviceTime(waitingJob(job)), pace.timeFor(job.readyTasks()));
-        refuseJob(job, reason, returns.reserve(now, drainTime, serviceTime), now);
+    std::vector<std::string> waiting;
+    for (auto entry = readyJobs.begin(); entry != readyJobs.end() && waiting.size() < maxLendTries; ++entry) {
+        const auto& id = std::get<std::string>(*entry);
+        const open_job* job = jobTable.find(id);
+        if (job && job->accepted.work.answeredAtEnd && !job->started && now >= job->arrivedAt + lendAgainDelay)
+            waiting.push_back(id);
     }
+    for (const auto& id : waiting)
+        lend(*jobTable.find(id), now);
+}
+
+std::chrono::milliseconds cell_owner::data::returnAfter(const open_job& job, refusal_reason reason, time_point now)
+{
+    if (reason == refusal_reason::fits_no_worker)
+        return longestReturn;
+    if (reason == refusal_reason::no_worker)
+        return returns.reserve(now, usualWorkerReturn, std::chrono::microseconds(0));
+    const auto plan = plans.find(job.accepted.service);
+    const auto workerTime = plan == plans.end() ? std::chrono::milliseconds(0) : plan->second.drainTime(now);
+    const auto ownerTime = ownerPlan ? ownerPlan->drainTime(now) : std::chrono::milliseconds(0);
+    return returns.reserve(now, std::max(workerTime, ownerTime), std::max(serviceTime(job), pace.timeFor(job.readyTasks())));
 }
 
 void cell_owner::data::noteRefusal(const std::string& id, refusal_reason reason, std::chrono::milliseconds waited,
@@ -131,13 +320,17 @@
             { "return_after_ms", fmt::to_string(returnAfter.count()) }, { "ready_jobs", fmt::to_string(waitingJobs()) } });
 }
 
-void cell_owner::data::refuseJob(open_job& job, refusal_reason reason, std::chrono::milliseconds returnAfter, time_point now)
+void cell_owner::data::refuseJob(open_job& job, refusal_reason reason, time_point now)
 {
+    if (reason == refusal_reason::owner_overloaded)
+        pace.noteHeld(now);
+    const auto wait = returnAfter(job, reason, now);
     noteRefusal(job.accepted.work.id, reason, std::chrono::duration_cast<std::chrono::milliseconds>(now - job.arrivedAt),
-        std::chrono::duration_cast<std::chrono::milliseconds>(job.giveUpAt - job.arrivedAt), returnAfter);
-    const bool firstSubmission = job.offset == newestOffset;
-    error refusal { firstSubmission ? error_kind::overloaded : error_kind::deadline_passed_while_running,
-        "no worker has free capacity early enough for the job to end before its caller stops waiting", returnAfter };
+        std::chrono::duration_cast<std::chrono::milliseconds>(job.giveUpAt - job.arrivedAt), wait);
+    // An earlier owner may have started the job, so that its caller can't be told that it has not run.
+    const bool notRun = job.offset == newestOffset;
+    const auto refusalKind = isMissingCapacity(reason) ? error_kind::no_worker : error_kind::overloaded;
+    error refusal { notRun ? refusalKind : error_kind::deadline_passed_while_running, std::string(detailOf(reason)), wait };
     answer(job, tl::unexpected(std::move(refusal)));
     endJob(job, jobs::job_state::cancelled);
 }
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <tuple>
 
+#include "cells/admission_policy.h"
 #include "cells/call_statistics.h"
 #include "cells/cell_job_table.h"
 #include "cells/cell_owner.h"
@@ -14,6 +15,7 @@
 #include "cells/neighbor_cells.h"
 #include "cells/owner_lag.h"
 #include "cells/start_pace.h"
+#include "cells/start_plan.h"
 #include "cells/worker_session.h"
 #include "core/log.h"
 #include "core/pause_monitor.h"
@@ -36,14 +38,15 @@
 inline constexpr std::uint64_t newestOffset = std::numeric_limits<std::uint64_t>::max();
 
 /// Order in which jobs are placed on workers: by priority, then by the time until which they should start to meet their
-/// objective.
+/// objective or, if that can't be met, before their caller stops waiting.
 using queue_rank = std::tuple<std::uint32_t, time_point, std::string>;
 
-/// Returns the rank of a job. Long-running jobs come before all others because they are entitled to capacity at any time.
-inline queue_rank rankOf(const open_job& job)
-{
-    return { job.isLongRunning() ? 0 : job.accepted.priority + 1, job.startOrder, job.accepted.work.id };
-}
+/// Returns the priority of a job among all jobs of the cell. Long-running jobs come before all others because they are entitled
+/// to capacity at any time.
+inline std::uint32_t priorityOf(const open_job& job) { return job.isLongRunning() ? 0 : job.accepted.priority + 1; }
+
+/// Returns the rank of a job.
+inline queue_rank rankOf(const open_job& job) { return { priorityOf(job), job.startOrder, job.accepted.work.id }; }
 
 struct cell_owner::data : std::enable_shared_from_this<cell_owner::data> {
     jobs::record_store& store;
@@ -76,16 +79,20 @@
     time_point nextLentJobsQuery;
     /// Moving average of the CPU need of started tasks, in thousandths of a core.
     double averageTaskCpu = 1000.0;
-    /// Work that arrives in jobs whose callers wait.
     call_statistics calls;
-    arrival_rate arriving;
+    /// Share of the workers' capacity that jobs use which start by their objective, and so come ahead of those that can't.
+    arriving_load arriving;
+    /// The same of all jobs that arrive, whether they are taken on or not.
+    arriving_load offered;
     time_point countArrivalsFrom;
     return_schedule returns;
     owner_lag lag;
     pause_monitor pauses;
     start_pace pace;
-    /// Tasks that wait for a start, while starts are limited.
-    std::size_t waitingStarts = 0;
+    /// Expected starts of the waiting jobs, by service, as the capacity of the workers allows.
+    std::map<service_id, start_plan> plans;
+    /// The same as the processor time of this owner allows; empty while starts are not limited.
+    std::optional<start_plan> ownerPlan;
     /// Value of `refusedForOverload` when starts were limited last.
     std::uint64_t refusedBeforeLimit = 0;
 
@@ -116,15 +123,11 @@
 
     cell_job_table jobTable;
     std::map<worker_id, worker_session> sessions;
-    /// Jobs with tasks that wait for a start, in the order of placement. Those that can't meet their objective any more are moved
-    /// to `lateJobs` and come after all others.
+    /// Jobs with tasks that wait for a start, in the order of placement.
     std::set<queue_rank> readyJobs;
-    std::set<queue_rank> lateJobs;
-    /// Where the next pass over these queues goes on behind their fronts.
+    /// Where the next pass over the queue goes on behind its front.
     queue_rank resumeReadyAt;
-    queue_rank resumeLateAt;
-    time_point nextRefusalCheck;
-    time_point nextLateCheck;
+    time_point nextPlan;
     /// Passes the records that are read in one term to the owner.
     struct term_records;
     std::shared_ptr<term_records> termRecords;
@@ -305,14 +308,10 @@
     // Too little processor time: cell_owner_overload.cpp.
     /// Adapts the limit on starts to the lag of this owner.
     void limitStarts(time_point now);
-    /// Counts the tasks that wait for a start, if starts are limited.
-    void countWaitingStarts();
     /// Returns the time that is added to limits because answers are handled late.
     std::chrono::milliseconds lagAllowance(time_point now) const;
     /// Returns whether a call may have failed for the lag of this owner, so that it says nothing about its worker.
     bool mayBeOwnLag(order_failure failure, time_point now) const;
-    /// Returns when the caller should return, if this owner does not get to the starts of a new job soon enough.
-    std::optional<std::chrono::milliseconds> refuseOverloaded(const jobs::run_request& request, time_point now);
     std::uint64_t refusedForOverload() const
     {
         return counters.refusedJobs[static_cast<std::size_t>(refusal_reason::owner_overloaded)];
@@ -320,22 +319,41 @@
 
     // Admission of jobs whose callers wait: cell_owner_admission.cpp.
     static waiting_job waitingJob(const open_job& job);
-    /// Computes until when the job may wait.
-    void setWaitLimits(open_job& job) const;
-    /// Returns whether the job starts only when no job that can meet its objective waits for the same capacity.
-    static bool isLate(const open_job& job, time_point now);
-    /// Returns the cores of the workers that can be expected to start tasks of a service.
-    double usableCores(const service_id& service) const;
+    /// Returns whether the job may still be refused: its caller waits, and nothing of it has started in this term.
+    static bool isRefusable(const open_job& job) { return job.accepted.work.answeredAtEnd && !job.started && !job.ended; }
+    /// Queues a job that is not lent, and starts it if there is free capacity; refuses it if it is known that it can't start in
+    /// time. `job` may not be valid afterwards.
+    void takeOn(open_job& job, time_point now);
+    /// Queues a job that is expected to start in time without delaying others of its priority beyond theirs; returns the reason
+    /// if there is no such place.
+    std::optional<refusal_reason> queueInTime(open_job& job, time_point now);
+    /// Returns whether more jobs of a class are taken on than of others of its priority, while there are too many of them. Jobs
+    /// of one priority are equals, but those that may wait for longer find room more easily.
+    bool isFavored(arrival_class arrivals, time_point now) const;
+    /// Returns why no worker can run the job while its caller waits; empty if one can, or if that is not known yet.
+    std::optional<refusal_reason> findMissingCapacity(const open_job& job) const;
+    /// Returns the cores of the workers that can be expected to run tasks of a step until `until`.
+    double usableCores(const service_id& service, const jobs::step& step, time_point until) const;
+    /// Returns the cores for the step of the job that fewest workers can run.
+    double usableCores(const open_job& job) const;
+    /// Returns the time for which the waiting tasks of a job use all workers that can run them.
+    std::chrono::microseconds serviceTime(const open_job& job) const;
+    /// Returns the job as a plan sees it that has a capacity which the job uses for `serviceTime`.
+    static planned_job plannedJob(const open_job& job, std::chrono::microseconds serviceTime);
+    /// Adds a waiting job to the plans and returns its expected start.
+    time_point addToPlans(const open_job& job);
+    /// Moves stored jobs that have missed their objective behind the others of their priority: their callers were answered, and
+    /// those of the others wait or can still get their result in time.
+    void moveOverdueJobs(time_point now);
+    /// Forecasts the starts of all waiting jobs, and refuses those that can't start in time any more.
+    void planStarts(time_point now);
+    /// Returns when the caller of a refused job should return.
+    std::chrono::milliseconds returnAfter(const open_job& job, refusal_reason reason, time_point now);
     /// Lends jobs that wait to cells that have free capacity by now.
     void lendWaitingJobs(time_point now);
-    /// Refuses the jobs that are not expected to start in time.
-    void refuseHopelessJobs(time_point now);
     /// Answers the callers of a job that has not started in this term: it has not run, unless an earlier owner started it.
-    /// Adds the jobs of a queue to the forecasts, and to `refused` those that are not expected to start in time. `startsAhead` is
-    /// the number of starts that the owner sends before.
-    void forecastQueue(const std::set<queue_rank>& queue, bool late, std::map<service_id, start_forecast>& forecasts,
-        std::size_t& startsAhead, std::vector<std::pair<std::string, refusal_reason>>& refused, time_point now) const;
-    void refuseJob(open_job& job, refusal_reason reason, std::chrono::milliseconds returnAfter, time_point now);
+    /// Forgets the job; `job` is not valid afterwards.
+    void refuseJob(open_job& job, refusal_reason reason, time_point now);
     /// Counts and logs a refusal of a job whose caller had `timeLimit` when the job came to this owner.
     void noteRefusal(const std::string& id, refusal_reason reason, std::chrono::milliseconds waited,
         std::chrono::milliseconds timeLimit, std::chrono::milliseconds returnAfter);
@@ -343,11 +361,10 @@
     // Jobs: cell_owner_jobs.cpp.
     void enqueue(const open_job& job);
     void dequeue(const open_job& job);
-    std::size_t waitingJobs() const { return readyJobs.size() + lateJobs.size(); }
+    std::size_t waitingJobs() const { return readyJobs.size(); }
     /// Largest free CPU of a worker that accepts starts, by service. Not updated when capacity is used; an upper bound.
     using largest_free_cpu = std::map<service_id, std::int64_t>;
     largest_free_cpu largestFreeCpu(time_point now) const;
-    void moveLateJobs(time_point now);
     /// Starts tasks of the jobs at the front of a queue. Of the jobs behind those that can't be placed, a part is looked at in
     /// each pass, from `resumeAt` on, so that every job has its turn.
     void scheduleQueue(std::set<queue_rank>& queue, queue_rank& resumeAt, largest_free_cpu& largestFree, time_point now);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -31,11 +31,7 @@
         readyJobs.emplace(rankOf(job));
 }
 
-void cell_owner::data::dequeue(const open_job& job)
-{
-    readyJobs.erase(rankOf(job));
-    lateJobs.erase(rankOf(job));
-}
+void cell_owner::data::dequeue(const open_job& job) { readyJobs.erase(rankOf(job)); }
 
 void cell_owner::data::requeue(const task_key& key, const worker_id& from, std::uint64_t attempt)
 {
@@ -186,20 +182,6 @@
     return largest;
 }
 
-void cell_owner::data::moveLateJobs(time_point now)
-{
-    if (now < nextLateCheck)
-        return;
-    nextLateCheck = now + lateCheckInterval;
-    for (auto entry = readyJobs.begin(); entry != readyJobs.end();) {
-        const open_job* job = jobTable.find(std::get<std::string>(*entry));
-        if (job && isLate(*job, now))
-            lateJobs.insert(readyJobs.extract(entry++));
-        else
-            ++entry;
-    }
-}
-
 bool cell_owner::data::mayFit(const open_job& job, const largest_free_cpu& largestFree) const
 {
     const auto found = largestFree.find(job.accepted.service);
@@ -219,11 +201,8 @@
     workersAwaitVerification = false;
     if (!givesOrders() || waitingJobs() == 0 || isSettling())
         return;
-    // Jobs that can still meet their objective come first, because a late job is worth less to its caller.
-    moveLateJobs(now);
     auto largestFree = largestFreeCpu(now);
     scheduleQueue(readyJobs, resumeReadyAt, largestFree, now);
-    scheduleQueue(lateJobs, resumeLateAt, largestFree, now);
     verifyOwnership(now);
 }
 
@@ -370,15 +349,13 @@
             capacity += static_cast<double>(session.registration().capacity.cpuMillis) / 1000.0 * usableShare;
     }
     std::array<double, reportedPriorities> waiting {};
-    for (const auto* queue : { &readyJobs, &lateJobs }) {
-        for (const auto& rank : *queue) {
-            const open_job* job = jobTable.find(std::get<std::string>(rank));
-            if (!job || job->ended)
-                continue;
-            const std::uint32_t priority = job->isLongRunning() ? 0 : job->accepted.priority;
-            for (std::uint32_t level = std::min(priority, reportedPriorities - 1); level < reportedPriorities; ++level)
-                waiting[level] += job->waitingWork();
-        }
+    for (const auto& rank : readyJobs) {
+        const open_job* job = jobTable.find(std::get<std::string>(rank));
+        if (!job || job->ended)
+            continue;
+        const std::uint32_t priority = job->isLongRunning() ? 0 : job->accepted.priority;
+        for (std::uint32_t level = std::min(priority, reportedPriorities - 1); level < reportedPriorities; ++level)
+            waiting[level] += job->waitingWork();
     }
     for (const double work : waiting)
         load.waitByPriority.emplace_back(static_cast<std::int64_t>(capacity > 0 ? work / capacity : 0));
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -136,7 +136,7 @@
     const std::uint64_t offset = phase == owner_phase::replaying ? 0 : current.offset;
     const auto age = std::max(clock.wallNow() - accepted->acceptedAt, std::chrono::milliseconds(0));
     if (auto* job = jobTable.accept(std::move(*accepted), offset, now - age)) {
-        setWaitLimits(*job);
+        job->startOrder = punctualStart(waitingJob(*job));
         enqueue(*job);
     }
 }
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -45,7 +45,7 @@
     if (known) {
         known->waiters.push_back({ request.id, std::move(done) });
         known->giveUpAt = std::max(known->giveUpAt, now + request.timeLeft);
-        setWaitLimits(*known);
+        known->startBy = latestStart(waitingJob(*known));
         if (known->withdrawnAt) {
             noteWithdrawal(id, withdrawal_outcome::resubmitted);
             known->withdrawnAt.reset();
@@ -55,15 +55,8 @@
             noteEarlierOwner(*known);
         return;
     }
-    if (const auto returnAfter = refuseOverloaded(request, now)) {
-        deferredCalls.emplace_back([done = std::move(done), returnAfter = *returnAfter] {
-            done(tl::unexpected(error { error_kind::overloaded,
-                "the owner of the cell has too little processor time to start the job early enough", returnAfter }));
-        });
-        return;
-    }
+    limitStarts(now);
     addRun(std::move(request), std::move(done), now);
-    schedule(now);
 }
 
 void cell_owner::data::withdraw(const std::string& id, const jobs::request_id& request, withdrawal_reason reason, time_point now)
@@ -168,17 +161,15 @@
     open_job* job = jobTable.accept(std::move(request.accepted), offset, now);
     job->waiters.push_back({ request.id, std::move(done) });
     job->giveUpAt = now + request.timeLeft;
-    job->inOrderOfArrival = pace.isLimited();
-    setWaitLimits(*job);
-    // The jobs that VMs have kept for this owner arrive at once, which says nothing about the rate of later ones.
-    if (now > countArrivalsFrom)
-        arriving.add(now, job->work);
+    job->startOrder = punctualStart(waitingJob(*job));
+    job->startBy = latestStart(waitingJob(*job));
+    job->promisedStart = job->startBy;
     if (request.lentBy)
         job->lentBy = request.lentBy->cell;
     if (request.mayHaveStarted)
         adoptOrphans(*job);
     if (!lend(*job, now))
-        enqueue(*job);
+        takeOn(*job, now);
 }
 
 std::int64_t cell_owner::data::idleCpu(const service_id& service, time_point now) const
@@ -265,8 +256,7 @@
     if (rowOf(result.error().kind).result == outcome::not_run) {
         job->lentTo.reset();
         job->started = false;
-        enqueue(*job);
-        schedule(clock.now());
+        takeOn(*job, clock.now());
         return;
     }
     answer(*job, result);
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -4,9 +4,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <memory>
-
-#include "cells/admission_policy.h"
 
 namespace coriandermount::cells {
 
@@ -18,8 +15,6 @@
     std::chrono::milliseconds stopGrace { 50 };
     /// How long finished jobs are remembered: the time that the platform requires, plus a margin of one minute.
     std::chrono::milliseconds finishedRetention { 180000 };
-    /// Decides which waiting jobs start first and which are refused; not null.
-    std::shared_ptr<const admission_policy> admission = defaultAdmission();
 };
 
 /// Number of attempts reserved for each epoch, so that every attempt of an epoch is higher than all of earlier epochs.
@@ -91,14 +86,14 @@
 inline constexpr std::chrono::milliseconds frequentQueryLimit { 1500 };
 /// Time between queries for lent jobs after `frequentQueryLimit`, while a cell cannot be reached.
 inline constexpr std::chrono::milliseconds slowLentJobsQueryInterval { 500 };
-/// Share of the workers' CPU that is assumed to be usable for waiting work.
+/// Share of the workers' CPU that waiting work is expected to fill: tasks of different sizes leave parts of it unused, and a
+/// worker idles between the end of a run and the next start.
 inline constexpr double usableShare = 0.8;
 /// Time for which a job waits in its own cell before another cell is asked to run it; workers usually become free sooner.
 inline constexpr std::chrono::milliseconds lendAgainDelay { 20 };
-/// Time between two checks for jobs that can't meet their objective any more.
-inline constexpr std::chrono::milliseconds lateCheckInterval { 10 };
-/// Time between two checks for jobs that can't start in time.
-inline constexpr std::chrono::milliseconds refusalCheckInterval { 20 };
+/// Time between two forecasts of the starts of waiting jobs: short against the time of callers, so that they learn at once that
+/// capacity was lost.
+inline constexpr std::chrono::milliseconds planInterval { 20 };
 /// Number of waiting jobs for which another cell is sought in each tick.
 inline constexpr int maxLendTries = 16;
 /// How long the end of an unstored job is remembered, to answer resubmissions.
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "cells/admission_policy.h"
 #include "core/log.h"
 #include "core/pause_monitor.h"
 
@@ -82,7 +83,6 @@
     owner_link& link;
     target_source target;
     mutable std::mutex mutex;
-    std::shared_ptr<const admission_policy> admission;
     std::uint64_t lastNumber = 0;
     /// Tells the requests of this router from those of others.
     const std::uint64_t senderNumber = (std::uint64_t { std::random_device()() } << 32U) | std::random_device()();
@@ -97,13 +97,11 @@
     std::optional<time_point> endLimit;
     std::array<std::uint64_t, abandonReasonCount> abandoned {};
 
-    data(const clock_source& time, cell_owner& local, owner_link& remote, target_source source,
-        std::shared_ptr<const admission_policy> policy)
+    data(const clock_source& time, cell_owner& local, owner_link& remote, target_source source)
         : clock(time)
         , owner(local)
         , link(remote)
         , target(std::move(source))
-        , admission(std::move(policy))
     {
     }
 
@@ -345,9 +343,8 @@
     return error { error_kind::shutting_down, "the VM stops before the job could end", returnAfter };
 }
 
-job_router::job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target,
-    std::shared_ptr<const admission_policy> admission)
-    : m_data(std::make_shared<data>(clock, owner, link, std::move(target), std::move(admission)))
+job_router::job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target)
+    : m_data(std::make_shared<data>(clock, owner, link, std::move(target)))
 {
 }
 
@@ -363,8 +360,8 @@
     added.lentBy = request.lentBy;
     added.since = now;
     added.deadline = std::min(now + request.timeLeft, m_data->endLimit.value_or(time_point::max()));
-    added.latestStart = m_data->admission->latestStart({ added.since, added.since + added.accepted.objective, added.deadline,
-        jobs::criticalPathLength(added.accepted.work), 0 });
+    added.latestStart = latestStart(
+        { added.since, added.since + added.accepted.objective, added.deadline, jobs::criticalPathLength(added.accepted.work) });
     // The home cell of a lent job may have free capacity again.
     if (added.lentBy)
         added.latestStart = std::min(added.latestStart, added.since + resubmissionLimit);
--- a/cells/job_router.h
+++ b/cells/job_router.h
@@ -67,9 +67,7 @@
     using target_source = std::function<std::optional<run_target>()>;
 
     /// All referenced arguments must outlive the router. `target` returns the current owner of the cell, empty if there is none.
-    /// `admission` decides until when jobs wait for an owner.
-    job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target,
-        std::shared_ptr<const admission_policy> admission = defaultAdmission());
+    job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target);
     ~job_router();
 
     job_router(const job_router&) = delete;
--- a/cells/start_pace.cpp
+++ b/cells/start_pace.cpp
@@ -64,6 +64,7 @@
         if (lag < highLag)
             return;
         m_limited = true;
+        m_limitedAt = now;
         m_rate = answered;
         m_window = std::max(m_rate * seconds(usualBacklog), leastWindow);
         m_heldAt = now;
--- a/cells/start_pace.h
+++ b/cells/start_pace.h
@@ -26,6 +26,9 @@
     /// Records that a job was refused or had to wait because of the limit, which is kept then.
     void noteHeld(time_point now) { m_heldAt = now; }
 
+    /// Returns whether the rate has been measured under the limit for long enough to take back what was promised before.
+    bool isRateSettled(time_point now) const { return m_limited && now >= m_limitedAt + rateSettlingTime; }
+
     /// Returns the starts a second that the owner gets done; 0 while there is no limit.
     double startsPerSecond() const { return m_limited ? m_rate : 0; }
     /// Returns the time until the owner has got those in flight and `starts` more done; 0 while there is no limit.
@@ -35,6 +38,7 @@
 
 private:
     static constexpr std::size_t periodCount = 5;
+    static constexpr std::chrono::milliseconds rateSettlingTime { 500 };
 
     double answeredPerSecond(time_point now) const;
 
@@ -46,6 +50,7 @@
     time_point m_nextUpdate;
     time_point m_nextReduction;
     time_point m_heldAt;
+    time_point m_limitedAt;
     /// Answered start orders in the current period and in those before, the newest one first.
     std::array<std::size_t, periodCount + 1> m_answers {};
     time_point m_periodBegin;
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -144,6 +144,13 @@
     void noteUnanswered(time_point now);
     void noteAnswered() { m_unanswered = 0; }
     void pauseStartsUntil(time_point until) { m_startsPausedUntil = std::max(m_startsPausedUntil, until); }
+    /// Returns the time until which no task is started on the worker.
+    time_point startsPausedUntil() const { return m_startsPausedUntil; }
+    /// Returns whether a task of the step fits on the worker while nothing else runs there.
+    bool isLargeEnough(const jobs::step& step) const
+    {
+        return step.need.fitsInto(m_registration.capacity) && (step.requiredLabel.empty() || hasLabel(step.requiredLabel));
+    }
     /// Returns the moving average of run time divided by estimate.
     double slowness() const { return m_slowness; }
 
--- a/main/coriandermount_entry_program.cpp
+++ b/main/coriandermount_entry_program.cpp
@@ -5,7 +5,6 @@
 #include <fmt/format.h>
 #include <unistd.h>
 
-#include "cells/admission_policy.h"
 #include "core/log.h"
 #include "main/entry_node.h"
 #include "main/signals.h"
@@ -33,10 +32,7 @@
 int run(int argc, char** argv)
 {
     cxxopts::Options options("coriandermount-entry", "Dispatches jobs of the users' platform from one entry VM.");
-    options.add_options()("check-settings", "Check the settings that the platform wrote, and exit")("help", "Print this help")(
-        "admission",
-        "How long jobs may wait: \"deadline\" (as long as their callers) or \"objective\" (a share of their objective)",
-        cxxopts::value<std::string>()->default_value("deadline"));
+    options.add_options()("check-settings", "Check the settings that the platform wrote, and exit")("help", "Print this help");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help")) {
         fmt::print("{}", options.help());
@@ -48,17 +44,10 @@
         writeLog(log_level::error, "node", "failed to load the settings", { { "detail", settings.error().detail } });
         return exitFailed;
     }
-    const auto& admissionName = parsed["admission"].as<std::string>();
-    const auto admission = cells::findAdmission(admissionName);
-    if (!admission) {
-        writeLog(log_level::error, "node", "unknown admission policy",
-            { { "value", admissionName }, { "expected", "deadline or objective" } });
-        return exitFailed;
-    }
     if (parsed.count("check-settings"))
         return EXIT_SUCCESS;
     blockTerminationSignals();
-    entry_node node(*settings, admission);
+    entry_node node(*settings);
     if (auto started = node.start(); !started) {
         writeLog(log_level::error, "node", "failed to start", { { "detail", started.error().detail } });
         return exitFailed;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -117,14 +117,12 @@
         return options;
     }
 
-    cells::cell_settings cellSettings(
-        const platform::boot_settings& settings, std::shared_ptr<const cells::admission_policy> admission)
+    cells::cell_settings cellSettings(const platform::boot_settings& settings)
     {
         cells::cell_settings limits;
         limits.maxLease = settings.maxLease;
         limits.stopGrace = settings.stopGrace;
         limits.finishedRetention = settings.statusRetention + retentionMargin;
-        limits.admission = std::move(admission);
         return limits;
     }
 
@@ -178,7 +176,7 @@
     std::thread tickThread;
     time_point nextDisconnectCheck;
 
-    data(const platform::boot_settings& values, const std::shared_ptr<const cells::admission_policy>& admission);
+    explicit data(const platform::boot_settings& values);
 
     cells::vm_registration registration() const;
     cells::vm_incarnation identity() const { return { settings.vm, incarnation, settings.processorMillis }; }
@@ -222,7 +220,7 @@
     void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(cells::lent_report)> done) override;
 };
 
-entry_node::data::data(const platform::boot_settings& values, const std::shared_ptr<const cells::admission_policy>& admission)
+entry_node::data::data(const platform::boot_settings& values)
     : settings(values)
     , cell(cellOf(values))
     , cellCount(static_cast<cells::cell_number>(values.failureDomains.size()))
@@ -232,15 +230,14 @@
     , workerLink(client)
     , configuration(store, clock, table)
     , gate(clock)
-    , owner(store, workerLink, clock, { jobTopic, cell }, cellSettings(values, admission))
+    , owner(store, workerLink, clock, { jobTopic, cell }, cellSettings(values))
     , workers(store, clock, owner, values.failureDomain)
     , member(store, clock, owner, workers, { cellTopic, cell }, cell, identity())
     , directory(store, *this, clock, { vmTopic, 0 }, registration(), [this] { return ownHeartbeat(); })
     , heartbeatSocket(values.address, values.firstPeerPort, [this](const std::string& datagram) { onDatagram(datagram); })
     , peerLink(client)
     , peerService(listenerOptions(fmt::format("{}:{}", values.address, values.firstPeerPort)))
-    , router(
-          clock, owner, *this, [this] { return runTarget(); }, admission)
+    , router(clock, owner, *this, [this] { return runTarget(); })
     , neighbors(clock, owner, *this, directory, cell, cellCount)
     , clientServer(platform::clientServerOptions(listenerOptions(values.clientListener)), platform::clientHandler(*this))
     , readinessServer(listenerOptions(values.readyListener), platform::readinessHandler(*this))
@@ -528,8 +525,8 @@
     return !isDraining() && table.read()->version > 0 && member.storeReachable() && runTarget().has_value();
 }
 
-entry_node::entry_node(const platform::boot_settings& settings, const std::shared_ptr<const cells::admission_policy>& admission)
-    : m_data(std::make_unique<data>(settings, admission))
+entry_node::entry_node(const platform::boot_settings& settings)
+    : m_data(std::make_unique<data>(settings))
 {
 }
 
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -3,7 +3,6 @@
 
 #include <memory>
 
-#include "cells/admission_policy.h"
 #include "core/error.h"
 #include "platform/boot_settings.h"
 
@@ -12,8 +11,7 @@
 /// Creates and connects all parts of one entry VM.
 class entry_node {
 public:
-    /// `admission` decides how long jobs may wait for their first start.
-    entry_node(const platform::boot_settings& settings, const std::shared_ptr<const cells::admission_policy>& admission);
+    explicit entry_node(const platform::boot_settings& settings);
     ~entry_node();
 
     entry_node(const entry_node&) = delete;
--- a/tests/cells/owner_overload_test.cpp
+++ b/tests/cells/owner_overload_test.cpp
@@ -26,7 +26,7 @@
 
 struct overloaded_owner {
     overloaded_owner()
-        : cell(workerCount, cells::findAdmission("deadline"))
+        : cell(workerCount)
     {
         // The leases of the earlier owner have to end.
         cell.runFor(2s);
@@ -106,6 +106,7 @@
     for (int number = 0; number < 60; ++number) {
         auto request = cell.request(cell_load_run::epoch, "refused-" + std::to_string(number), 2, 170ms);
         request.timeLeft = 1500ms;
+        request.accepted.objective = 332ms;
         cell.run(std::move(request));
     }
     std::chrono::milliseconds last { 0 };
--- a/tests/cells/unanswered_load_test.cpp
+++ b/tests/cells/unanswered_load_test.cpp
@@ -31,7 +31,7 @@
 
 struct lossy_cell {
     explicit lossy_cell(unsigned workers, double share, std::chrono::milliseconds stopTime = 0ms, std::uint32_t seed = 1)
-        : cell(workers, cells::findAdmission("deadline"), seed)
+        : cell(workers, seed)
         , kinds(jobsFor(workers))
     {
         for (unsigned number = 0; number < workers; ++number)
@@ -108,7 +108,7 @@
 // One worker that answers nothing is told from a network that loses calls.
 BOOST_AUTO_TEST_CASE(a_silent_worker_gets_no_more_tasks)
 {
-    cell_load_run cell(48, cells::findAdmission("deadline"));
+    cell_load_run cell(48);
     auto kinds = jobsFor(48);
     cell.runFor(2s);
     cell.runAtRate(kinds, 1.0, 1s);
--- a/tests/cells/worker_capacity_test.cpp
+++ b/tests/cells/worker_capacity_test.cpp
@@ -71,9 +71,12 @@
     BOOST_REQUIRE(running() == 2U);
     report(5000);
     submit("third");
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST((!answers[0] && answers[0].error().kind == error_kind::no_worker));
     runFor(5s);
     BOOST_TEST(running() == 0U);
     report(7000);
+    submit("third");
     runFor(300ms);
     BOOST_TEST(running() == 1U);
 }
--- a/tests/fakes/cell_load_run.cpp
+++ b/tests/fakes/cell_load_run.cpp
@@ -13,18 +13,10 @@
     constexpr std::chrono::milliseconds step { 10 };
     constexpr std::int64_t workerCpu = 16000;
 
-    cells::cell_settings settingsWith(std::shared_ptr<const cells::admission_policy> admission)
-    {
-        cells::cell_settings settings;
-        settings.admission = std::move(admission);
-        return settings;
-    }
-
 } // namespace
 
-cell_load_run::cell_load_run(unsigned workerCount, std::shared_ptr<const cells::admission_policy> admission, std::uint32_t seed)
-    : single_owner(settingsWith(std::move(admission)))
-    , m_workers(workerCount)
+cell_load_run::cell_load_run(unsigned workerCount, std::uint32_t seed)
+    : m_workers(workerCount)
     , m_random(seed)
 {
     for (unsigned number = 0; number < workerCount; ++number)
--- a/tests/fakes/cell_load_run.h
+++ b/tests/fakes/cell_load_run.h
@@ -49,7 +49,7 @@
 /// An owner with workers of 16 cores that gets jobs at the rates of their kinds, evenly spread with a fixed jitter.
 class cell_load_run : public single_owner {
 public:
-    cell_load_run(unsigned workerCount, std::shared_ptr<const cells::admission_policy> admission, std::uint32_t seed = 1);
+    explicit cell_load_run(unsigned workerCount, std::uint32_t seed = 1);
 
     /// Sets the rate of all kinds, relative to `job_kind::arrivalsPerSecond`, and lets time pass.
     void runAtRate(std::vector<job_kind>& kinds, double rate, std::chrono::milliseconds duration);
