cells: Forget a refused job at once

Cause: a refused job stayed in the table as cancelled until the next tick. Change: a refusal removes the job. Evidence: learns_the_same_if_it_returns_at_once sends a refused job again.

--- a/cells/cell_owner_admission.cpp
+++ b/cells/cell_owner_admission.cpp
@@ -333,6 +333,10 @@
     error refusal { notRun ? refusalKind : error_kind::deadline_passed_while_running, std::string(detailOf(reason)), wait };
     answer(job, tl::unexpected(std::move(refusal)));
     endJob(job, jobs::job_state::cancelled);
+    // Whoever submits the job again must not be told its state: it was not accepted.
+    const std::string id = job.accepted.work.id;
+    std::erase(endedUnstoredJobs, id);
+    jobTable.erase(id);
 }
 
 } // namespace coriandermount::cells
--- a/tests/cells/refusals_test.cpp
+++ b/tests/cells/refusals_test.cpp
@@ -67,6 +67,17 @@
     BOOST_TEST((answers.back() == jobs::job_state::completed));
 }
 
+// Guards against a refused job that is known as cancelled, which a caller that submits it again was told as its state.
+BOOST_AUTO_TEST_CASE(learns_the_same_if_it_returns_at_once)
+{
+    auto large = patientRequest("large");
+    large.accepted.work.steps[0].need.cpuMillis = workerCpu + 1;
+    run(large);
+    run(large);
+    BOOST_TEST(answers.size() == 2);
+    expectRefused(error_kind::no_worker);
+}
+
 BOOST_AUTO_TEST_CASE(learns_at_once_that_no_worker_has_the_label)
 {
     auto labelled = patientRequest("labelled");
