cells: Refuse nobody just after a pause of the owner

Callers would have been refused with no_worker after a freeze: polls that were in flight have failed, and all workers look silent. Cause: a job that arrives was judged before the answers that came meanwhile were read. Change: it waits for the next forecast, as jobs of earlier owners do. The search for a place is a function of its own; a narrowing conversion that the linter reported is explicit. Evidence: is_not_found_among_those_who_ask_just_after_a_pause_of_the_owner failed without the change (refused with no_worker).

--- a/cells/cell_owner_admission.cpp
+++ b/cells/cell_owner_admission.cpp
@@ -52,8 +52,9 @@
 
 void cell_owner::data::takeOn(open_job& job, time_point now)
 {
-    // Whether an earlier owner has started the job is known once all workers have listed their runs.
-    const bool known = isRefusable(job) && mayStart(job, now);
+    // Whether an earlier owner has started the job is known once all workers have listed their runs, and which workers answer is
+    // known a moment after a pause.
+    const bool known = isRefusable(job) && mayStart(job, now) && !isSettling();
     if (!known) {
         enqueue(job);
     } else if (const auto refusal = queueInTime(job, now)) {
@@ -72,61 +73,57 @@
     if (const auto missing = findMissingCapacity(job))
         return missing;
     job.isPromised = true;
-    auto& plan = plans.try_emplace(job.accepted.service, now).first->second;
-    if (plan.isEmpty())
-        plan = start_plan(now);
-    const auto ownerTime = pace.timeFor(job.readyTasks());
-    const auto workerTime = serviceTime(job);
-    const auto needed = std::max(workerTime, ownerTime);
-    std::chrono::microseconds workerWait { 0 };
-    std::chrono::microseconds ownerWait { 0 };
-    const auto waitFrom = [&](time_point order) {
-        planned_job planned = plannedJob(job, workerTime);
-        planned.position.order = order;
-        planned.position = plan.positionFor(planned);
-        if (ownerPlan) {
-            planned.serviceTime = ownerTime;
-            planned.position = ownerPlan->positionFor(planned);
-            ownerWait = ownerPlan->waitAt(planned.position, now);
-        }
-        workerWait = plan.waitAt(planned.position, now);
-        job.startOrder = planned.position.order;
-        return std::max(workerWait, ownerWait);
-    };
-    // An owner that lags has read the request later than it came, and gives orders and handles ends as late.
-    const auto lagTime = 3 * lagAllowance(now);
-    const time_point latest = job.startBy - lagTime;
-    const time_point due = std::min(punctualStart(waitingJob(job)) - lagTime, latest);
+    const time_point latest = job.startBy - lagTime(now);
+    const time_point due = std::min(punctualStart(waitingJob(job)) - lagTime(now), latest);
     const arrival_class arrivals(priorityOf(job), std::chrono::duration_cast<std::chrono::milliseconds>(due - now));
+    const auto needed = std::max(serviceTime(job), pace.timeFor(job.readyTasks()));
     // The jobs that VMs have kept for this owner arrive at once, which says nothing about the rate of later ones.
     const bool counts = now > countArrivalsFrom;
     if (counts)
         offered.add(arrivals, needed, now);
-    const double above = arriving.above(arrivals.priority, now);
-    const auto wait = waitBeside(waitFrom(due), above);
+    const expected_place punctual = findPlace(job, due, now);
+    const auto wait = waitBeside(punctual.wait(), arriving.above(arrivals.priority, now));
     if (wait.count() == 0 || (now + wait <= due && !isFavored(arrivals, now))) {
         if (counts)
             arriving.add(arrivals, needed, now);
         job.promisedStart = std::max(due, now);
         // The rate of an overloaded owner is known badly, so that the jobs that it has taken on start in the order of their
         // arrival.
-        if (ownerPlan)
-            job.startOrder = std::min(job.startOrder, now + wait);
+        job.startOrder = ownerPlan ? std::min(punctual.order, now + wait) : punctual.order;
         enqueue(job);
         return std::nullopt;
     }
     // Behind its objective, a job gets what the jobs that are yet to arrive and can meet theirs will leave. An overloaded owner
     // has nothing left.
-    job.promisedStart = job.startBy;
-    const auto lateWait
-        = waitBeside(waitFrom(latest), offered.above(arrivals.priority, now) + offered.of(arrivals.priority, now));
+    const expected_place late = findPlace(job, latest, now);
+    const auto lateWait = waitBeside(late.wait(), offered.above(arrivals.priority, now) + offered.of(arrivals.priority, now));
     if (!ownerPlan && now + lateWait + needed <= latest) {
+        job.promisedStart = job.startBy;
         // Its caller's time is a limit and no aim: the job comes as soon as it was expected to.
-        job.startOrder = std::min(job.startOrder, now + lateWait);
+        job.startOrder = std::min(late.order, now + lateWait);
         enqueue(job);
         return std::nullopt;
     }
-    return ownerWait > workerWait ? refusal_reason::owner_overloaded : refusal_reason::expected_too_late;
+    return late.ownerWait > late.workerWait ? refusal_reason::owner_overloaded : refusal_reason::expected_too_late;
+}
+
+cell_owner::data::expected_place cell_owner::data::findPlace(const open_job& job, time_point order, time_point now)
+{
+    auto& plan = plans.try_emplace(job.accepted.service, now).first->second;
+    if (plan.isEmpty())
+        plan = start_plan(now);
+    planned_job planned = plannedJob(job, serviceTime(job));
+    planned.position.order = order;
+    planned.position = plan.positionFor(planned);
+    expected_place place;
+    if (ownerPlan) {
+        planned.serviceTime = pace.timeFor(job.readyTasks());
+        planned.position = ownerPlan->positionFor(planned);
+        place.ownerWait = ownerPlan->waitAt(planned.position, now);
+    }
+    place.workerWait = plan.waitAt(planned.position, now);
+    place.order = planned.position.order;
+    return place;
 }
 
 bool cell_owner::data::isFavored(arrival_class arrivals, time_point now) const
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -310,6 +310,9 @@
     void limitStarts(time_point now);
     /// Returns the time that is added to limits because answers are handled late.
     std::chrono::milliseconds lagAllowance(time_point now) const;
+    /// Returns the time by which jobs end later because this owner lags: the request was read, orders are given and the end is
+    /// handled that much later.
+    std::chrono::milliseconds lagTime(time_point now) const { return 3 * lagAllowance(now); }
     /// Returns whether a call may have failed for the lag of this owner, so that it says nothing about its worker.
     bool mayBeOwnLag(order_failure failure, time_point now) const;
     std::uint64_t refusedForOverload() const
@@ -327,6 +330,16 @@
     /// Queues a job that is expected to start in time without delaying others of its priority beyond theirs; returns the reason
     /// if there is no such place.
     std::optional<refusal_reason> queueInTime(open_job& job, time_point now);
+    /// Place in the order of starts, and the waits behind the work ahead of it for the workers and for this owner.
+    struct expected_place {
+        time_point order;
+        std::chrono::microseconds workerWait { 0 };
+        std::chrono::microseconds ownerWait { 0 };
+
+        std::chrono::microseconds wait() const { return std::max(workerWait, ownerWait); }
+    };
+    /// Returns the first place from `order` on at which the job breaks no promise.
+    expected_place findPlace(const open_job& job, time_point order, time_point now);
     /// Returns whether more jobs of a class are taken on than of others of its priority, while there are too many of them. Jobs
     /// of one priority are equals, but those that may wait for longer find room more easily.
     bool isFavored(arrival_class arrivals, time_point now) const;
--- a/cells/start_plan.cpp
+++ b/cells/start_plan.cpp
@@ -62,7 +62,7 @@
 
 arrival_class::arrival_class(std::uint32_t jobPriority, std::chrono::milliseconds slackTime)
     : priority(jobPriority)
-    , slack(std::bit_width(static_cast<std::uint64_t>(std::max(slackTime.count(), std::chrono::milliseconds::rep { 0 }))))
+    , slack(static_cast<int>(std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(slackTime.count(), 0)))))
 {
 }
 
--- a/tests/cells/refusals_test.cpp
+++ b/tests/cells/refusals_test.cpp
@@ -119,6 +119,26 @@
     expectRefused(error_kind::no_worker);
 }
 
+// Guards against an owner that takes its own pause for the silence of its workers.
+BOOST_AUTO_TEST_CASE(is_not_found_among_those_who_ask_just_after_a_pause_of_the_owner)
+{
+    for (int number = 0; number < 8; ++number)
+        run(patientRequest("busy-" + std::to_string(number), 500ms));
+    runFor(100ms);
+    // Its polls get no answer, and it does not notice.
+    fallSilent();
+    loop.runFor(5s);
+    for (unsigned number = 0; number < workerCount; ++number)
+        workers.faults(name(number)).partitioned = false;
+    answers.clear();
+    run(patientRequest("thawed"));
+    BOOST_TEST(answers.empty());
+    runFor(5s);
+    for (const auto& answer : answers)
+        BOOST_TEST((answer == jobs::job_state::completed));
+    BOOST_TEST(answers.size() == 9);
+}
+
 BOOST_AUTO_TEST_CASE(is_served_once_the_workers_are_back)
 {
     fallSilent();
