cells: Use the terms of admission control in names and comments

Cause: a newcomer would have to guess 'taken on', 'in', 'of' and 'above'; two members had the names of local variables; a comment said of the platform what it says of one case only, and another gave the priority of the queue for the rank of the owner. Change: names and comments; no statement does anything else. Result: test-cells builds, and the suites of the admission pass.

--- a/cells/admission_policy.cpp
+++ b/cells/admission_policy.cpp
@@ -8,7 +8,7 @@
 
     /// Time for the answer to reach the caller before its deadline.
     constexpr std::chrono::milliseconds answerTime { 30 };
-    /// Shortest time until a refused caller should return: several times a forecast, so that there is something new to know.
+    /// Shortest time until a refused caller should return: several intervals between forecasts, so that the answer may differ.
     constexpr std::chrono::milliseconds shortestReturn { 100 };
 
 } // namespace
--- a/cells/admission_policy.h
+++ b/cells/admission_policy.h
@@ -1,4 +1,4 @@
-/// How long jobs whose callers wait for the end may wait for their first start, and when refused callers should return.
+/// Time limits of the first start of jobs whose callers wait for the end, and the times at which refused callers should return.
 #pragma once
 
 #include <chrono>
--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -99,9 +99,9 @@
     std::optional<time_point> withdrawnAt;
     /// Latest useful time of the first start; a job that can't start by then is refused.
     time_point startBy;
-    /// Whether the job was promised a start. One that was not waits until it is known whether it can have one.
-    bool isPromised = false;
-    /// Start that the job was promised when it was taken on: by its objective, or by `startBy` if that can't be met.
+    /// Whether the job was admitted. One that was not waits in the queue until enough is known to decide.
+    bool isAdmitted = false;
+    /// Latest start that the job was promised when it was admitted: by its objective, or by `startBy` if that can't be met.
     time_point promisedStart;
     /// Home cell of the job if that cell has lent the job to this one; empty otherwise.
     std::optional<cell_number> lentBy;
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -118,8 +118,8 @@
     readyJobs.clear();
     plans.clear();
     ownerPlan.reset();
-    arriving.clear();
-    offered.clear();
+    admittedLoad.clear();
+    offeredLoad.clear();
     sequence = 0;
     flushNumber = 0;
     flush.reset();
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -84,7 +84,7 @@
 enum class refusal_reason {
     /// The work ahead of the job, which was promised to earlier callers or has a higher priority, leaves no room for it in time.
     expected_too_late,
-    /// The job was taken on and has not started early enough to end before its caller stops waiting.
+    /// The job was admitted and has not started early enough to end before its caller stops waiting.
     waited_too_long,
     /// The owner has too little processor time to start the job early enough.
     owner_overloaded,
--- a/cells/cell_owner_admission.cpp
+++ b/cells/cell_owner_admission.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-    /// Time until a worker that was away is usually registered again: the platform lists workers that are alive again within
-    /// about two seconds.
-    constexpr std::chrono::milliseconds usualWorkerReturn { 2000 };
+    /// Time after which callers return that found no worker. Workers whose entries expired while the store was down are listed
+    /// again within about two seconds of its return; when others come back is not known.
+    constexpr std::chrono::milliseconds noWorkerReturn { 2000 };
 
-    /// Returns the expected wait behind work that takes `wait`, while later arrivals that come ahead use `share` of the capacity.
-    std::chrono::microseconds waitBeside(std::chrono::microseconds wait, double share)
+    /// Returns the expected wait behind work that takes `wait` on the whole capacity, while arrivals that come ahead of the job
+    /// use `share` of it.
+    std::chrono::microseconds waitBesideArrivals(std::chrono::microseconds wait, double share)
     {
         if (wait.count() == 0 || share <= 0)
             return wait;
@@ -50,56 +51,56 @@
     return { job.arrivedAt, job.objective, job.giveUpAt, job.runTime };
 }
 
-void cell_owner::data::takeOn(open_job& job, time_point now)
+void cell_owner::data::admit(open_job& job, time_point now)
 {
     // Whether an earlier owner has started the job is known once all workers have listed their runs, and which workers answer is
     // known a moment after a pause.
-    const bool known = isRefusable(job) && mayStart(job, now) && !isSettling();
-    if (!known) {
+    const bool isDecidable = isRefusable(job) && mayStart(job, now) && !isSettling();
+    if (!isDecidable) {
         enqueue(job);
-    } else if (const auto refusal = queueInTime(job, now)) {
+    } else if (const auto refusal = enqueueInTime(job, now)) {
         refuseJob(job, *refusal, now);
         return;
     }
     const std::string id = job.accepted.work.id;
     schedule(now);
     const open_job* waiting = jobTable.find(id);
-    if (known && waiting && isRefusable(*waiting))
+    if (isDecidable && waiting && isRefusable(*waiting))
         addToPlans(*waiting);
 }
 
-std::optional<refusal_reason> cell_owner::data::queueInTime(open_job& job, time_point now)
+std::optional<refusal_reason> cell_owner::data::enqueueInTime(open_job& job, time_point now)
 {
     if (const auto missing = findMissingCapacity(job))
         return missing;
-    job.isPromised = true;
+    job.isAdmitted = true;
     const time_point latest = job.startBy - lagTime(now);
     const time_point due = std::min(punctualStart(waitingJob(job)) - lagTime(now), latest);
-    const arrival_class arrivals(priorityOf(job), std::chrono::duration_cast<std::chrono::milliseconds>(due - now));
+    const arrival_class jobClass(priorityOf(job), std::chrono::duration_cast<std::chrono::milliseconds>(due - now));
     const auto needed = std::max(serviceTime(job), pace.timeFor(job.readyTasks()));
     // The jobs that VMs have kept for this owner arrive at once, which says nothing about the rate of later ones.
-    const bool counts = now > countArrivalsFrom;
-    if (counts)
-        offered.add(arrivals, needed, now);
+    const bool isCounted = now > countArrivalsFrom;
+    if (isCounted)
+        offeredLoad.add(jobClass, needed, now);
     const expected_place punctual = findPlace(job, due, now);
-    const auto wait = waitBeside(punctual.wait(), arriving.above(arrivals.priority, now));
-    if (wait.count() == 0 || (now + wait <= due && !isFavored(arrivals, now))) {
-        if (counts)
-            arriving.add(arrivals, needed, now);
+    const auto wait = waitBesideArrivals(punctual.wait(), admittedLoad.abovePriority(jobClass.priority, now));
+    if (wait.count() == 0 || (now + wait <= due && !isFavored(jobClass, now))) {
+        if (isCounted)
+            admittedLoad.add(jobClass, needed, now);
         job.promisedStart = std::max(due, now);
-        // The rate of an overloaded owner is known badly, so that the jobs that it has taken on start in the order of their
+        // The rate of an overloaded owner is a rough estimate, so that the jobs that it has admitted start in the order of their
         // arrival.
         job.startOrder = ownerPlan ? std::min(punctual.order, now + wait) : punctual.order;
         enqueue(job);
         return std::nullopt;
     }
-    // Behind its objective, a job gets what the jobs that are yet to arrive and can meet theirs will leave. An overloaded owner
-    // has nothing left.
+    // A job that misses its objective gets the capacity that arriving jobs leave free. An overloaded owner has none left.
     const expected_place late = findPlace(job, latest, now);
-    const auto lateWait = waitBeside(late.wait(), offered.above(arrivals.priority, now) + offered.of(arrivals.priority, now));
+    const auto lateWait = waitBesideArrivals(
+        late.wait(), offeredLoad.abovePriority(jobClass.priority, now) + offeredLoad.ofPriority(jobClass.priority, now));
     if (!ownerPlan && now + lateWait + needed <= latest) {
         job.promisedStart = job.startBy;
-        // Its caller's time is a limit and no aim: the job comes as soon as it was expected to.
+        // The job starts when it is expected to, and not only when its caller's time is nearly over.
         job.startOrder = std::min(late.order, now + lateWait);
         enqueue(job);
         return std::nullopt;
@@ -126,10 +127,12 @@
     return place;
 }
 
-bool cell_owner::data::isFavored(arrival_class arrivals, time_point now) const
+bool cell_owner::data::isFavored(arrival_class jobClass, time_point now) const
 {
-    const double all = offered.of(arrivals.priority, now);
-    return all > 1 && arriving.in(arrivals, now) * all > arriving.of(arrivals.priority, now) * offered.in(arrivals, now);
+    const double all = offeredLoad.ofPriority(jobClass.priority, now);
+    return all > 1
+        && admittedLoad.ofClass(jobClass, now) * all
+        > admittedLoad.ofPriority(jobClass.priority, now) * offeredLoad.ofClass(jobClass, now);
 }
 
 std::optional<refusal_reason> cell_owner::data::findMissingCapacity(const open_job& job) const
@@ -139,7 +142,7 @@
     for (const auto& step : job.accepted.work.steps) {
         if (usableCores(job.accepted.service, step, job.startBy) > 0)
             continue;
-        bool offered = false;
+        bool hasWorkers = false;
         bool fits = false;
         for (const auto& [id, session] : sessions) {
             const auto& worker = session.registration();
@@ -148,10 +151,10 @@
             // The registration of a new boot is still to be read.
             if (worker.capacity.cpuMillis == 0)
                 return std::nullopt;
-            offered = true;
+            hasWorkers = true;
             fits = fits || session.isLargeEnough(step);
         }
-        return offered && !fits ? refusal_reason::fits_no_worker : refusal_reason::no_worker;
+        return hasWorkers && !fits ? refusal_reason::fits_no_worker : refusal_reason::no_worker;
     }
     return std::nullopt;
 }
@@ -234,13 +237,13 @@
     if (readyJobs.empty() || isSettling())
         return;
     std::vector<std::pair<std::string, refusal_reason>> refused;
-    std::vector<std::string> unpromised;
+    std::vector<std::string> undecided;
     for (const auto& rank : readyJobs) {
         open_job* job = jobTable.find(std::get<std::string>(rank));
         if (!job || job->ended || job->isLongRunning() || !mayStart(*job, now))
             continue;
-        if (isRefusable(*job) && !job->isPromised) {
-            unpromised.push_back(job->accepted.work.id);
+        if (isRefusable(*job) && !job->isAdmitted) {
+            undecided.push_back(job->accepted.work.id);
             continue;
         }
         const auto missing = isRefusable(*job) ? findMissingCapacity(*job) : std::nullopt;
@@ -265,13 +268,13 @@
     }
     for (const auto& [id, reason] : refused)
         refuseJob(*jobTable.find(id), reason, now);
-    for (const auto& id : unpromised) {
-        // A start may have ended a job that crashes workers.
+    for (const auto& id : undecided) {
+        // Admitting another job starts tasks, which may end a job that crashes workers.
         open_job* job = jobTable.find(id);
         if (!job || !isRefusable(*job))
             continue;
         dequeue(*job);
-        takeOn(*job, now);
+        admit(*job, now);
     }
 }
 
@@ -295,7 +298,7 @@
     if (reason == refusal_reason::fits_no_worker)
         return longestReturn;
     if (reason == refusal_reason::no_worker)
-        return returns.reserve(now, usualWorkerReturn, std::chrono::microseconds(0));
+        return returns.reserve(now, noWorkerReturn, std::chrono::microseconds(0));
     const auto plan = plans.find(job.accepted.service);
     const auto workerTime = plan == plans.end() ? std::chrono::milliseconds(0) : plan->second.drainTime(now);
     const auto ownerTime = ownerPlan ? ownerPlan->drainTime(now) : std::chrono::milliseconds(0);
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -80,10 +80,10 @@
     /// Moving average of the CPU need of started tasks, in thousandths of a core.
     double averageTaskCpu = 1000.0;
     call_statistics calls;
-    /// Share of the workers' capacity that jobs use which start by their objective, and so come ahead of those that can't.
-    arriving_load arriving;
-    /// The same of all jobs that arrive, whether they are taken on or not.
-    arriving_load offered;
+    /// Share of the capacity that admitted jobs use which start by their objective, and so come ahead of those that can't.
+    arriving_load admittedLoad;
+    /// The same of all jobs that arrive, whether they are admitted or not.
+    arriving_load offeredLoad;
     time_point countArrivalsFrom;
     return_schedule returns;
     owner_lag lag;
@@ -324,12 +324,12 @@
     static waiting_job waitingJob(const open_job& job);
     /// Returns whether the job may still be refused: its caller waits, and nothing of it has started in this term.
     static bool isRefusable(const open_job& job) { return job.accepted.work.answeredAtEnd && !job.started && !job.ended; }
-    /// Queues a job that is not lent, and starts it if there is free capacity; refuses it if it is known that it can't start in
-    /// time. `job` may not be valid afterwards.
-    void takeOn(open_job& job, time_point now);
-    /// Queues a job that is expected to start in time without delaying others of its priority beyond theirs; returns the reason
-    /// if there is no such place.
-    std::optional<refusal_reason> queueInTime(open_job& job, time_point now);
+    /// Decides about a job that is not lent: queues it, and starts it if there is free capacity, or refuses it because it can't
+    /// start in time. Queues it without a decision if too little is known. `job` may not be valid afterwards.
+    void admit(open_job& job, time_point now);
+    /// Admits a job: queues it at a place at which it starts in time and delays no other job of its priority beyond the start
+    /// that that job was promised. Returns the reason for a refusal if there is no such place.
+    std::optional<refusal_reason> enqueueInTime(open_job& job, time_point now);
     /// Place in the order of starts, and the waits behind the work ahead of it for the workers and for this owner.
     struct expected_place {
         time_point order;
@@ -340,9 +340,9 @@
     };
     /// Returns the first place from `order` on at which the job breaks no promise.
     expected_place findPlace(const open_job& job, time_point order, time_point now);
-    /// Returns whether more jobs of a class are taken on than of others of its priority, while there are too many of them. Jobs
-    /// of one priority are equals, but those that may wait for longer find room more easily.
-    bool isFavored(arrival_class arrivals, time_point now) const;
+    /// Returns whether a larger share of a class is admitted than of all jobs of its priority, while there are too many of them.
+    /// Jobs of one priority are equals, but those that may wait for longer find room more easily.
+    bool isFavored(arrival_class jobClass, time_point now) const;
     /// Returns why no worker can run the job while its caller waits; empty if one can, or if that is not known yet.
     std::optional<refusal_reason> findMissingCapacity(const open_job& job) const;
     /// Returns the cores of the workers that can be expected to run tasks of a step until `until`.
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -169,7 +169,7 @@
     if (request.mayHaveStarted)
         adoptOrphans(*job);
     if (!lend(*job, now))
-        takeOn(*job, now);
+        admit(*job, now);
 }
 
 std::int64_t cell_owner::data::idleCpu(const service_id& service, time_point now) const
@@ -256,7 +256,7 @@
     if (rowOf(result.error().kind).result == outcome::not_run) {
         job->lentTo.reset();
         job->started = false;
-        takeOn(*job, clock.now());
+        admit(*job, clock.now());
         return;
     }
     answer(*job, result);
--- a/cells/start_pace.h
+++ b/cells/start_pace.h
@@ -26,7 +26,7 @@
     /// Records that a job was refused or had to wait because of the limit, which is kept then.
     void noteHeld(time_point now) { m_heldAt = now; }
 
-    /// Returns whether the rate has been measured under the limit for long enough to take back what was promised before.
+    /// Returns whether the rate has been measured under the limit for long enough to refuse jobs that were admitted.
     bool isRateSettled(time_point now) const { return m_limited && now >= m_limitedAt + rateSettlingTime; }
 
     /// Returns the starts a second that the owner gets done; 0 while there is no limit.
--- a/cells/start_plan.cpp
+++ b/cells/start_plan.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-    /// Time constant of `arriving_load`: longer than the gaps between jobs, and shorter than a usual crest of demand.
+    /// Time constant of `arriving_load`: longer than the gaps between jobs, and no longer than the seconds in which demand
+    /// swings.
     constexpr std::chrono::milliseconds arrivalWindow { 1000 };
 
 } // namespace
@@ -78,13 +79,13 @@
     return share * std::exp(-std::chrono::duration<double>(now - at) / arrivalWindow);
 }
 
-double arriving_load::in(arrival_class jobs, time_point now) const
+double arriving_load::ofClass(arrival_class jobs, time_point now) const
 {
     const auto found = m_rates.find(jobs);
     return found == m_rates.end() ? 0 : found->second.shareAt(now);
 }
 
-double arriving_load::of(std::uint32_t priority, time_point now) const
+double arriving_load::ofPriority(std::uint32_t priority, time_point now) const
 {
     double share = 0;
     for (const auto& [arriving, current] : m_rates)
@@ -92,7 +93,7 @@
     return share;
 }
 
-double arriving_load::above(std::uint32_t priority, time_point now) const
+double arriving_load::abovePriority(std::uint32_t priority, time_point now) const
 {
     double share = 0;
     for (const auto& [arriving, current] : m_rates)
--- a/cells/start_plan.h
+++ b/cells/start_plan.h
@@ -14,7 +14,7 @@
 
 /// Position in the order of starts: by priority, then by the time until which the job should start.
 struct start_position {
-    /// Priority of the queue; 0 comes first.
+    /// Priority as the owner ranks it, see `priorityOf`; 0 comes first.
     std::uint32_t priority = 0;
     time_point order;
 
@@ -29,7 +29,7 @@
     start_position position;
     /// Time for which the job uses the whole capacity.
     std::chrono::microseconds serviceTime { 0 };
-    /// Latest useful start: the promise to the caller of a job that is taken on.
+    /// Latest start that the job was promised when it was admitted.
     time_point latestStart;
 };
 
@@ -74,7 +74,7 @@
 /// Jobs of one priority that may wait for about the same time until they start: what comes ahead of them is the same.
 struct arrival_class {
     std::uint32_t priority = 0;
-    /// Binary logarithm of the time in milliseconds.
+    /// Number of binary digits of the time in milliseconds, so that a class spans a factor of two.
     int slack = 0;
 
     arrival_class(std::uint32_t jobPriority, std::chrono::milliseconds slackTime);
@@ -88,11 +88,11 @@
     /// Adds a job that uses the whole capacity for `serviceTime`.
     void add(arrival_class job, std::chrono::microseconds serviceTime, time_point now);
     /// Returns the share of the capacity that the arriving jobs of a class use.
-    double in(arrival_class jobs, time_point now) const;
+    double ofClass(arrival_class jobs, time_point now) const;
     /// Returns the share that the arriving jobs of a priority use.
-    double of(std::uint32_t priority, time_point now) const;
+    double ofPriority(std::uint32_t priority, time_point now) const;
     /// Returns the share that those of all higher priorities use.
-    double above(std::uint32_t priority, time_point now) const;
+    double abovePriority(std::uint32_t priority, time_point now) const;
     void clear() { m_rates.clear(); }
 
 private:
--- a/tests/cells/start_plan_test.cpp
+++ b/tests/cells/start_plan_test.cpp
@@ -94,13 +94,13 @@
     for (int number = 0; number < 4000; ++number)
         load.add({ 1, 60ms }, 1ms, now + number * 2ms);
     const time_point end = now + 8s;
-    BOOST_TEST(load.of(1, end) > 0.45);
-    BOOST_TEST(load.of(1, end) < 0.55);
-    BOOST_TEST(load.above(1, end) == 0);
-    BOOST_TEST(load.above(2, end) == load.of(1, end));
-    BOOST_TEST(load.in({ 1, 50ms }, end) == load.of(1, end));
-    BOOST_TEST(load.in({ 1, 500ms }, end) == 0);
-    BOOST_TEST(load.of(1, end + 10s) < 0.01);
+    BOOST_TEST(load.ofPriority(1, end) > 0.45);
+    BOOST_TEST(load.ofPriority(1, end) < 0.55);
+    BOOST_TEST(load.abovePriority(1, end) == 0);
+    BOOST_TEST(load.abovePriority(2, end) == load.ofPriority(1, end));
+    BOOST_TEST(load.ofClass({ 1, 50ms }, end) == load.ofPriority(1, end));
+    BOOST_TEST(load.ofClass({ 1, 500ms }, end) == 0);
+    BOOST_TEST(load.ofPriority(1, end + 10s) < 0.01);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
