tests: Tell what happened to a job that ran twice in a simulated fleet

Cause: a failed property names the task only. The log lines of the owners have the time of the machine and are limited to 600 of a kind in a second, so that they can't be put in order, nor tell a stop that was lost from one that was never sent. Change: the fleet notes starts and ends of VMs, terms, submissions, answers, callers that leave, withdrawals, orders without an answer and ends of runs with their virtual times; a property that fails prints those of the job.

--- a/tests/cells/random_faults_test.cpp
+++ b/tests/cells/random_faults_test.cpp
@@ -54,6 +54,12 @@
     return tries;
 }
 
+/// Returns what has happened in the fleet, for each job that a violation names.
+std::string timelineOf(const cell_fleet& fleet, const std::string& violation)
+{
+    return violation + '\n' + fleet.timeline.textOf(violation.substr(0, violation.find_first_of(". ")));
+}
+
 /// Where an unstored job arrives again under the id that it had.
 enum class resubmission { in_any_domain, in_its_domain };
 
@@ -178,7 +184,7 @@
         cell_fleet fleet(2, 3, 3);
         applyAll(fleet, events);
         for (const auto& violation : fleet.workers.violations())
-            RC_FAIL(violation);
+            RC_FAIL(timelineOf(fleet, violation));
     }));
 }
 
@@ -211,7 +217,7 @@
         cell_fleet fleet(2, 3, 3);
         applyAll(fleet, events, repeats);
         for (const auto& violation : violationsOf(fleet))
-            RC_FAIL(violation);
+            RC_FAIL(timelineOf(fleet, violation));
     });
 }
 
@@ -255,7 +261,7 @@
         cell_fleet fleet(2, 3, 3);
         applyAllWithCallers(fleet, events);
         for (const auto& violation : violationsOf(fleet))
-            RC_FAIL(violation);
+            RC_FAIL(timelineOf(fleet, violation));
     }));
 }
 
@@ -292,7 +298,7 @@
         cell_fleet fleet(2, 3, 3);
         applyFreezes(fleet, events);
         for (const auto& violation : violationsOf(fleet))
-            RC_FAIL(violation);
+            RC_FAIL(timelineOf(fleet, violation));
     }));
 }
 
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -194,7 +194,11 @@
                 done(answer);
         };
         fleet.loop.after(networkDelay, [&fleet = fleet, from = name, address, request, once] {
-            if (!fleet.reachable(from, address))
+            const bool arrives = fleet.reachable(from, address) != nullptr;
+            fleet.timeline.note(request.accepted.work.id,
+                fmt::format("{} by {} to {}{}{}", request.lentBy ? "lent" : "sent", from, address,
+                    request.mayHaveStarted ? ", may have started" : "", arrives ? "" : ": lost"));
+            if (!arrives)
                 return;
             fleet.loop.after(fleet.m_callDelays[from], [&fleet, from, address, request, once] {
                 if (!fleet.isAlive(address))
@@ -220,7 +224,9 @@
         const std::string& address, const std::string& jobId, const jobs::request_id& request, withdrawal_reason reason) override
     {
         fleet.loop.after(networkDelay, [&fleet = fleet, from = name, address, jobId, request, reason] {
-            if (vm* target = fleet.reachable(from, address))
+            vm* target = fleet.reachable(from, address);
+            fleet.timeline.note(jobId, fmt::format("withdrawn by {} at {}{}", from, address, target ? "" : ": lost"));
+            if (target)
                 target->receive([target, jobId, request, reason] { target->owner.withdraw(jobId, request, reason); });
         });
     }
@@ -242,6 +248,7 @@
     void start() override
     {
         workerSourceStarted = true;
+        fleet.timeline.note(fmt::format("{} owns cell {} in epoch {}", name, cell, member.view().epoch));
         owner.setWorkers(listedWorkers());
     }
     std::vector<worker_registration> listedWorkers() const
@@ -265,6 +272,7 @@
 cell_fleet::cell_fleet(unsigned domains, unsigned vms, unsigned workersPerDomain)
     : m_domains(domains)
 {
+    workers.noteEventsIn(timeline);
     for (unsigned domain = 0; domain < domains; ++domain) {
         for (unsigned number = 0; number < workersPerDomain; ++number)
             workers.add(workerName(domain, number), std::to_string(domain), workerCpu);
@@ -287,6 +295,7 @@
 {
     if (m_vms.contains(vm))
         return;
+    timeline.note(vm + " starts");
     auto started = std::make_shared<cell_fleet::vm>(*this, vm, ++m_lastIncarnation);
     m_vms.emplace(vm, started);
     started->directory.start();
@@ -313,6 +322,7 @@
     const auto found = m_vms.find(vm);
     if (found == m_vms.end())
         return;
+    timeline.note(vm + " ends");
     found->second->alive = false;
     found->second->arrived.clear();
     // `alive` is cleared before the VM is destroyed, so that its pending completions have no effect.
@@ -338,6 +348,7 @@
 
 void cell_fleet::disconnectCaller(const std::string& vm, const std::string& jobId)
 {
+    timeline.note(jobId, "its caller at " + vm + " leaves");
     m_leftSubmissions.insert(m_submissions.at({ vm, jobId }));
     m_vms.at(vm)->receive([this, vm, jobId] {
         loop.after(disconnectDelay, [this, vm, number = m_callerRequests.at({ vm, jobId })] {
@@ -349,6 +360,7 @@
 
 void cell_fleet::drain(const std::string& vm)
 {
+    timeline.note(vm + " drains");
     if (isAlive(vm))
         m_vms.at(vm)->member.drain(loop.now());
 }
@@ -357,6 +369,7 @@
 {
     if (!isAlive(vm))
         return;
+    timeline.note(vm + " begins an orderly stop");
     const orderly_stop stop(loop.now(), stopGrace);
     m_vms.at(vm)->router.endBy(stop.answerLimit());
     m_vms.at(vm)->member.drain(stop.preferenceLimit());
@@ -383,10 +396,15 @@
     });
 }
 
-void cell_fleet::freeze(const std::string& vm) { m_vms.at(vm)->frozen = true; }
+void cell_fleet::freeze(const std::string& vm)
+{
+    timeline.note(vm + " freezes");
+    m_vms.at(vm)->frozen = true;
+}
 
 void cell_fleet::thaw(const std::string& vm)
 {
+    timeline.note(vm + " thaws");
     const auto target = m_vms.at(vm);
     target->frozen = false;
     for (const auto& call : std::exchange(target->arrived, {}))
@@ -441,12 +459,14 @@
 {
     if (!isAlive(vm))
         return;
+    timeline.note(jobId, "submitted at " + vm);
     const std::uint64_t submission = ++m_lastSubmission;
     m_submissions[{ vm, jobId }] = submission;
     m_vms.at(vm)->receive([this, vm, jobId, submission, job = makeJob(jobId, tasks, duration, true), timeLeft] {
         m_callerRequests[{ vm, jobId }] = m_vms.at(vm)->router.run(
             { job, false, timeLeft }, [this, vm, jobId, submission](const result<jobs::job_state>& answer) {
                 answers.push_back({ jobId, answer, loop.now(), vm });
+                timeline.note(jobId, fmt::format("{} answers: {}", vm, answer ? "ended" : answer.error().detail));
                 if (onAnswer && !m_leftSubmissions.contains(submission))
                     onAnswer(answers.back());
             });
--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -49,7 +49,11 @@
     void drain(const std::string& vm);
     bool isAlive(const std::string& vm) const { return m_vms.contains(vm); }
     /// Sets the fault of the record store that a VM sees from now on.
-    void setStoreFault(const std::string& vm, store_fault fault) { m_storeFaults[vm] = fault; }
+    void setStoreFault(const std::string& vm, store_fault fault)
+    {
+        timeline.note(fmt::format("{} gets store fault {}", vm, static_cast<int>(fault)));
+        m_storeFaults[vm] = fault;
+    }
     /// Removes a worker from the lists that owners read from now on, although the worker keeps running.
     void unlistWorker(const std::string& worker) { m_unlistedWorkers.insert(worker); }
     /// Limits the processor time of a VM, in thousandths of a core, from its next start on. Without a limit all work of a VM
@@ -64,6 +68,7 @@
     /// Sets whether all datagrams and calls between a VM and the others are lost.
     void setPartitioned(const std::string& vm, bool partitioned)
     {
+        timeline.note(vm + (partitioned ? " is cut off" : " is in reach"));
         partitioned ? (void)m_partitioned.insert(vm) : (void)m_partitioned.erase(vm);
     }
 
@@ -107,6 +112,8 @@
     virtual_loop loop;
     memory_record_store records { loop };
     virtual_workers workers { loop };
+    /// What has happened to VMs, callers, runs and orders.
+    event_timeline timeline { loop };
     /// Answers in the order of their arrival.
     std::vector<recorded_answer> answers;
     /// Called with each answer to an unstored job that reaches its caller, if set.
--- a/tests/fakes/virtual_workers.cpp
+++ b/tests/fakes/virtual_workers.cpp
@@ -151,8 +151,16 @@
     current.leaseEnd = std::max(current.leaseEnd, std::min(requestedEnd, m_loop.now() + maxLease));
 }
 
+void virtual_workers::noteEvent(const worker& current, const task_key& task, std::uint64_t attempt, std::string_view what) const
+{
+    if (m_timeline)
+        m_timeline->note(
+            task.jobId, fmt::format("task {}: attempt {} on {} {}", task.index, attempt, current.registration.id.value, what));
+}
+
 void virtual_workers::recordStart(worker& current, const start_order& order)
 {
+    noteEvent(current, order.task, order.attempt, "starts");
     for (const auto& run : m_runs) {
         if (run.task == order.task && !run.end)
             m_violations.push_back(fmt::format("{}.{} has two concurrent runs", run.task.jobId, run.task.index));
@@ -215,6 +223,7 @@
     current.highestAttempts[task] = std::max(current.highestAttempts[task], run.attempt);
     m_runs[run.index].end = m_loop.now();
     m_runs[run.index].done = endReason == run_end_reason::done;
+    noteEvent(current, task, run.attempt, fmt::format("ends: {}", nameOf(endReason)));
     current.endedRuns.emplace(current.lastEndNumber + 1, run.index);
     current.ended.push_back({ ++current.lastEndNumber, task, run.attempt, endReason, {} });
     current.mostUnacknowledged = std::max(current.mostUnacknowledged, current.ended.size());
@@ -267,6 +276,7 @@
     if (order.token < current.token)
         return tl::unexpected(order_failure::fenced);
     current.token = order.token;
+    noteEvent(current, order.task, order.attempt, "gets a stop");
     const order_answer answer { workerTimeOf(current) };
     const auto found = current.running.find(order.task);
     if (found != current.running.end() && found->second.attempt <= order.attempt && !found->second.stopping)
@@ -337,6 +347,8 @@
 {
     worker& target = m_workers.at(id.value);
     const order_transport transport = nextTransport(target, target.faults.path, target.faults.nextStarts);
+    if (!transport.isAnswered())
+        noteEvent(target, order.task, order.attempt, "will not answer a start");
     const auto execute = [this, order, refusal = transport.refusal](worker& current) {
         return refusal ? refuseOrder(current, order, *refusal) : executeOrder(current, order);
     };
@@ -347,6 +359,8 @@
 {
     worker& target = m_workers.at(id.value);
     const order_transport transport = nextTransport(target, target.faults.path, target.faults.nextStops);
+    if (!transport.isAnswered())
+        noteEvent(target, order.task, order.attempt, "will not answer a stop");
     const auto execute
         = [this, order, refusal = transport.refusal](worker& current) -> tl::expected<order_answer, order_failure> {
         if (refusal)
--- a/tests/fakes/virtual_workers.h
+++ b/tests/fakes/virtual_workers.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cells/worker_link.h"
+#include "tests/fakes/event_timeline.h"
 #include "tests/fakes/virtual_loop.h"
 #include "tests/fakes/worker_path.h"
 
@@ -100,6 +101,9 @@
     void poll(
         const worker_id& id, const cells::poll_order& order, const cells::worker_link::completion<cells::poll_answer>& done);
 
+    /// Sets where orders and ends of runs are noted; nowhere by default. `timeline` must outlive the workers.
+    void noteEventsIn(event_timeline& timeline) { m_timeline = &timeline; }
+
     /// Returns all runs in the order of their starts.
     const std::vector<recorded_run>& runs() const { return m_runs; }
     /// Returns a message for each violated guarantee: two concurrent runs of the same task.
@@ -151,6 +155,7 @@
         worker& current, const cells::start_order& order, cells::order_failure refusal);
     tl::expected<cells::order_answer, cells::order_failure> executeStop(worker& current, const cells::stop_order& order);
     void finish(worker& current, const cells::task_key& task, cells::run_end_reason endReason);
+    void noteEvent(const worker& current, const cells::task_key& task, std::uint64_t attempt, std::string_view what) const;
     /// Ends a run after the time that a stop takes on the worker.
     void endStoppedRun(worker& current, const cells::task_key& task, active_run& stopped);
     void acknowledgeEnds(worker& current, std::uint64_t acknowledged);
@@ -163,6 +168,7 @@
     void scheduleCrash(const worker& current, const cells::start_order& order);
 
     virtual_loop& m_loop;
+    event_timeline* m_timeline = nullptr;
     std::map<std::string, worker> m_workers;
     std::map<cells::task_key, std::chrono::milliseconds> m_deadlyTasks;
     std::optional<std::chrono::milliseconds> m_silenceUntilUnregistered;
