cells: End the leases of workers before lost callers can submit their jobs again

Callers saw: nothing yet. Cause: a run whose stop was not answered went on until the lease of its worker ended, and polls went on extending that lease for 0.65 s after the last answer, up to 1.8 s after the caller had left. The lease was extended in the same way before the stop, so that the run outlived an owner that was lost with the VM of the caller. Change: a run whose caller has left limits the lease of its worker to 1.05 s after that, whether stops are answered or not. A limited lease takes new tasks while half a second of it is left. Runs of an earlier owner that no VM has claimed limit it in the same way. The limit ends with the run, or when the job is submitted again here. Evidence: its_runs_end_with_their_leases_before_it_can_submit_the_job_again (2 runs at work) and its_runs_end_although_the_owner_is_lost_before_it_stops_them (1) failed before. Why this works: the worker ends the run by its own clock, so that neither the stop nor the owner has to reach it; the sum of 0.1 s until the owner knows, 1.05 s, 2 % of the lease for a slow clock and 0.05 s to end the runs is below the 1.3 s of the platform. Cost: other runs on a worker that is silent end after 0.5 to 1.05 s of silence while a caller of one of its runs has just left.

--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -49,6 +49,8 @@
         if (known->withdrawnAt) {
             noteWithdrawal(id, withdrawal_outcome::resubmitted);
             known->withdrawnAt.reset();
+            for (auto& [worker, session] : sessions)
+                session.liftLeaseLimit(id);
             enqueue(*known);
         }
         if (request.mayHaveStarted && known->offset == newestOffset)
@@ -97,6 +99,7 @@
         }
         for (const task_key& key : orphans) {
             noteOrphan(key, worker, orphan_outcome::withdrawn, now);
+            session.limitLease(id, now);
             stopRun(session, key, now);
         }
     }
@@ -116,6 +119,7 @@
 {
     const std::string id = job.accepted.work.id;
     job.withdrawnAt = now;
+    limitLeases(id, now + withdrawnLeaseLimit);
     if (job.lentTo) {
         deferredCalls.emplace_back(
             [self = shared_from_this(), cell = *job.lentTo, id, reason] { self->neighbors->withdraw(cell, id, reason); });
@@ -132,6 +136,12 @@
     }
 }
 
+void cell_owner::data::limitLeases(const std::string& jobId, time_point limit)
+{
+    for (auto& [worker, session] : sessions)
+        session.limitLease(jobId, limit);
+}
+
 void cell_owner::data::endWithdrawnJobs(time_point now)
 {
     for (auto& [id, job] : jobTable.open()) {
@@ -323,6 +333,7 @@
             if (key.jobId != id || !current.orphaned || !job.contains(key) || job.task(key).phase != task_phase::waiting)
                 continue;
             current.orphaned = false;
+            current.leaseLimit.reset();
             found.emplace_back(key);
             task_state& task = job.task(key);
             std::erase(job.steps[key.step].waiting, key.index);
@@ -357,6 +368,7 @@
         if (now > job.giveUpAt) {
             if (job.withdrawnAt)
                 noteWithdrawal(id, withdrawal_outcome::stopped);
+            limitLeases(id, now + withdrawnLeaseLimit);
             answer(
                 job, fail(error_kind::deadline_passed_while_running, "the time limit of the caller passed before the job ended"));
             endJob(job, jobs::job_state::cancelled);
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -139,7 +139,7 @@
     order.acknowledged = session.durableEnd;
     // The lease of a worker that does not answer is not extended, so that its runs can be requeued after the lease ends.
     order.extendsLease = session.knowsClock() && !session.runs().empty() && !session.deregistered
-        && now - session.lastAnswerAt < leaseSilenceLimit + lagAllowance(now);
+        && now - session.lastAnswerAt < leaseSilenceLimit + lagAllowance(now) && now < session.leaseLimit();
     if (order.extendsLease)
         order.leaseEnd = session.extendLease(settings.maxLease, now);
     order.wait = pollWait(session, now);
@@ -365,6 +365,8 @@
     added.percent = listed.percent;
     const bool known = job && job->contains(listed.task);
     added.orphaned = !job && !jobTable.isFinished(listed.task.jobId) && !resubmissionsOver && awaitsResubmissions(now);
+    if (added.orphaned)
+        added.leaseLimit = unclaimedLeaseEnd();
     if (known) {
         added.need = job->accepted.work.steps[listed.task.step].need;
         added.estimate = job->accepted.work.steps[listed.task.step].estimate;
@@ -413,6 +415,12 @@
     return now < limit;
 }
 
+time_point cell_owner::data::unclaimedLeaseEnd() const
+{
+    const time_point limit = takenOverAt + resubmissionLimit;
+    return term.previousOwnerSeenAt ? std::min(limit, *term.previousOwnerSeenAt + unclaimedLeaseLimit) : limit;
+}
+
 void cell_owner::data::stopUnclaimedRuns(time_point now)
 {
     if (resubmissionsOver || awaitsResubmissions(now))
@@ -426,6 +434,7 @@
         }
         for (const task_key& key : unclaimed) {
             noteOrphan(key, worker, orphan_outcome::not_resubmitted, now);
+            session.limitLease(key.jobId, now);
             stopRun(session, key, now);
         }
     }
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -101,6 +101,15 @@
 /// How long the runs of a job go on after its last caller has left. Together with the detection of the loss and a stop order it
 /// stays well below the platform's delay of resubmissions, 1.3 s, which may arrive in another cell.
 inline constexpr std::chrono::milliseconds withdrawnRunLimit { 500 };
+/// Time after an owner has learned that a caller has left by which the leases of the workers that run its job end: the platform's
+/// delay of resubmissions, 1.3 s, less the time until the owner learns it, the time that a worker takes to end its runs, and that
+/// of messages.
+inline constexpr std::chrono::milliseconds withdrawnLeaseLimit { 1050 };
+/// Time after the last sign of life of a lost owner by which the leases of workers with runs end whose callers are not known. The
+/// caller may have been lost together with the owner.
+inline constexpr std::chrono::milliseconds unclaimedLeaseLimit { 1150 };
+/// Shortest remaining time of a limited lease with which a worker gets new tasks.
+inline constexpr std::chrono::milliseconds shortestStartLease { 500 };
 /// Margin on the time during which an unanswered start may still be carried out; covers errors of clock readings.
 inline constexpr std::chrono::milliseconds lateStartMargin { 500 };
 /// Age of the last successful read of the records up to which a job that they don't contain counts as unknown. Longer than
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -33,8 +33,37 @@
     if (!m_clockAt)
         return worker_time(0);
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_clockAt);
-    m_leaseEnd = std::max(m_leaseEnd, m_clock + elapsed + maxLease);
-    return m_leaseEnd;
+    const worker_time unlimited = m_clock + elapsed + maxLease;
+    const time_point limit = leaseLimit();
+    if (limit == time_point::max()) {
+        m_leaseEnd = std::max(m_leaseEnd, unlimited);
+        return m_leaseEnd;
+    }
+    const std::chrono::duration<double, std::milli> left = limit - *m_clockAt;
+    const worker_time limited = m_clock + std::chrono::floor<std::chrono::milliseconds>(left * (1.0 - maxClockDrift));
+    const worker_time granted = std::min(unlimited, limited);
+    m_leaseEnd = std::max(m_leaseEnd, granted);
+    return granted;
+}
+
+time_point worker_session::leaseLimit() const
+{
+    time_point earliest = time_point::max();
+    for (const auto& [key, current] : m_runs)
+        earliest = std::min(earliest, current.leaseLimit.value_or(time_point::max()));
+    return earliest;
+}
+
+void worker_session::limitLease(const std::string& jobId, time_point limit)
+{
+    for (auto run = m_runs.lower_bound({ jobId, 0, 0, 0 }); run != m_runs.end() && run->first.jobId == jobId; ++run)
+        run->second.leaseLimit = std::min(run->second.leaseLimit.value_or(limit), limit);
+}
+
+void worker_session::liftLeaseLimit(const std::string& jobId)
+{
+    for (auto run = m_runs.lower_bound({ jobId, 0, 0, 0 }); run != m_runs.end() && run->first.jobId == jobId; ++run)
+        run->second.leaseLimit.reset();
 }
 
 time_point worker_session::leasesEnded(time_point now) const
@@ -156,6 +185,11 @@
     return listed && !deregistered && !m_registration.draining && lostCalls <= toleratedLosses && now >= m_startsPausedUntil;
 }
 
+bool worker_session::acceptsStarts(time_point now) const
+{
+    return reservedFor.empty() && isHealthy(now) && leaseLimit() - shortestStartLease >= now;
+}
+
 void worker_session::noteAnswer(time_point now)
 {
     lostCalls = 0;
--- a/tests/cells/left_caller_test.cpp
+++ b/tests/cells/left_caller_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "tests/fakes/fleet_checks.h"
+#include "tests/fakes/resubmitting_callers.h"
 
 using namespace coriandermount;
 using namespace coriandermount::fakes;
@@ -36,6 +37,20 @@
         return std::count_if(runs.begin(), runs.end(), [](const auto& run) { return !run.end; });
     }
 
+    std::ptrdiff_t runsAtWorkOf(const std::string& jobId) const
+    {
+        const auto& runs = fleet.workers.runs();
+        return std::count_if(runs.begin(), runs.end(), [&jobId](const auto& run) { return run.task.jobId == jobId && !run.end; });
+    }
+
+    /// Polls and starts reach the worker, stops do not, and no answer arrives.
+    void loseAllAnswers(const std::string& worker)
+    {
+        auto& faults = fleet.workers.faults(worker);
+        faults.losesPollAnswers = true;
+        faults.nextStops.assign(20, order_transport::requestLost());
+    }
+
     cell_fleet fleet { 2, 3, 3 };
     std::string home;
     std::string entry;
@@ -63,4 +78,45 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(when_a_caller_has_left_and_its_workers_answer_nothing, left_caller)
+
+// Guards against runs that go on beside a resubmission because the leases of silent workers are extended, and their stops are
+// lost (issue 50).
+BOOST_AUTO_TEST_CASE(its_runs_end_with_their_leases_before_it_can_submit_the_job_again)
+{
+    fleet.disconnectCaller(entry, "a");
+    fleet.runFor(500ms);
+    for (unsigned number = 0; number < 3; ++number)
+        loseAllAnswers(cell_fleet::workerName(0, number));
+    fleet.runFor(resubmitting_callers::retransmissionDelay - 500ms);
+    BOOST_TEST(runsAtWork() == 0);
+}
+
+// Guards against runs that go on beside a resubmission because the leases that a lost owner granted outlast its callers (issue
+// 50).
+BOOST_AUTO_TEST_CASE(its_runs_end_although_the_owner_is_lost_before_it_stops_them)
+{
+    fleet.run(home, "b", 1, 4s, 20s);
+    fleet.runFor(200ms);
+    fleet.disconnectCaller(home, "b");
+    fleet.runFor(540ms);
+    for (unsigned number = 0; number < 3; ++number)
+        fleet.kill(cell_fleet::vmName(0, number));
+    fleet.runFor(resubmitting_callers::retransmissionDelay - 540ms);
+    BOOST_TEST(runsAtWorkOf("b") == 0);
+}
+
+// Guards against leases that are cut short for the runs of other callers.
+BOOST_AUTO_TEST_CASE(the_runs_of_a_caller_that_has_returned_go_on)
+{
+    fleet.disconnectCaller(entry, "a");
+    fleet.runFor(300ms);
+    fleet.run(entry, "a", 2, 4s, 20s);
+    fleet.runFor(3s);
+    BOOST_TEST(runsAtWork() == 2);
+    expectNoViolation(fleet);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
