cells: Send a job once if two threads find it due

Cause: job_router::run adds a job and sends it without the lock in between, so that a tick finds it due and sends it too. The owner refuses both requests, and the refusal of the second does not hold for the first. Change: whether a job is in flight is looked at under the lock under which it is marked as sent. Two requests for one job are also one too many for at most once: the second could arrive after the first was withdrawn. Evidence: is_sent_once_if_a_tick_finds_it_before_it_is_sent saw three requests in place of two, and 504 in place of the refusal.

--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -140,6 +140,9 @@
         // After a pause, the caller may have left without that being noticed yet.
         if (!location || pauses.isSettling(now))
             return;
+        // Another thread may have sent the job since this one found it due.
+        if (current.inFlight && location->epoch <= current.lastSentEpoch)
+            return;
         request.accepted = current.accepted;
         request.mayHaveStarted = current.mayHaveRun;
         request.lentBy = current.lentBy;
--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -38,7 +38,12 @@
 
     single_owner local;
     cells::run_target target { false, "owner", 1 };
-    cells::job_router router { local.loop, local.owner, *this, [this] { return std::optional(target); } };
+    /// Called each time that the router asks for the owner, as a thread does that runs then.
+    std::function<void()> onTarget = [] {};
+    cells::job_router router { local.loop, local.owner, *this, [this] {
+                                  onTarget();
+                                  return std::optional(target);
+                              } };
     std::vector<jobs::run_request> requests;
     cells::job_completion pending;
     std::vector<result<jobs::job_state>> answers;
@@ -101,6 +106,23 @@
     BOOST_TEST((outcomeOf(answers[0]) == outcome::may_have_run));
 }
 
+// Guards against 504 at once for a job that has not run: the refusal of a second request for it does not hold for the first
+// (issue 47).
+BOOST_AUTO_TEST_CASE(is_sent_once_if_a_tick_finds_it_before_it_is_sent)
+{
+    pending(fail(error_kind::overloaded));
+    bool ticked = false;
+    onTarget = [this, &ticked] {
+        if (!std::exchange(ticked, true))
+            router.tick();
+    };
+    router.run(local.request(0, "b", 1, 100ms), [this](const auto& answer) { answers.push_back(answer); });
+    BOOST_TEST(requests.size() == 2U);
+    pending(fail(error_kind::overloaded));
+    BOOST_REQUIRE(answers.size() == 2);
+    BOOST_TEST((outcomeOf(answers[1]) == outcome::not_run));
+}
+
 BOOST_AUTO_TEST_CASE(has_not_run_if_every_owner_refused_it)
 {
     pending(fail(error_kind::claim_unavailable));
