cells: Tell the next owner of jobs that the one before gave up

Callers saw: nothing yet. Cause: a router told later owners only of the requests that it had withdrawn itself. When the owner gave the job up first, and was lost before its workers had carried out the stops, the next owner kept the runs until somebody submitted the job again. Change: an answer that says that the job may have run is remembered like a withdrawal. Evidence: is_withdrawn_at_the_next_owner_if_its_owner_gave_it_up failed before (no withdrawal). Result: the suite of the router passes.

--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -112,6 +112,8 @@
     /// Returns a pending job and removes it; returns nothing if it has ended. If an owner may run the job, its request is
     /// withdrawn there, and at later owners.
     std::optional<pending_run> takeOut(std::uint64_t number, withdrawal_reason reason);
+    /// Remembers a request that was withdrawn at the owner of `toldEpoch`, so that later owners are told.
+    void rememberWithdrawn(const pending_run& withdrawn, std::uint64_t toldEpoch, withdrawal_reason reason, time_point now);
     /// Returns the answer to a job that can't end before the VM stops; empty if it can.
     std::optional<error> refuseForStop(const pending_run& added, time_point now);
     void sendWithdrawal(
@@ -199,6 +201,9 @@
         if (found == runs.end())
             return;
         done = std::move(found->second.done);
+        // The owner has given the job up; if it is lost before it has stopped the runs, the next one finds them.
+        if (!answer && rowOf(answer.error().kind).result == outcome::may_have_run && found->second.lastSentEpoch > 0)
+            rememberWithdrawn(found->second, found->second.lastSentEpoch, withdrawal_reason::answered, clock.now());
         runs.erase(found);
     }
     done(answer);
@@ -220,15 +225,21 @@
             = taken.inFlight ? taken.lastSentEpoch : std::max<std::uint64_t>(taken.lastSentEpoch, 1) - 1;
         // The next owner of a cell that lends jobs queries them, and submits them again.
         if (taken.mayHaveRun && !taken.lentBy)
-            withdrawnRuns.push_back({ taken.accepted.work.id, taken.lastRequest, toldEpoch, reason,
-                now + stopTime + (reason == withdrawal_reason::answered ? std::chrono::milliseconds(0) : withdrawnRunLimit),
-                now + withdrawalRetention, now });
+            rememberWithdrawn(taken, toldEpoch, reason, now);
     }
     if (taken.inFlight)
         sendWithdrawal(taken.lastTarget, taken.accepted.work.id, taken.lastRequest, reason);
     return taken;
 }
 
+void job_router::data::rememberWithdrawn(
+    const pending_run& withdrawn, std::uint64_t toldEpoch, withdrawal_reason reason, time_point now)
+{
+    const auto goesOn = reason == withdrawal_reason::answered ? std::chrono::milliseconds(0) : withdrawnRunLimit;
+    withdrawnRuns.push_back({ withdrawn.accepted.work.id, withdrawn.lastRequest, toldEpoch, reason, now + stopTime + goesOn,
+        now + withdrawalRetention, now });
+}
+
 void job_router::data::withdraw(std::uint64_t number, withdrawal_reason reason)
 {
     const auto withdrawn = takeOut(number, reason);
--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -166,6 +166,20 @@
     BOOST_TEST((withdrawals[1].second == requests[0].id));
 }
 
+// Guards against a run that the next owner keeps, although the owner before has told the caller that the job may have run (issue
+// 50).
+BOOST_AUTO_TEST_CASE(is_withdrawn_at_the_next_owner_if_its_owner_gave_it_up)
+{
+    pending(fail(error_kind::deadline_passed_while_running));
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST(withdrawals.empty());
+    target = { false, "next owner", 2 };
+    router.tick();
+    BOOST_REQUIRE(withdrawals.size() == 1);
+    BOOST_TEST(withdrawals[0].first == "next owner");
+    BOOST_TEST((withdrawals[0].second == requests[0].id));
+}
+
 // Guards against a run that an owner keeps because it refused the job before it found the run, and is not told that the caller
 // has left (issue 44).
 BOOST_AUTO_TEST_CASE(is_withdrawn_at_an_owner_that_has_refused_it)
