cells: Tell the next owner of another cell that a lent job was withdrawn

Callers saw: nothing yet. A lent job whose caller had left ran on if the owner of the other cell changed just then. Cause: withdrawals of lent jobs were told to the owner of the other cell once, and forgotten with the term of the home cell. The reason given was that the next owner of the home cell queries its lent jobs and submits them again; that holds only for callers that still wait. Evidence: is_withdrawn_at_the_next_owner_of_the_cell_that_it_is_lent_to failed before (one withdrawal in place of two).

--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -223,8 +223,7 @@
         // An owner that did not accept the request may find runs of an earlier one, so it has to be told like a later owner.
         const std::uint64_t toldEpoch
             = taken.inFlight ? taken.lastSentEpoch : std::max<std::uint64_t>(taken.lastSentEpoch, 1) - 1;
-        // The next owner of a cell that lends jobs queries them, and submits them again.
-        if (taken.mayHaveRun && !taken.lentBy)
+        if (taken.mayHaveRun)
             rememberWithdrawn(taken, toldEpoch, reason, now);
     }
     if (taken.inFlight)
@@ -434,7 +433,6 @@
 {
     const std::scoped_lock lock(m_data->mutex);
     m_data->runs.clear();
-    m_data->withdrawnRuns.clear();
 }
 
 void job_router::stop()
--- a/cells/job_router.h
+++ b/cells/job_router.h
@@ -87,7 +87,7 @@
     /// Sends pending jobs to a new owner, and answers those whose time is over. To be called every few tens of milliseconds.
     void tick();
 
-    /// Discards all pending jobs without calling their completions.
+    /// Discards all pending jobs without calling their completions. Later owners are still told of withdrawn requests.
     void dropAll();
 
     /// Ends all jobs by `limit`, because the VM stops. Owners get no more time than that; a new job that needs more is refused
--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -180,6 +180,22 @@
     BOOST_TEST((withdrawals[0].second == requests[0].id));
 }
 
+// Guards against a lent run that the next owner of the other cell keeps, although the home cell has given the job up (issue 50).
+BOOST_AUTO_TEST_CASE(is_withdrawn_at_the_next_owner_of_the_cell_that_it_is_lent_to)
+{
+    auto request = local.request(0, "b", 1, 100ms);
+    request.lentBy = jobs::lender { 0, 1 };
+    router.run(std::move(request), [this](const auto& answer) { answers.push_back(answer); });
+    router.withdrawJob("b", cells::withdrawal_reason::caller_left);
+    BOOST_REQUIRE(withdrawals.size() == 1);
+    // The ownership term of the home cell ends.
+    router.dropAll();
+    target = { false, "next owner", 2 };
+    router.tick();
+    BOOST_REQUIRE(withdrawals.size() == 2);
+    BOOST_TEST(withdrawals[1].first == "next owner");
+}
+
 // Guards against a run that an owner keeps because it refused the job before it found the run, and is not told that the caller
 // has left (issue 44).
 BOOST_AUTO_TEST_CASE(is_withdrawn_at_an_owner_that_has_refused_it)
