cells: Let workers with a limited lease take tasks for longer

Cause: after a takeover the lease of each worker with runs of the earlier owner is limited until VMs have claimed them; with half a second as the least, such workers would take no new tasks for up to half a second. Change: 0.2 s are enough, several tries of a start order; the lease is extended once the runs are claimed or stopped. Result: the tests of lost callers pass.

--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -109,7 +109,7 @@
 /// caller may have been lost together with the owner.
 inline constexpr std::chrono::milliseconds unclaimedLeaseLimit { 1150 };
 /// Shortest remaining time of a limited lease with which a worker gets new tasks.
-inline constexpr std::chrono::milliseconds shortestStartLease { 500 };
+inline constexpr std::chrono::milliseconds shortestStartLease { 200 };
 /// Margin on the time during which an unanswered start may still be carried out; covers errors of clock readings.
 inline constexpr std::chrono::milliseconds lateStartMargin { 500 };
 /// Age of the last successful read of the records up to which a job that they don't contain counts as unknown. Longer than
