cells: End lent jobs that the next owner of their home cell does not claim

Cause: what the lender knew of callers ended with its term. The other cell went on until the deadline of the caller, whoever had left. Change: a cell that runs a lent job and hears of a later owner of the home cell waits 0.6 s for that owner to submit the job again, as it does for callers that wait, and then ends the job. Its runs limit the leases like those of all lost callers. No new message. Why this works: the loss shows in the domain of the run. The home cell proves with a submission that a caller waits; silence proves nothing, and the job is ended. Limits: a home cell that is cut off shows no later owner; its lent jobs go on until the deadline of their callers, as before. An owner that takes longer than 0.6 s to learn of its callers starts their lent jobs again.

--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -105,6 +105,10 @@
     time_point promisedStart;
     /// Home cell of the job if that cell has lent the job to this one; empty otherwise.
     std::optional<cell_number> lentBy;
+    /// Epoch of the owner of the home cell that has last submitted the lent job.
+    std::uint64_t lenderEpoch = 0;
+    /// Since when the home cell has had a later owner that has not submitted the lent job again; empty if it has none.
+    std::optional<time_point> unclaimedSince;
     /// Cell that the job is lent to and that runs it; empty if the job is not lent.
     std::optional<cell_number> lentTo;
     /// Time at which the last caller stops waiting and the job is given up.
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -264,6 +264,12 @@
     // Unstored jobs and lent jobs: cell_owner_runs.cpp.
     void run(jobs::run_request request, job_completion done);
     void addRun(jobs::run_request request, job_completion done, time_point now);
+    /// Returns the highest epoch of the owners of another cell that this owner has heard of.
+    std::uint64_t knownEpoch(cell_number cell) const;
+    /// Notes that the home cell of a lent job waits for it.
+    static void noteClaim(open_job& job, const std::optional<jobs::lender>& lender);
+    /// Ends lent jobs that a later owner of their home cell has not submitted again: their callers may have left unnoticed.
+    void endUnclaimedLentJobs(time_point now);
     /// Handles a request that tells that an earlier owner may have started a job that seemed to be new.
     void noteEarlierOwner(open_job& job);
     void adoptOrphans(open_job& job);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -12,10 +12,44 @@
         return false;
     if (!request.lentBy)
         return true;
-    // An earlier owner of this cell may have been queried by a newer owner of the home cell.
-    const auto announced = neighbors ? neighbors->announcedEpoch(request.lentBy->cell) : 0;
-    const auto known = lenderEpochs.find(request.lentBy->cell);
-    return request.lentBy->epoch >= std::max(announced, known == lenderEpochs.end() ? 0 : known->second);
+    return request.lentBy->epoch >= knownEpoch(request.lentBy->cell);
+}
+
+std::uint64_t cell_owner::data::knownEpoch(cell_number cell) const
+{
+    // An earlier owner of this cell may have been queried by a newer owner of the other one.
+    const auto announced = neighbors ? neighbors->announcedEpoch(cell) : 0;
+    const auto queried = lenderEpochs.find(cell);
+    return std::max(announced, queried == lenderEpochs.end() ? 0 : queried->second);
+}
+
+void cell_owner::data::noteClaim(open_job& job, const std::optional<jobs::lender>& lender)
+{
+    if (!lender || job.lentBy != lender->cell)
+        return;
+    job.lenderEpoch = std::max(job.lenderEpoch, lender->epoch);
+    job.unclaimedSince.reset();
+}
+
+void cell_owner::data::endUnclaimedLentJobs(time_point now)
+{
+    std::vector<std::string> unclaimed;
+    for (auto& [id, job] : jobTable.open()) {
+        if (!job.lentBy || job.ended || job.withdrawnAt || knownEpoch(*job.lentBy) <= job.lenderEpoch)
+            continue;
+        job.unclaimedSince = job.unclaimedSince.value_or(now);
+        if (now - *job.unclaimedSince > lentClaimLimit)
+            unclaimed.push_back(id);
+    }
+    for (const auto& id : unclaimed) {
+        open_job& job = *jobTable.find(id);
+        writeLog(log_level::info, "cell", "lent job not claimed",
+            { { "job", id }, { "home", fmt::to_string(*job.lentBy) }, { "lender_epoch", fmt::to_string(job.lenderEpoch) },
+                { "home_epoch", fmt::to_string(knownEpoch(*job.lentBy)) } });
+        while (!job.waiters.empty())
+            removeWaiter(job, job.waiters.front().request);
+        withdrawJob(job, withdrawal_reason::answered, now);
+    }
 }
 
 void cell_owner::data::run(jobs::run_request request, job_completion done)
@@ -43,6 +77,7 @@
         return;
     }
     if (known) {
+        noteClaim(*known, request.lentBy);
         known->waiters.push_back({ request.id, std::move(done) });
         known->giveUpAt = std::max(known->giveUpAt, now + request.timeLeft);
         known->startBy = latestStart(waitingJob(*known));
@@ -176,6 +211,7 @@
     job->promisedStart = job->startBy;
     if (request.lentBy)
         job->lentBy = request.lentBy->cell;
+    noteClaim(*job, request.lentBy);
     if (request.mayHaveStarted)
         adoptOrphans(*job);
     if (!lend(*job, now))
@@ -362,6 +398,7 @@
 
 void cell_owner::data::checkUnstoredJobs(time_point now)
 {
+    endUnclaimedLentJobs(now);
     for (auto& [id, job] : jobTable.open()) {
         if (!job.accepted.work.answeredAtEnd || job.ended)
             continue;
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -108,6 +108,9 @@
 /// Time after the last sign of life of a lost owner by which the leases of workers with runs end whose callers are not known. The
 /// caller may have been lost together with the owner.
 inline constexpr std::chrono::milliseconds unclaimedLeaseLimit { 1150 };
+/// Time after the home cell of a lent job has got another owner within which that owner submits the job again if a caller waits
+/// for it. With a takeover and a stop it stays below the platform's delay of resubmissions, 1.3 s.
+inline constexpr std::chrono::milliseconds lentClaimLimit { 600 };
 /// Shortest remaining time of a limited lease with which a worker gets new tasks.
 inline constexpr std::chrono::milliseconds shortestStartLease { 200 };
 /// Margin on the time during which an unanswered start may still be carried out; covers errors of clock readings.
--- a/tests/cells/left_caller_test.cpp
+++ b/tests/cells/left_caller_test.cpp
@@ -119,4 +119,59 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+/// A job whose caller waits at the owner of its home cell, and that another cell runs because the workers of the home cell are
+/// occupied.
+struct lent_job_caller {
+    lent_job_caller()
+    {
+        fleet.runFor(2s);
+        home = fleet.owner(0);
+        fleet.run(home, "long", 6, 20s, 30s);
+        fleet.runFor(100ms);
+        fleet.run(home, "lent", 2, 8s, 15s);
+        fleet.runFor(300ms);
+        BOOST_REQUIRE(runsAtWork() == 2);
+    }
+
+    std::ptrdiff_t runsAtWork() const
+    {
+        const auto& runs = fleet.workers.runs();
+        return std::count_if(runs.begin(), runs.end(),
+            [](const auto& run) { return run.task.jobId == "lent" && run.worker.value.starts_with("worker1") && !run.end; });
+    }
+
+    cell_fleet fleet { 2, 3, 3 };
+    std::string home;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(when_the_home_cell_of_a_lent_job_gets_another_owner, lent_job_caller)
+
+// Guards against runs that go on in the other cell beside a resubmission, because nobody tells it that the caller was lost
+// together with the owner of the home cell (issue 50).
+BOOST_AUTO_TEST_CASE(its_runs_are_stopped_if_its_caller_was_lost_with_the_owner)
+{
+    fleet.kill(home);
+    fleet.runFor(resubmitting_callers::retransmissionDelay);
+    BOOST_TEST(runsAtWork() == 0);
+    expectNoViolation(fleet);
+}
+
+// Guards against lent jobs that are ended although their callers wait.
+BOOST_AUTO_TEST_CASE(its_runs_go_on_if_its_caller_waits_at_another_vm)
+{
+    const auto entry = home == cell_fleet::vmName(0, 0) ? cell_fleet::vmName(0, 1) : cell_fleet::vmName(0, 0);
+    fleet.run(entry, "lent", 2, 8s, 15s);
+    fleet.runFor(50ms);
+    fleet.kill(home);
+    fleet.runFor(3s);
+    BOOST_TEST(runsAtWork() == 2);
+    expectNoViolation(fleet);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
