cells: Don't wait for a lost owner to submit the jobs of its callers again

Callers saw: nothing yet. Cause: a new owner keeps the runs of unknown jobs until 0.2 s after all VMs that it hears know it. Heartbeats of the last 0.7 s count, and those of the lost owner are the newest of all, so that the new owner waited for the one VM that can't answer. Change: the lost owner does not count unless it sends a heartbeat after the takeover. Evidence: its_runs_are_stopped_by_the_next_owner_although_nobody_tells_it_of_the_caller had a run at work 1.3 s after the loss.

--- a/cells/ownership.cpp
+++ b/cells/ownership.cpp
@@ -48,6 +48,8 @@
     if (changed) {
         const bool wasLost = m_owner && !m_owner->released;
         m_previousOwnerSeenAt = wasLost ? std::optional(std::max(m_ownerHeartbeatAt, m_ownerRecordAt)) : std::nullopt;
+        m_lostOwner = wasLost ? m_owner->owner : vm_id {};
+        m_ownerSince = now;
     }
     m_owner = record;
     m_highestEpoch = std::max(m_highestEpoch, record.epoch);
@@ -112,6 +114,9 @@
         return false;
     return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
         const peer_state& peer = entry.second;
+        // The heartbeats of a lost owner are recent because it was the last that sent any.
+        if (entry.first == m_lostOwner && peer.lastHeartbeatAt <= m_ownerSince)
+            return false;
         return peer.view && peer.view->epoch != m_owner->epoch && now - peer.lastHeartbeatAt < m_settings.heartbeatTimeout;
     });
 }
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -159,6 +159,10 @@
     time_point m_ownerHeartbeatAt;
     time_point m_ownerRecordAt;
     std::optional<time_point> m_previousOwnerSeenAt;
+    /// Owner before the present one if it was lost; empty if it handed the cell over.
+    vm_id m_lostOwner;
+    /// When the record of the present owner was read.
+    time_point m_ownerSince;
     std::map<vm_id, peer_state> m_peers;
     std::uint64_t m_highestEpoch = 0;
     time_point m_storeContactAt;
--- a/tests/cells/left_caller_test.cpp
+++ b/tests/cells/left_caller_test.cpp
@@ -106,6 +106,18 @@
     BOOST_TEST(runsAtWorkOf("b") == 0);
 }
 
+// Guards against runs that the next owner keeps for too long, because it waits for the lost one to submit their jobs (issue 50).
+BOOST_AUTO_TEST_CASE(its_runs_are_stopped_by_the_next_owner_although_nobody_tells_it_of_the_caller)
+{
+    fleet.run(home, "b", 1, 4s, 20s);
+    fleet.runFor(200ms);
+    fleet.disconnectCaller(home, "b");
+    fleet.runFor(450ms);
+    fleet.kill(home);
+    fleet.runFor(resubmitting_callers::retransmissionDelay - 450ms);
+    BOOST_TEST(runsAtWorkOf("b") == 0);
+}
+
 // Guards against leases that are cut short for the runs of other callers.
 BOOST_AUTO_TEST_CASE(the_runs_of_a_caller_that_has_returned_go_on)
 {
