cells: Tell an owner that refused a job that may run that nobody waits for it

Cause: a refusal does not hold for earlier requests, so that the caller is told that the job may have run. Only owners after the one that refused were told; the one that refused may find the runs of its predecessor later. Change: that owner is told like a later one, as it is of other withdrawals.

--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -107,7 +107,8 @@
 
     void sendToOwner(std::uint64_t number);
     void onAnswer(std::uint64_t number, std::uint64_t epoch, const result<jobs::job_state>& answer);
-    void finish(std::uint64_t number, const result<jobs::job_state>& answer);
+    /// Answers a job. If it may have run, owners after `toldEpoch` are told that nobody waits for it.
+    void finish(std::uint64_t number, std::uint64_t toldEpoch, const result<jobs::job_state>& answer);
     void withdraw(std::uint64_t number, withdrawal_reason reason);
     /// Returns a pending job and removes it; returns nothing if it has ended. If an owner may run the job, its request is
     /// withdrawn there, and at later owners.
@@ -189,10 +190,13 @@
     }
     // A refusal holds for the request that was refused. Requests before it may have been accepted, or may still arrive.
     const bool refusalHolds = answer || rowOf(answer.error().kind).result != outcome::not_run || !mayHaveRunBefore;
-    finish(number, refusalHolds ? answer : fail(error_kind::owner_unknown, "an earlier request for the job was not answered"));
+    // An owner that refused a request may find runs of the one before, so it has to be told like a later owner.
+    const std::uint64_t toldEpoch = refusalHolds ? epoch : epoch - 1;
+    finish(number, toldEpoch,
+        refusalHolds ? answer : fail(error_kind::owner_unknown, "an earlier request for the job was not answered"));
 }
 
-void job_router::data::finish(std::uint64_t number, const result<jobs::job_state>& answer)
+void job_router::data::finish(std::uint64_t number, std::uint64_t toldEpoch, const result<jobs::job_state>& answer)
 {
     job_completion done;
     {
@@ -202,8 +206,8 @@
             return;
         done = std::move(found->second.done);
         // The owner has given the job up; if it is lost before it has stopped the runs, the next one finds them.
-        if (!answer && rowOf(answer.error().kind).result == outcome::may_have_run && found->second.lastSentEpoch > 0)
-            rememberWithdrawn(found->second, found->second.lastSentEpoch, withdrawal_reason::answered, clock.now());
+        if (!answer && rowOf(answer.error().kind).result == outcome::may_have_run)
+            rememberWithdrawn(found->second, toldEpoch, withdrawal_reason::answered, clock.now());
         runs.erase(found);
     }
     done(answer);
