cells: Keep the runs beside those of lost callers, and limit the leases of all of these

Cause: the review of the limits on leases found places where they end other runs, and places without a limit. Change, one for each place: - A job whose callers have left while some of its tasks wait, and that an earlier owner may have started, has its known runs stopped. They had limited the leases of their workers without ever being stopped, so that everything beside them ended. Runs of such a job that are found later are stopped too; they went on until the deadline of the caller. - A lent job that a caller has submitted to this cell as well is not ended with the home owner. Its caller was told that it had left. - Lent jobs are ended after 0.4 s, and limit the leases from the moment at which a later owner is known: with a takeover of 0.8 s, 0.6 s and a limit that began then came after the resubmission. - A lifted limit renews the lease at once; the poll in flight could wait until the lease was over. - Runs that are stopped at once leave the lease 0.2 s, so that one lost stop does not end the runs beside them; those found after the time for resubmissions limit it too, and so do those of callers that left before a pause of the owner. - Suspected jobs and jobs whose callers have left take no worker with such a lease. Evidence: the_runs_beside_go_on_if_other_tasks_of_its_job_wait and its_runs_go_on_if_a_caller_waits_in_the_other_cell failed before; the other places were changed by reading. Result: the tests of lost callers pass.

--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -32,6 +32,8 @@
 struct job_waiter {
     jobs::request_id request;
     job_completion done;
+    /// Whether the home cell of the job waits on behalf of its callers.
+    bool lent = false;
 };
 
 /// Phase of a task: it waits for a start, is placed on a worker, or is done.
--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -134,7 +134,7 @@
             ++reservations;
             continue;
         }
-        if (!session.isHealthy(now) || !stepDefinition.need.fitsInto(registration.capacity)
+        if (!session.isHealthy(now) || !session.leaseAllowsStart(now) || !stepDefinition.need.fitsInto(registration.capacity)
             || (!stepDefinition.requiredLabel.empty() && !session.hasLabel(stepDefinition.requiredLabel)))
             continue;
         if (!isVerified(session)) {
@@ -146,7 +146,7 @@
     }
     // While a suspected task runs on the reserved worker, the other tasks of the job run nowhere else.
     if (reserved && reserved->runsOfJob(id) > 0)
-        return reserved->isHealthy(now) && isVerified(*reserved) ? reserved : nullptr;
+        return reserved->isHealthy(now) && reserved->leaseAllowsStart(now) && isVerified(*reserved) ? reserved : nullptr;
     if (!best || reservations >= std::max<std::size_t>(workers / workersPerReservation, 1))
         return nullptr;
     if (reserved)
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -267,7 +267,7 @@
     /// Returns the highest epoch of the owners of another cell that this owner has heard of.
     std::uint64_t knownEpoch(cell_number cell) const;
     /// Notes that the home cell of a lent job waits for it.
-    static void noteClaim(open_job& job, const std::optional<jobs::lender>& lender);
+    void noteClaim(open_job& job, const std::optional<jobs::lender>& lender, time_point now);
     /// Ends lent jobs that a later owner of their home cell has not submitted again: their callers may have left unnoticed.
     void endUnclaimedLentJobs(time_point now);
     /// Handles a request that tells that an earlier owner may have started a job that seemed to be new.
@@ -301,6 +301,10 @@
     time_point unclaimedLeaseEnd() const;
     /// Limits the leases of all workers with runs of a job whose callers have left.
     void limitLeases(const std::string& jobId, time_point limit);
+    /// Lifts these limits, and renews the leases at once.
+    void liftLeaseLimits(const std::string& jobId, time_point now);
+    /// Stops the known runs of a job that stays open.
+    void stopRunsOf(const open_job& job, time_point now);
     /// Stops the runs of earlier owners whose jobs no VM has submitted again in time.
     void stopUnclaimedRuns(time_point now);
     void onLentAnswer(const std::string& id, const result<jobs::job_state>& result);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -110,14 +110,7 @@
     counters.completedJobs += state == jobs::job_state::completed ? 1 : 0;
     counters.failedJobs += state == jobs::job_state::failed ? 1 : 0;
     counters.cancelledJobs += state == jobs::job_state::cancelled ? 1 : 0;
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-        for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index) {
-            const task_state& task = job.steps[step].tasks[index];
-            const auto session = sessions.find(task.runsOn);
-            if (task.phase == task_phase::placed && session != sessions.end())
-                stopRun(session->second, { job.accepted.work.id, 0, step, index }, now);
-        }
-    }
+    stopRunsOf(job, now);
     if (job.lentTo && state == jobs::job_state::cancelled)
         jobsLentUnanswered.insert_or_assign(job.accepted.work.id, unanswered_job { *job.lentTo, now + unstoredRetention });
     if (const auto shown = jobTable.state(job.accepted.work.id); shown == state)
@@ -222,7 +215,7 @@
     int blocked = 0;
     while (entry != queue.end() && blocked < maxBlocked) {
         open_job* job = jobTable.find(std::get<std::string>(*entry));
-        if (!job || job->ended) {
+        if (!job || job->ended || job->withdrawnAt) {
             entry = queue.erase(entry);
             continue;
         }
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -23,12 +23,13 @@
     return std::max(announced, queried == lenderEpochs.end() ? 0 : queried->second);
 }
 
-void cell_owner::data::noteClaim(open_job& job, const std::optional<jobs::lender>& lender)
+void cell_owner::data::noteClaim(open_job& job, const std::optional<jobs::lender>& lender, time_point now)
 {
     if (!lender || job.lentBy != lender->cell)
         return;
     job.lenderEpoch = std::max(job.lenderEpoch, lender->epoch);
-    job.unclaimedSince.reset();
+    if (std::exchange(job.unclaimedSince, std::nullopt))
+        liftLeaseLimits(job.accepted.work.id, now);
 }
 
 void cell_owner::data::endUnclaimedLentJobs(time_point now)
@@ -37,8 +38,15 @@
     for (auto& [id, job] : jobTable.open()) {
         if (!job.lentBy || job.ended || job.withdrawnAt || knownEpoch(*job.lentBy) <= job.lenderEpoch)
             continue;
-        job.unclaimedSince = job.unclaimedSince.value_or(now);
-        if (now - *job.unclaimedSince > lentClaimLimit)
+        // A caller that has submitted the job to this cell waits here, whatever becomes of those at home.
+        const auto isDirect = [](const job_waiter& waiter) { return !waiter.lent; };
+        if (std::any_of(job.waiters.begin(), job.waiters.end(), isDirect))
+            continue;
+        if (!job.unclaimedSince) {
+            job.unclaimedSince = now;
+            limitLeases(id, now + lentClaimLimit + settings.stopGrace);
+        }
+        if (now - *job.unclaimedSince >= lentClaimLimit)
             unclaimed.push_back(id);
     }
     for (const auto& id : unclaimed) {
@@ -77,15 +85,14 @@
         return;
     }
     if (known) {
-        noteClaim(*known, request.lentBy);
-        known->waiters.push_back({ request.id, std::move(done) });
+        noteClaim(*known, request.lentBy, now);
+        known->waiters.push_back({ request.id, std::move(done), request.lentBy.has_value() });
         known->giveUpAt = std::max(known->giveUpAt, now + request.timeLeft);
         known->startBy = latestStart(waitingJob(*known));
         if (known->withdrawnAt) {
             noteWithdrawal(id, withdrawal_outcome::resubmitted);
             known->withdrawnAt.reset();
-            for (auto& [worker, session] : sessions)
-                session.liftLeaseLimit(id);
+            liftLeaseLimits(id, now);
             enqueue(*known);
         }
         if (request.mayHaveStarted && known->offset == newestOffset)
@@ -134,7 +141,7 @@
         }
         for (const task_key& key : orphans) {
             noteOrphan(key, worker, orphan_outcome::withdrawn, now);
-            session.limitLease(id, now);
+            session.limitLease(id, now + stoppedRunLease);
             stopRun(session, key, now);
         }
     }
@@ -154,18 +161,20 @@
 {
     const std::string id = job.accepted.work.id;
     job.withdrawnAt = now;
-    limitLeases(id, now + withdrawnLeaseLimit);
+    // After a pause, the caller may have left long ago.
+    const bool leftLongAgo = isSettling();
+    limitLeases(id, now + (leftLongAgo ? stoppedRunLease : withdrawnLeaseLimit));
     if (job.lentTo) {
         deferredCalls.emplace_back(
             [self = shared_from_this(), cell = *job.lentTo, id, reason] { self->neighbors->withdraw(cell, id, reason); });
         discardWithdrawnJob(job, withdrawal_outcome::returned);
     } else if (job.isPlaced()) {
-        // After a pause, the caller may have left long ago.
-        const bool endsAtOnce = reason == withdrawal_reason::answered || isSettling();
+        const bool endsAtOnce = reason == withdrawal_reason::answered || leftLongAgo;
         job.giveUpAt = std::min(job.giveUpAt, endsAtOnce ? now : now + withdrawnRunLimit);
     } else if (job.offset != newestOffset) {
         // An earlier owner may have started tasks that are not known yet, so the job stays known, but no task of it starts.
         dequeue(job);
+        stopRunsOf(job, now);
     } else {
         discardWithdrawnJob(job, withdrawal_outcome::discarded);
     }
@@ -177,6 +186,27 @@
         session.limitLease(jobId, limit);
 }
 
+void cell_owner::data::liftLeaseLimits(const std::string& jobId, time_point now)
+{
+    for (auto& [worker, session] : sessions) {
+        // The answer to the poll in flight may come after the end of the limited lease.
+        if (session.liftLeaseLimit(jobId) && session.leaseLimit() == time_point::max())
+            pollAtOnce(session, now);
+    }
+}
+
+void cell_owner::data::stopRunsOf(const open_job& job, time_point now)
+{
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index) {
+            const task_state& task = job.steps[step].tasks[index];
+            const auto session = sessions.find(task.runsOn);
+            if (task.phase == task_phase::placed && session != sessions.end())
+                stopRun(session->second, { job.accepted.work.id, 0, step, index }, now);
+        }
+    }
+}
+
 void cell_owner::data::endWithdrawnJobs(time_point now)
 {
     for (auto& [id, job] : jobTable.open()) {
@@ -204,14 +234,14 @@
 {
     const std::uint64_t offset = request.mayHaveStarted ? 0 : newestOffset;
     open_job* job = jobTable.accept(std::move(request.accepted), offset, now);
-    job->waiters.push_back({ request.id, std::move(done) });
+    job->waiters.push_back({ request.id, std::move(done), request.lentBy.has_value() });
     job->giveUpAt = now + request.timeLeft;
     job->startOrder = punctualStart(waitingJob(*job));
     job->startBy = latestStart(waitingJob(*job));
     job->promisedStart = job->startBy;
     if (request.lentBy)
         job->lentBy = request.lentBy->cell;
-    noteClaim(*job, request.lentBy);
+    noteClaim(*job, request.lentBy, now);
     if (request.mayHaveStarted)
         adoptOrphans(*job);
     if (!lend(*job, now))
@@ -355,6 +385,7 @@
 void cell_owner::data::adoptOrphans(open_job& job)
 {
     const std::string id = job.accepted.work.id;
+    liftLeaseLimits(id, clock.now());
     if (const auto ended = orphanedEnds.find(id); ended != orphanedEnds.end()) {
         const auto tasks = std::move(ended->second);
         orphanedEnds.erase(ended);
@@ -369,7 +400,6 @@
             if (key.jobId != id || !current.orphaned || !job.contains(key) || job.task(key).phase != task_phase::waiting)
                 continue;
             current.orphaned = false;
-            current.leaseLimit.reset();
             found.emplace_back(key);
             task_state& task = job.task(key);
             std::erase(job.steps[key.step].waiting, key.index);
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -376,7 +376,7 @@
     session.noteEarlierLease(settings.maxLease);
     std::erase_if(unverifiedLosses,
         [&](const lost_run& lost) { return lost.task == listed.task && lost.worker == id && lost.attempt == listed.attempt; });
-    const bool shouldAdopt = known && !job->ended && mayAdopt(job->task(listed.task), listed, id);
+    const bool shouldAdopt = known && !job->ended && !job->withdrawnAt && mayAdopt(job->task(listed.task), listed, id);
     logOrder("unknown run found on worker", listed.task, listed.attempt, id,
         shouldAdopt          ? "adopted"
             : added.orphaned ? "kept until its job is resubmitted"
@@ -391,6 +391,8 @@
     if (added.orphaned)
         return;
     if (!shouldAdopt) {
+        if (!job || job->withdrawnAt)
+            session.limitLease(listed.task.jobId, now + stoppedRunLease);
         stopRun(session, listed.task, now);
         return;
     }
@@ -434,7 +436,6 @@
         }
         for (const task_key& key : unclaimed) {
             noteOrphan(key, worker, orphan_outcome::not_resubmitted, now);
-            session.limitLease(key.jobId, now);
             stopRun(session, key, now);
         }
     }
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -109,8 +109,11 @@
 /// caller may have been lost together with the owner.
 inline constexpr std::chrono::milliseconds unclaimedLeaseLimit { 1150 };
 /// Time after the home cell of a lent job has got another owner within which that owner submits the job again if a caller waits
-/// for it. With a takeover and a stop it stays below the platform's delay of resubmissions, 1.3 s.
-inline constexpr std::chrono::milliseconds lentClaimLimit { 600 };
+/// for it. With a takeover of up to 0.8 s and a stop it stays below the platform's delay of resubmissions, 1.3 s.
+inline constexpr std::chrono::milliseconds lentClaimLimit { 400 };
+/// Remaining time of the lease of a worker on which a run is stopped at once: as long as a few tries of the stop, so that the
+/// worker's other runs go on.
+inline constexpr std::chrono::milliseconds stoppedRunLease { 200 };
 /// Shortest remaining time of a limited lease with which a worker gets new tasks.
 inline constexpr std::chrono::milliseconds shortestStartLease { 200 };
 /// Margin on the time during which an unanswered start may still be carried out; covers errors of clock readings.
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -1,6 +1,7 @@
 #include "cells/worker_session.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace coriandermount::cells {
 
@@ -60,10 +61,12 @@
         run->second.leaseLimit = std::min(run->second.leaseLimit.value_or(limit), limit);
 }
 
-void worker_session::liftLeaseLimit(const std::string& jobId)
+bool worker_session::liftLeaseLimit(const std::string& jobId)
 {
+    bool lifted = false;
     for (auto run = m_runs.lower_bound({ jobId, 0, 0, 0 }); run != m_runs.end() && run->first.jobId == jobId; ++run)
-        run->second.leaseLimit.reset();
+        lifted = std::exchange(run->second.leaseLimit, std::nullopt).has_value() || lifted;
+    return lifted;
 }
 
 time_point worker_session::leasesEnded(time_point now) const
@@ -185,11 +188,6 @@
     return listed && !deregistered && !m_registration.draining && lostCalls <= toleratedLosses && now >= m_startsPausedUntil;
 }
 
-bool worker_session::acceptsStarts(time_point now) const
-{
-    return reservedFor.empty() && isHealthy(now) && leaseLimit() - shortestStartLease >= now;
-}
-
 void worker_session::noteAnswer(time_point now)
 {
     lostCalls = 0;
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -87,14 +87,15 @@
     bool knowsClock() const { return m_clockAt.has_value(); }
 
     /// Returns the end, on the worker's clock, of a lease of length `maxLease` that starts at `now`, and records the lease as
-    /// granted. The lease ends by `leaseLimit`. Returns 0 while the worker's clock is not known.
+    /// granted. `leaseLimit` shortens the new lease only; a longer one that was granted before holds. Returns 0 while the
+    /// worker's clock is not known.
     worker_time extendLease(std::chrono::milliseconds maxLease, time_point now);
     /// Returns the earliest `leaseLimit` of all runs; the highest time if no run has one.
     time_point leaseLimit() const;
     /// Limits the lease for the runs of a job, if it is not limited to an earlier time for them.
     void limitLease(const std::string& jobId, time_point limit);
-    /// Removes the limits for the runs of a job.
-    void liftLeaseLimit(const std::string& jobId);
+    /// Removes the limits for the runs of a job; returns whether there were any.
+    bool liftLeaseLimit(const std::string& jobId);
 
     /// Records that an earlier owner may have granted a lease of length `maxLease` until the last reading of the worker's clock.
     void noteEarlierLease(std::chrono::milliseconds maxLease) { m_leaseEnd = std::max(m_leaseEnd, m_clock + maxLease); }
@@ -140,7 +141,9 @@
     /// Returns whether the worker can be expected to execute start orders at `now`.
     bool isHealthy(time_point now) const;
     /// Returns whether new tasks of any job may be started on the worker at `now`.
-    bool acceptsStarts(time_point now) const;
+    bool acceptsStarts(time_point now) const { return reservedFor.empty() && isHealthy(now) && leaseAllowsStart(now); }
+    /// Returns whether a lease that is granted at `now` is long enough for a new task.
+    bool leaseAllowsStart(time_point now) const { return leaseLimit() - shortestStartLease >= now; }
 
     /// Records that the worker has answered a call.
     void noteAnswer(time_point now);
--- a/tests/cells/left_caller_test.cpp
+++ b/tests/cells/left_caller_test.cpp
@@ -118,7 +118,27 @@
     BOOST_TEST(runsAtWorkOf("b") == 0);
 }
 
-// Guards against leases that are cut short for the runs of other callers.
+// Guards against runs of other jobs that end with a limited lease, because nobody stops the run that limits it while other tasks
+// of its job wait and an earlier owner may have started them (issue 50).
+BOOST_AUTO_TEST_CASE(the_runs_beside_go_on_if_other_tasks_of_its_job_wait)
+{
+    fleet.run(entry, "beside", 1, 20s, 20s);
+    fleet.run(entry, "wide", 5, 20s, 20s);
+    fleet.runFor(200ms);
+    fleet.kill(home);
+    awaitNextOwner();
+    fleet.runFor(300ms);
+    BOOST_REQUIRE(runsAtWorkOf("wide") == 3);
+    fleet.disconnectCaller(entry, "wide");
+    fleet.runFor(resubmitting_callers::retransmissionDelay);
+    BOOST_TEST(runsAtWorkOf("wide") == 0);
+    fleet.runFor(500ms);
+    const auto& runs = fleet.workers.runs();
+    BOOST_TEST(std::count_if(runs.begin(), runs.end(), [](const auto& run) { return run.task.jobId == "beside"; }) == 1);
+    expectNoViolation(fleet);
+}
+
+// Guards against runs that end although their caller has returned before they had to.
 BOOST_AUTO_TEST_CASE(the_runs_of_a_caller_that_has_returned_go_on)
 {
     fleet.disconnectCaller(entry, "a");
@@ -172,6 +192,17 @@
     expectNoViolation(fleet);
 }
 
+// Guards against lent jobs that are ended although a caller has submitted them to the other cell as well.
+BOOST_AUTO_TEST_CASE(its_runs_go_on_if_a_caller_waits_in_the_other_cell)
+{
+    fleet.run(cell_fleet::vmName(1, 0), "lent", 2, 8s, 15s);
+    fleet.runFor(50ms);
+    fleet.kill(home);
+    fleet.runFor(3s);
+    BOOST_TEST(runsAtWork() == 2);
+    expectNoViolation(fleet);
+}
+
 // Guards against lent jobs that are ended although their callers wait.
 BOOST_AUTO_TEST_CASE(its_runs_go_on_if_its_caller_waits_at_another_vm)
 {
