--- a/cells/ownership.cpp
+++ b/cells/ownership.cpp
@@ -114,8 +114,8 @@
         return false;
     return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
         const peer_state& peer = entry.second;
-        // The heartbeats of a lost owner are recent because it was the last that sent any.
-        if (entry.first == m_lostOwner && peer.lastHeartbeatAt <= m_ownerSince)
+        // A lost owner can't answer; one that was preempted sent heartbeats until then.
+        if (entry.first == m_lostOwner && m_ownerSince - peer.lastHeartbeatAt >= m_settings.suspectAfter)
             return false;
         return peer.view && peer.view->epoch != m_owner->epoch && now - peer.lastHeartbeatAt < m_settings.heartbeatTimeout;
     });
