--- a/tests/fakes/virtual_workers.cpp
+++ b/tests/fakes/virtual_workers.cpp
@@ -43,6 +43,8 @@
 
 worker_registration virtual_workers::restart(const std::string& id)
 {
+    if (m_timeline)
+        m_timeline->note(id + " restarts");
     worker& current = m_workers.at(id);
     for (const auto& [task, run] : current.running)
         m_runs[run.index].end = m_loop.now();
