soak: Crash workers, which are back under the same id

The soak only paused workers; none ended. The new kind crash_workers ends up to three of them without notice: runs end without a report, nothing under way is answered, connections are reset. After 0.1 to 2 s the same id is back with a new boot time, clock and numbers of ends, and without a fencing token, runs or ends.

The check takes the crash as the end of the worker's runs (how = crashed). It told runs apart by task, worker and attempt; two boots of a worker may start the same attempt, and the later record would have replaced the earlier one. The boot time is part of the key now, so both runs are compared with all others as before.

The kind is drawn in a series of its own: the draws of the other kinds stay the same for a seed. The summary counts the runs by how they ended.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -39,7 +39,9 @@
 COUNTS = (1, 1, 2, 2, 3, 4, 8)
 # Disruptions, and how often each is drawn.
 KINDS = {"roll": 2, "freeze": 2, "term_frozen": 1, "kill": 2, "starve": 2, "pause_workers": 3, "late": 3, "store_down": 1,
-         "store_loses": 3, "hup": 1, "config": 1}
+         "store_loses": 3, "hup": 1, "config": 1, "crash_workers": 3}
+# They are drawn in a series of their own, so that the draws of the others stay the same for a seed.
+APART = ("crash_workers",)
 LIBC = ctypes.CDLL(None)
 
 
@@ -514,6 +516,15 @@
                                for _, address in self.workers.values()))
         await asyncio.sleep(seconds)
 
+    async def crash_workers(self, dice):
+        chosen = dice.sample(list(self.workers), dice.randint(1, min(3, len(self.workers))))
+        absent = [dice.uniform(0.1, 2) for _ in chosen]
+        for name, seconds in zip(chosen, absent):
+            self.note(f"{name} crashes and is back after {seconds:.2f} s")
+        await asyncio.gather(*(wire.call_once(self.workers[name][1], "POST", f"/standin/crash?seconds={seconds}")
+                               for name, seconds in zip(chosen, absent)))
+        await asyncio.sleep(max(absent))
+
     async def store_down(self, dice):
         seconds, silent = dice.uniform(0.5, 4), dice.randint(0, 1)
         self.note(f"store down for {seconds:.2f} s, {'without answers' if silent else '503'}")
@@ -594,7 +605,8 @@
     def check_runs(self):
         runs, stops = {}, {}
         for event in list(self.events()):
-            key = (event["task"], event["worker"], event["attempt"])
+            # A worker that is back after a crash may start a run that the boot before had started too.
+            key = (event["task"], event["worker"], event["born"], event["attempt"])
             if event["event"] == "start":
                 runs[key] = {"from": event["t"], "to": float("inf"), "how": "running", "token": event["token"]}
             elif event["event"] == "end":
@@ -602,9 +614,9 @@
             else:
                 stops.setdefault(key, event["t"])
         by_task = {}
-        for (task, worker, attempt), run in runs.items():
-            by_task.setdefault(task, []).append({**run, "worker": worker, "attempt": attempt,
-                                                 "stop": stops.get((task, worker, attempt))})
+        for key, run in runs.items():
+            task, worker, _, attempt = key
+            by_task.setdefault(task, []).append({**run, "worker": worker, "attempt": attempt, "stop": stops.get(key)})
         for task, same in by_task.items():
             job = task.split(".")[0]
             statuses = [submission[3] for submission in self.jobs.get(job, [])]
@@ -651,9 +663,12 @@
         rules = {}
         for rule, _ in self.violations:
             rules[rule] = rules.get(rule, 0) + 1
+        ends = {}
+        for run in runs.values():
+            ends[run["how"]] = ends.get(run["how"], 0) + 1
         return {"seed": self.seed, "vms": self.vms_each, "workers": self.workers_each, "disruptions": self.done_kinds,
                 "jobs": len(self.jobs), "answers": {str(key): value for key, value in sorted(self.answers.items(), key=str)},
-                "runs": len(runs), "abandoned": abandoned, "killed_after_grace": self.killed_after_grace,
+                "runs": len(runs), "ends": ends, "abandoned": abandoned, "killed_after_grace": self.killed_after_grace,
                 "lagged_s": round(sum(end - start for start, end in self.lags), 1),
                 "stalls": len(self.stalls), "violations": rules,
                 "twice": {cause: len(jobs) for cause, jobs in sorted(self.pairs.items())}}
@@ -665,9 +680,13 @@
         lag = asyncio.ensure_future(self.measure_lag())
         end = self.began + self.seconds
         dice = random.Random(self.seed * 1000003)
-        drawn = [{"roll": 1} if "roll" in self.kinds else self.kinds] + [self.kinds] * dice.randint(0, 2)
+        apart = {kind: often for kind, often in self.kinds.items() if kind in APART}
+        others = {kind: often for kind, often in self.kinds.items() if kind not in APART}
+        drawn = [{"roll": 1} if "roll" in others else others] + [others] * dice.randint(0, 2)
         series = [asyncio.ensure_future(self.series(random.Random(self.seed * 1000003 + number + 1), end, kinds))
-                  for number, kinds in enumerate(drawn)]
+                  for number, kinds in enumerate(drawn) if kinds]
+        if apart:
+            series.append(asyncio.ensure_future(self.series(random.Random(f"{self.seed} apart"), end, apart)))
         callers = []
         while time.monotonic() < end:
             callers.append(asyncio.ensure_future(self.caller()))
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -30,10 +30,14 @@
     """Raised by a handler whose request gets no answer; the connection stays open until the peer closes it."""
 
 
-async def serve(address, handler):
-    """Serves `handler(method, path, query, headers, body)`, which returns a status and a dictionary or bytes."""
+async def serve(address, handler, connections=None):
+    """Serves `handler(method, path, query, headers, body)`, which returns a status and a dictionary or bytes.
+
+    `connections` holds the writers of the connections that are open."""
+    connections = set() if connections is None else connections
 
     async def connection(reader, writer):
+        connections.add(writer)
         try:
             while True:
                 first, headers, body = await read_message(reader)
@@ -52,6 +56,7 @@
         except (EOFError, ConnectionError, ValueError):
             pass
         finally:
+            connections.discard(writer)
             writer.close()
 
     host, _, port = address.rpartition(":")
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -3,7 +3,7 @@
     workers.py STORE DOMAIN SERVICE ID=ADDRESS...
 
 Each worker has a clock, leases, fencing tokens and a list of ends of its own. Starts, ends and stops go to standard output, one JSON
-object a line, with the time of the steady clock."""
+object a line, with the time of the steady clock. A worker that crashes is followed by another with the same id, which knows nothing."""
 
 import asyncio
 import json
@@ -44,6 +44,13 @@
         self.late_until = 0.0
         self.late_share = 0.0
         self.timer = None
+        self.server = None
+        self.connections = set()
+        self.registration = None
+        self.crashed = None
+
+    def note(self, **fields):
+        note(worker=self.name, born=self.born, **fields)
 
     def clock(self):
         return self.offset + int((time.monotonic() - self.started) * 1000 * self.rate)
@@ -54,7 +61,7 @@
         self.ended_up_to[task] = max(self.ended_up_to.get(task, 0), attempt)
         self.last_end += 1
         self.ends.append([self.last_end, task, attempt, how, ""])
-        note(event="end", worker=self.name, task=task, attempt=attempt, how=how, token=run["token"])
+        self.note(event="end", task=task, attempt=attempt, how=how, token=run["token"])
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -99,7 +106,7 @@
         self.hold(fields)
         self.runs[task, attempt] = {"began": time.monotonic(), "until": time.monotonic() + work["ms"] / 1000, "how": "done",
                                     "ms": work["ms"], "cpu": work["cpu"], "token": fields["fencing_token"]}
-        note(event="start", worker=self.name, task=task, attempt=attempt, token=fields["fencing_token"])
+        self.note(event="start", task=task, attempt=attempt, token=fields["fencing_token"])
         self.advance()
         return 200, {"clock_ms": self.clock(), "born": self.born}
 
@@ -108,7 +115,7 @@
         self.ended_up_to[task] = max(self.ended_up_to.get(task, 0), attempt)
         for (name, number), run in self.runs.items():
             if name == task and number <= attempt and run["how"] == "done":
-                note(event="stop", worker=self.name, task=task, attempt=number, token=fields["fencing_token"])
+                self.note(event="stop", task=task, attempt=number, token=fields["fencing_token"])
                 stopped = time.monotonic() + random.uniform(0.005, LONGEST_STOP_S)
                 if stopped < run["until"]:
                     run["until"], run["how"] = stopped, "stopped"
@@ -126,6 +133,8 @@
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
                 break
+        if self.crashed.done():
+            raise ConnectionResetError
         self.advance()
         now = time.monotonic()
         running = [[task, attempt, "", min(100, int(100 * (now - run["began"]) / (run["ms"] / 1000))), 0]
@@ -145,7 +154,34 @@
             return self.stop(fields)
         return await self.poll(fields)
 
+    def crash(self, seconds):
+        """Ends without notice: runs end without a report, connections and orders under way are gone. It is back after `seconds`."""
+        for (task, attempt), run in self.runs.items():
+            self.note(event="end", task=task, attempt=attempt, how="crashed", token=run["token"])
+        self.runs.clear()
+        if self.timer:
+            self.timer.cancel()
+        self.registration.cancel()
+        self.server.close()
+        for writer in self.connections:
+            writer.transport.abort()
+        self.crashed.set_result(seconds)
+
+    async def carry_out_later(self, path, fields):
+        """Carries out an order whose answer is lost."""
+        if not self.crashed.done():
+            try:
+                await self.carry_out(path, fields)
+            except ConnectionError:
+                pass
+
     async def handle(self, method, path, query, headers, body):
+        if self.crashed.done():
+            # The request had been received, but not yet been looked at.
+            raise ConnectionResetError
+        if path == "/standin/crash":
+            self.crash(float(query["seconds"]))
+            raise ConnectionResetError
         if path == "/standin/late":
             self.late_until = time.monotonic() + float(query["seconds"])
             self.late_share = float(query["share"])
@@ -159,7 +195,7 @@
         fields = json.loads(body)
         if time.monotonic() < self.late_until and random.random() < self.late_share:
             delay = random.choice([0, random.uniform(0.05, 3)])
-            asyncio.get_running_loop().call_later(delay, lambda: asyncio.ensure_future(self.carry_out(path, fields)))
+            asyncio.get_running_loop().call_later(delay, lambda: asyncio.ensure_future(self.carry_out_later(path, fields)))
             raise wire.Silent
         return await self.carry_out(path, fields)
 
@@ -174,6 +210,19 @@
                 store, "POST", f"/standin/put?topic=keyed.servers&part=0&key={self.name}", json.dumps(entry).encode())
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def live(self, store, domain, service):
+        """Serves until the worker crashes. Returns how long it stays away then."""
+        self.crashed = asyncio.get_running_loop().create_future()
+        self.server = await wire.serve(self.address, self.handle, self.connections)
+        self.registration = asyncio.ensure_future(self.register(store, domain, service))
+        return await self.crashed
+
+
+async def live_again_and_again(worker, *place):
+    while True:
+        await asyncio.sleep(await worker.live(*place))
+        worker = Worker(worker.name, worker.address)
+
 
 async def note_stalls():
     while True:
@@ -187,9 +236,11 @@
 async def main():
     store, domain, service, *listed = sys.argv[1:]
     workers = [Worker(*item.split("=")) for item in listed]
-    servers = [await wire.serve(worker.address, worker.handle) for worker in workers]
-    print(json.dumps({"event": "serving", "workers": len(servers)}), flush=True)
-    await asyncio.gather(note_stalls(), *(worker.register(store, domain, service) for worker in workers))
+    lives = [asyncio.ensure_future(live_again_and_again(worker, store, domain, service)) for worker in workers]
+    while not all(worker.server for worker in workers) and not any(life.done() for life in lives):
+        await asyncio.sleep(0.01)
+    print(json.dumps({"event": "serving", "workers": len(workers)}), flush=True)
+    await asyncio.gather(note_stalls(), *lives)
 
 
 asyncio.run(main())
