soak: Lose the answers of orders that workers carry out

The kind late delays most of the orders whose answer it loses. A start that is carried out at once, or nearly so, and whose answer is lost is the more usual case, and the one in which the run is at work while its owner doesn't know.

No rule of the check changes.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -39,9 +39,9 @@
 COUNTS = (1, 1, 2, 2, 3, 4, 8)
 # Disruptions, and how often each is drawn.
 KINDS = {"roll": 2, "freeze": 2, "term_frozen": 1, "kill": 2, "starve": 2, "pause_workers": 3, "late": 3, "store_down": 1,
-         "store_loses": 3, "hup": 1, "config": 1, "crash_workers": 3}
+         "store_loses": 3, "hup": 1, "config": 1, "crash_workers": 3, "mute_workers": 3}
 # They are drawn in a series of their own, so that the draws of the others stay the same for a seed.
-APART = ("crash_workers",)
+APART = ("crash_workers", "mute_workers")
 LIBC = ctypes.CDLL(None)
 
 
@@ -525,6 +525,14 @@
                                for name, seconds in zip(chosen, absent)))
         await asyncio.sleep(max(absent))
 
+    async def mute_workers(self, dice):
+        chosen = dice.sample(list(self.workers), dice.randint(1, len(self.workers)))
+        share, seconds = dice.choice([0.1, 0.2, 0.3]), dice.uniform(2, 5)
+        self.note(f"a share of {share} of the orders to {', '.join(chosen)} is carried out without an answer for {seconds:.2f} s")
+        await asyncio.gather(*(wire.call_once(self.workers[name][1], "POST", f"/standin/mute?seconds={seconds}&share={share}")
+                               for name in chosen))
+        await asyncio.sleep(seconds)
+
     async def store_down(self, dice):
         seconds, silent = dice.uniform(0.5, 4), dice.randint(0, 1)
         self.note(f"store down for {seconds:.2f} s, {'without answers' if silent else '503'}")
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -18,6 +18,7 @@
 MOST_ENDS = 500
 CAPACITY = {"cpu": 16000, "mem_mb": 32000, "gpu": 0}
 LONGEST_STOP_S = 0.04
+LONGEST_MUTE_S = 0.4
 TICK_S = 0.05
 # A process that is late by more than this did not run: it was paused, or the machine is busy.
 STALL_S = 0.2
@@ -43,6 +44,8 @@
         self.changed = asyncio.Event()
         self.late_until = 0.0
         self.late_share = 0.0
+        self.mute_until = 0.0
+        self.mute_share = 0.0
         self.timer = None
         self.server = None
         self.connections = set()
@@ -186,6 +189,10 @@
             self.late_until = time.monotonic() + float(query["seconds"])
             self.late_share = float(query["share"])
             return 200, {}
+        if path == "/standin/mute":
+            self.mute_until = time.monotonic() + float(query["seconds"])
+            self.mute_share = float(query["share"])
+            return 200, {}
         if path == "/healthz":
             return 200, {}
         if path not in ("/api/run-start", "/api/run-stop", "/api/hold"):
@@ -197,6 +204,10 @@
             delay = random.choice([0, random.uniform(0.05, 3)])
             asyncio.get_running_loop().call_later(delay, lambda: asyncio.ensure_future(self.carry_out_later(path, fields)))
             raise wire.Silent
+        if time.monotonic() < self.mute_until and random.random() < self.mute_share:
+            delay = random.choice([0, random.uniform(0, LONGEST_MUTE_S)])
+            asyncio.get_running_loop().call_later(delay, lambda: asyncio.ensure_future(self.carry_out_later(path, fields)))
+            raise wire.Silent
         return await self.carry_out(path, fields)
 
     async def register(self, store, domain, service):
