soak: Cut workers off from some VMs

No kind kept a VM and a worker apart while both went on. The new kind cut_workers does, for 0.5 to 3 s, for one VM up to all but one and for one worker up to all. Connections either hang (requests and answers are held until the end of the cut, and are then carried out or sent, even if the VM has closed the connection) or are reset, as are new ones.

All VMs connect from 127.0.0.1, so a worker looks for the process that holds the other end of a connection, in /proc. No rule of the check changes. The kind shares the series of crash_workers and mute_workers.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -39,9 +39,10 @@
 COUNTS = (1, 1, 2, 2, 3, 4, 8)
 # Disruptions, and how often each is drawn.
 KINDS = {"roll": 2, "freeze": 2, "term_frozen": 1, "kill": 2, "starve": 2, "pause_workers": 3, "late": 3, "store_down": 1,
-         "store_loses": 3, "hup": 1, "config": 1, "crash_workers": 3, "mute_workers": 3}
+         "store_loses": 3, "hup": 1, "config": 1, "crash_workers": 3, "mute_workers": 3,
+         "cut_workers": 3}
 # They are drawn in a series of their own, so that the draws of the others stay the same for a seed.
-APART = ("crash_workers", "mute_workers")
+APART = ("crash_workers", "mute_workers", "cut_workers")
 LIBC = ctypes.CDLL(None)
 
 
@@ -251,6 +252,7 @@
         self.jobs = {}
         self.lags, self.stalls, self.late_answers = [], [], []
         self.killed_after_grace = 0
+        self.cut_connections = 0
         self.version = 100
         self.done_kinds = {}
         self.processes = []
@@ -533,6 +535,18 @@
                                for name in chosen))
         await asyncio.sleep(seconds)
 
+    async def cut_workers(self, dice):
+        vms = dice.sample(list(self.vms.values()), dice.randint(1, len(self.vms) - 1))
+        chosen = dice.sample(list(self.workers), dice.randint(1, len(self.workers)))
+        seconds, resets = dice.uniform(0.5, 3), dice.randint(0, 1)
+        pids = ",".join(str(vm.process.pid) for vm in vms if vm.is_running())
+        self.note(f"{', '.join(vm.name for vm in vms)} can't reach {', '.join(chosen)} for {seconds:.2f} s, connections "
+                  + ("are reset" if resets else "hang"))
+        if pids:
+            await asyncio.gather(*(wire.call_once(
+                self.workers[name][1], "POST", f"/standin/cut?seconds={seconds}&resets={resets}&pids={pids}") for name in chosen))
+        await asyncio.sleep(seconds)
+
     async def store_down(self, dice):
         seconds, silent = dice.uniform(0.5, 4), dice.randint(0, 1)
         self.note(f"store down for {seconds:.2f} s, {'without answers' if silent else '503'}")
@@ -590,6 +604,8 @@
                         continue
                     if event["event"] == "stall":
                         self.add_stall(process, event["since"], event["t"])
+                    elif event["event"] == "cut":
+                        self.cut_connections += event["connections"]
                     elif "worker" in event:
                         yield event
 
@@ -677,6 +693,7 @@
         return {"seed": self.seed, "vms": self.vms_each, "workers": self.workers_each, "disruptions": self.done_kinds,
                 "jobs": len(self.jobs), "answers": {str(key): value for key, value in sorted(self.answers.items(), key=str)},
                 "runs": len(runs), "ends": ends, "abandoned": abandoned, "killed_after_grace": self.killed_after_grace,
+                "cut_connections": self.cut_connections,
                 "lagged_s": round(sum(end - start for start, end in self.lags), 1),
                 "stalls": len(self.stalls), "violations": rules,
                 "twice": {cause: len(jobs) for cause, jobs in sorted(self.pairs.items())}}
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -30,17 +30,24 @@
     """Raised by a handler whose request gets no answer; the connection stays open until the peer closes it."""
 
 
-async def serve(address, handler, connections=None):
+async def pass_at_once(_):
+    pass
+
+
+async def serve(address, handler, connections=None, gate=pass_at_once):
     """Serves `handler(method, path, query, headers, body)`, which returns a status and a dictionary or bytes.
 
-    `connections` holds the writers of the connections that are open."""
+    `connections` holds the writers of the connections that are open. `gate(writer)` is awaited before the first request of a connection is
+    read, before each request is handled, and before each answer is sent; ConnectionError ends the connection."""
     connections = set() if connections is None else connections
 
     async def connection(reader, writer):
         connections.add(writer)
         try:
+            await gate(writer)
             while True:
                 first, headers, body = await read_message(reader)
+                await gate(writer)
                 method, target, _ = first.split(" ")
                 parts = urlsplit(target)
                 try:
@@ -49,6 +56,7 @@
                     while await reader.read(65536):
                         pass
                     return
+                await gate(writer)
                 raw = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
                 writer.write(f"HTTP/1.1 {status} {REASONS.get(status, 'Error')}\r\nContent-Length: {len(raw)}\r\n"
                              "Content-Type: application/json\r\n\r\n".encode() + raw)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import json
+import os
 import random
+import socket
 import sys
 import time
 
@@ -28,6 +30,42 @@
     print(json.dumps({"t": time.monotonic(), **fields}), flush=True)
 
 
+def sockets_of(pids):
+    """Returns the inodes of the open sockets of processes, as text."""
+    found = set()
+    for pid in pids:
+        try:
+            for entry in os.scandir(f"/proc/{pid}/fd"):
+                try:
+                    name = os.readlink(entry.path)
+                except OSError:
+                    continue
+                if name.startswith("socket:["):
+                    found.add(name[len("socket:["):-1])
+        except OSError:
+            # It has ended.
+            continue
+    return found
+
+
+def in_table(address):
+    ip, port = address
+    return socket.inet_aton(ip)[::-1].hex().upper() + f":{port:04X}"
+
+
+def find_cut(pids, peers, here):
+    """Returns those of the peers' addresses whose connection to `here` is held by one of the processes."""
+    wanted, served = {in_table(peer): peer for peer in peers}, in_table(here)
+    inodes = {}
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        for line in table:
+            if served in line:
+                _, near, far, *_, inode = line.split()[:10]
+                if far == served and near in wanted:
+                    inodes[inode] = wanted[near]
+    return {inodes[inode] for inode in sockets_of(pids) if inode in inodes}
+
+
 class Worker:
     def __init__(self, name, address):
         self.name, self.address = name, address
@@ -47,6 +85,12 @@
         self.mute_until = 0.0
         self.mute_share = 0.0
         self.timer = None
+        self.cut_until = 0.0
+        self.cut_pids = []
+        self.cut_resets = False
+        # Connections that were looked at in this cut, and whether it cuts them.
+        self.cut_known = {}
+        self.looking = None
         self.server = None
         self.connections = set()
         self.registration = None
@@ -170,6 +214,49 @@
             writer.transport.abort()
         self.crashed.set_result(seconds)
 
+    async def look(self):
+        """Finds out which connections belong to VMs that can't reach the worker now. All VMs have the same address as peers, so it looks
+        for the processes that hold the other ends, in a thread, as a list of all sockets takes several milliseconds."""
+        known = self.cut_known
+        peers = {writer: writer.get_extra_info("peername") for writer in self.connections if writer not in known}
+        host, _, port = self.address.rpartition(":")
+        try:
+            # A connection that was reset before it was accepted has no peer.
+            found = await asyncio.to_thread(find_cut, self.cut_pids, set(filter(None, peers.values())), (host, int(port)))
+        finally:
+            self.looking = None
+        known.update({writer: peer in found for writer, peer in peers.items()})
+
+    async def is_cut(self, writer):
+        while time.monotonic() < self.cut_until and not writer.transport.is_closing():
+            if writer in self.cut_known:
+                return self.cut_known[writer]
+            if self.looking is None:
+                self.looking = asyncio.ensure_future(self.look())
+            await self.looking
+        return False
+
+    async def gate(self, writer):
+        """Holds what goes through a connection that is cut until the end of the cut, or resets the connection."""
+        while await self.is_cut(writer):
+            if self.cut_resets:
+                writer.transport.abort()
+                raise ConnectionResetError
+            await asyncio.sleep(self.cut_until - time.monotonic())
+
+    async def cut(self, query):
+        self.cut_until = time.monotonic() + float(query["seconds"])
+        self.cut_pids = query["pids"].split(",")
+        self.cut_resets = query["resets"] == "1"
+        self.cut_known = {}
+        await self.look()
+        cut = [writer for writer, is_cut in self.cut_known.items() if is_cut]
+        note(event="cut", at=self.name, connections=len(cut))
+        if self.cut_resets:
+            for writer in cut:
+                writer.transport.abort()
+        return 200, {}
+
     async def carry_out_later(self, path, fields):
         """Carries out an order whose answer is lost."""
         if not self.crashed.done():
@@ -185,6 +272,8 @@
         if path == "/standin/crash":
             self.crash(float(query["seconds"]))
             raise ConnectionResetError
+        if path == "/standin/cut":
+            return await self.cut(query)
         if path == "/standin/late":
             self.late_until = time.monotonic() + float(query["seconds"])
             self.late_share = float(query["share"])
@@ -224,7 +313,7 @@
     async def live(self, store, domain, service):
         """Serves until the worker crashes. Returns how long it stays away then."""
         self.crashed = asyncio.get_running_loop().create_future()
-        self.server = await wire.serve(self.address, self.handle, self.connections)
+        self.server = await wire.serve(self.address, self.handle, self.connections, self.gate)
         self.registration = asyncio.ensure_future(self.register(store, domain, service))
         return await self.crashed
 
