cells: Look for limits of a lease only where there are any

Cause: the limit of a lease was looked for in all runs of each worker for each start, and there is none most of the time. Change: a session counts its runs that limit the lease. Result: the suites of lost callers, of the ownership and of the router pass. The cost was not measured.

--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -50,6 +50,8 @@
 time_point worker_session::leaseLimit() const
 {
     time_point earliest = time_point::max();
+    if (m_limitedRuns == 0)
+        return earliest;
     for (const auto& [key, current] : m_runs)
         earliest = std::min(earliest, current.leaseLimit.value_or(time_point::max()));
     return earliest;
@@ -57,16 +59,18 @@
 
 void worker_session::limitLease(const std::string& jobId, time_point limit)
 {
-    for (auto run = m_runs.lower_bound({ jobId, 0, 0, 0 }); run != m_runs.end() && run->first.jobId == jobId; ++run)
+    for (auto run = m_runs.lower_bound({ jobId, 0, 0, 0 }); run != m_runs.end() && run->first.jobId == jobId; ++run) {
+        m_limitedRuns += run->second.leaseLimit ? 0 : 1;
         run->second.leaseLimit = std::min(run->second.leaseLimit.value_or(limit), limit);
+    }
 }
 
 bool worker_session::liftLeaseLimit(const std::string& jobId)
 {
-    bool lifted = false;
+    const std::size_t before = m_limitedRuns;
     for (auto run = m_runs.lower_bound({ jobId, 0, 0, 0 }); run != m_runs.end() && run->first.jobId == jobId; ++run)
-        lifted = std::exchange(run->second.leaseLimit, std::nullopt).has_value() || lifted;
-    return lifted;
+        m_limitedRuns -= std::exchange(run->second.leaseLimit, std::nullopt) ? 1 : 0;
+    return m_limitedRuns < before;
 }
 
 time_point worker_session::leasesEnded(time_point now) const
@@ -118,6 +122,7 @@
     removeRun(task);
     m_runs.emplace(task, added);
     m_used += added.need;
+    m_limitedRuns += added.leaseLimit ? 1 : 0;
 }
 
 std::optional<worker_run> worker_session::removeRun(const task_key& task)
@@ -127,6 +132,7 @@
         return std::nullopt;
     worker_run removed = found->second;
     m_used -= removed.need;
+    m_limitedRuns -= removed.leaseLimit ? 1 : 0;
     m_runs.erase(found);
     return removed;
 }
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -210,6 +210,8 @@
     /// Time until which runs that were ordered for the previous boot may hold leases.
     time_point m_unknownLeasesUntil;
     worker_time m_leaseEnd { 0 };
+    /// Number of runs with a `leaseLimit`; there is none most of the time.
+    std::size_t m_limitedRuns = 0;
     time_point m_startsPausedUntil;
     int m_failures = 0;
     int m_unanswered = 0;
