--- a/tests/cells/left_caller_test.cpp
+++ b/tests/cells/left_caller_test.cpp
@@ -1,5 +1,5 @@
-// Checks that an owner passes on what it knows of callers that have left: the next owner can't tell their runs from those of
-// callers that submit their jobs again.
+// Checks that the runs of callers that have left end before these can submit their jobs again, whatever is lost: answers of
+// workers, owners, and what owners know of callers.
 #include <algorithm>
 
 #include <boost/test/unit_test.hpp>
@@ -78,7 +78,7 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_FIXTURE_TEST_SUITE(when_a_caller_has_left_and_its_workers_answer_nothing, left_caller)
+BOOST_FIXTURE_TEST_SUITE(when_a_caller_has_left_and_its_runs_have_to_end, left_caller)
 
 // Guards against runs that go on beside a resubmission because the leases of silent workers are extended, and their stops are
 // lost (issue 50).
