cells: Grant no lease to runs whose callers the next owner does not know

Cause: an owner limits the lease of a worker that runs a task of a caller that has left. The next owner of the cell, which does not know that, extended the lease until 1.15 s after the last sign of life of the owner before, or 0.8 s after a handover. If the worker carries out no stop, the run goes on beside the caller's resubmission, which may come 1.3 s after it left. Callers saw two runs of one task. Change: while a run of an earlier owner is not claimed by a VM at which its caller waits, its worker gets no longer lease. VMs claim their jobs within about 0.1 s after a takeover. `unclaimedLeaseLimit` is gone.

--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -297,8 +297,6 @@
     void noteOrphan(const task_key& key, const worker_id& worker, orphan_outcome outcome, time_point now);
     /// Returns whether VMs may still submit again jobs of which an earlier owner has started runs.
     bool awaitsResubmissions(time_point now) const;
-    /// Returns when the leases of workers with runs of earlier owners end whose jobs no VM has submitted again.
-    time_point unclaimedLeaseEnd() const;
     /// Limits the leases of all workers with runs of a job whose callers have left.
     void limitLeases(const std::string& jobId, time_point limit);
     /// Lifts these limits, and renews the leases at once.
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -365,8 +365,9 @@
     added.percent = listed.percent;
     const bool known = job && job->contains(listed.task);
     added.orphaned = !job && !jobTable.isFinished(listed.task.jobId) && !resubmissionsOver && awaitsResubmissions(now);
+    // The earlier owner may have limited the lease because the caller has left.
     if (added.orphaned)
-        added.leaseLimit = unclaimedLeaseEnd();
+        added.leaseLimit = now;
     if (known) {
         added.need = job->accepted.work.steps[listed.task.step].need;
         added.estimate = job->accepted.work.steps[listed.task.step].estimate;
@@ -417,12 +418,6 @@
     return now < limit;
 }
 
-time_point cell_owner::data::unclaimedLeaseEnd() const
-{
-    const time_point limit = takenOverAt + resubmissionLimit;
-    return term.previousOwnerSeenAt ? std::min(limit, *term.previousOwnerSeenAt + unclaimedLeaseLimit) : limit;
-}
-
 void cell_owner::data::stopUnclaimedRuns(time_point now)
 {
     if (resubmissionsOver || awaitsResubmissions(now))
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -105,10 +105,6 @@
 /// delay of resubmissions, 1.3 s, less 0.1 s until the owner learns it, 0.05 s in which a worker ends its runs, and 0.1 s for
 /// messages.
 inline constexpr std::chrono::milliseconds withdrawnLeaseLimit { 1050 };
-/// Time after the last sign of life of a lost owner by which the leases of workers end that have runs of unknown callers. These
-/// may have been lost together with the owner: 1.3 s, less 0.05 s in which a worker ends its runs, and 0.1 s between two
-/// heartbeats.
-inline constexpr std::chrono::milliseconds unclaimedLeaseLimit { 1150 };
 /// Time after the home cell of a lent job has got another owner within which that owner submits the job again if a caller waits
 /// for it. With a takeover of up to 0.8 s and a stop it stays below the platform's delay of resubmissions, 1.3 s.
 inline constexpr std::chrono::milliseconds lentClaimLimit { 400 };
