cells: Run tasks only for callers that are known to wait

Cause: an owner took a caller for waiting until a withdrawal came. If the path between the owner and the VM of the caller was gone, the withdrawal was lost: the runs went on until the deadline of the caller, and further tasks started, beside the resubmission 1.3 s later in another domain. Callers saw two runs of one task. Change: routers list the requests whose callers wait in keep-alives, one datagram each 0.1 s. Without one for 0.4 s no task of the job starts, after 0.8 s its runs are stopped, and leases end 1.05 s after the last one, computed from the jobs on the worker when they are granted. A message that is lost can only end runs, not prolong them. Jobs go on if their callers are heard again. A cell that lends a job lists it while it hears the caller. New: jobs_out_of_contact_total, two log lines, a field of job.run.

--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -34,6 +34,8 @@
     job_completion done;
     /// Whether the home cell of the job waits on behalf of its callers.
     bool lent = false;
+    /// Whether the sender of the request lists it in keep-alives while the caller waits.
+    bool keptAlive = false;
 };
 
 /// Phase of a task: it waits for a start, is placed on a worker, or is done.
@@ -97,6 +99,8 @@
 
     // Members for unstored jobs, whose callers are answered at the end of the job.
     std::vector<job_waiter> waiters;
+    /// Whether the runs were stopped because no VM was heard at which a caller waits.
+    bool outOfContact = false;
     /// Time at which the last caller left; empty while a caller waits.
     std::optional<time_point> withdrawnAt;
     /// Latest useful time of the first start; a job that can't start by then is refused.
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -92,6 +92,7 @@
     endedUnstoredJobs.clear();
     orphanedEnds.clear();
     suspicion.clear();
+    contacts.clear();
     jobsLentEarlier.clear();
     jobsLentUnanswered.clear();
     lentJobsQueryCompleted = false;
@@ -208,6 +209,7 @@
     if (!acceptingSince)
         acceptingSince = now;
     stopUnclaimedRuns(now);
+    checkContacts(now);
     pollWorkers(now);
     verifyOwnership(now);
     checkSuspicions(now);
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -13,6 +13,7 @@
 
 #include "cells/cell_job_table.h"
 #include "cells/cell_settings.h"
+#include "cells/keep_alive.h"
 #include "cells/worker_link.h"
 #include "core/clock.h"
 #include "jobs/record_codec.h"
@@ -172,6 +173,8 @@
     /// The same by the share of the caller's time that had passed since the job came to the owner. The bounds are those of
     /// `timeUsedBounds`; the last entry counts the others.
     std::array<std::array<std::uint64_t, timeUsedBoundCount>, refusalReasonCount> refusedByTimeUsed {};
+    /// Jobs whose runs were stopped because no VM was heard at which a caller waits.
+    std::uint64_t jobsOutOfContact = 0;
     /// Jobs whose callers had all left, indexed by `withdrawal_outcome`.
     std::array<std::uint64_t, withdrawalOutcomeCount> withdrawnJobs {};
     /// Times for which the process did not run, counted from `pause_monitor::shortestPause` on.
@@ -260,6 +263,13 @@
     void withdraw(
         const std::string& jobId, const jobs::request_id& request, withdrawal_reason reason = withdrawal_reason::caller_left);
 
+    /// Handles a keep-alive of a router. The runs of a job whose callers are in no keep-alive for `contactLimit` are stopped, and
+    /// its tasks wait until one is heard again.
+    void noteKeepAlive(const keep_alive& current);
+
+    /// Returns whether the owner knows the job, and a VM at which a caller waits was heard a moment ago.
+    bool hearsCallers(const std::string& jobId) const;
+
     /// Like `state`, but waits up to `maxStateWait` for the end of a job whose tasks are all placed on workers.
     void awaitState(const std::string& jobId, job_completion done);
     /// Returns the state of a job, or fails with `job_unknown`, or with `owner_unknown` while the records are not replayed or
--- /dev/null
+++ b/cells/cell_owner_contacts.cpp
@@ -0,0 +1,122 @@
+#include "cells/cell_owner_data.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace coriandermount::cells {
+
+namespace {
+
+    constexpr std::chrono::milliseconds checkInterval { 50 };
+    /// Time between two checks from which on keep-alives may have arrived that are not read yet.
+    constexpr std::chrono::milliseconds lateCheck = 3 * checkInterval;
+
+} // namespace
+
+void cell_owner::data::noteKeepAlive(const keep_alive& current, time_point now)
+{
+    // One that was read after a pause may have been sent before the caller left.
+    if (isSettling())
+        return;
+    for (const std::uint64_t number : current.requests) {
+        const auto known = contacts.find({ current.sender, number });
+        if (known != contacts.end())
+            known->second = now;
+    }
+}
+
+void cell_owner::data::addWaiter(open_job& job, const jobs::run_request& request, job_completion done, time_point now)
+{
+    job.waiters.push_back({ request.id, std::move(done), request.lentBy.has_value(), request.keptAlive });
+    if (request.keptAlive)
+        contacts.insert_or_assign(request.id, now);
+}
+
+std::optional<time_point> cell_owner::data::lastContact(const open_job& job) const
+{
+    std::optional<time_point> latest;
+    for (const job_waiter& waiter : job.waiters) {
+        if (!waiter.keptAlive)
+            return std::nullopt;
+        const auto known = contacts.find(waiter.request);
+        const time_point heardAt = known == contacts.end() ? job.arrivedAt : known->second;
+        latest = std::max(latest.value_or(heardAt), heardAt);
+    }
+    return latest;
+}
+
+bool cell_owner::data::hasContact(const open_job& job, std::chrono::milliseconds limit, time_point now) const
+{
+    const auto heardAt = lastContact(job);
+    return !heardAt || now - *heardAt <= limit;
+}
+
+time_point cell_owner::data::leaseLimit(const worker_session& session) const
+{
+    time_point limit = session.leaseLimit();
+    const std::string* lastJob = nullptr;
+    for (const auto& [key, current] : session.runs()) {
+        if (lastJob && *lastJob == key.jobId)
+            continue;
+        lastJob = &key.jobId;
+        const open_job* job = jobTable.find(key.jobId);
+        if (const auto heardAt = job ? lastContact(*job) : std::nullopt)
+            limit = std::min(limit, *heardAt + withdrawnLeaseLimit);
+    }
+    return limit;
+}
+
+void cell_owner::data::checkContacts(time_point now)
+{
+    if (now < nextContactCheck)
+        return;
+    if (now - nextContactCheck > lateCheck)
+        contactsKnownFrom = now + 2 * keepAliveInterval;
+    nextContactCheck = now + checkInterval;
+    std::erase_if(contacts, [now](const auto& entry) { return now - entry.second > unstoredRetention; });
+    if (now < contactsKnownFrom)
+        return;
+    const auto limit = contactLimit + lagAllowance(now);
+    for (auto& [id, job] : jobTable.open()) {
+        if (job.ended || job.waiters.empty() || hasContact(job, limit, now) != job.outOfContact)
+            continue;
+        job.outOfContact = !job.outOfContact;
+        if (job.outOfContact)
+            stopWithoutContact(job, now);
+        else
+            resumeContact(job, now);
+    }
+}
+
+void cell_owner::data::stopWithoutContact(const open_job& job, time_point now)
+{
+    const std::string& id = job.accepted.work.id;
+    const time_point heardAt = lastContact(job).value_or(now);
+    ++counters.jobsOutOfContact;
+    writeLog(log_level::warning, "cell", "callers are not heard",
+        { { "job", id }, { "lent", job.lentTo ? "yes" : "no" },
+            { "silence_ms", fmt::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - heardAt).count()) } });
+    limitLeases(id, heardAt + withdrawnLeaseLimit);
+    stopRunsOf(job, now);
+}
+
+void cell_owner::data::resumeContact(const open_job& job, time_point now)
+{
+    writeLog(log_level::info, "cell", "callers are heard again", { { "job", job.accepted.work.id } });
+    liftLeaseLimits(job.accepted.work.id, now);
+}
+
+void cell_owner::noteKeepAlive(const keep_alive& current)
+{
+    m_data->locked([&] { m_data->noteKeepAlive(current, m_data->clock.now()); });
+}
+
+bool cell_owner::hearsCallers(const std::string& jobId) const
+{
+    const std::scoped_lock lock(m_data->mutex);
+    const open_job* job = m_data->jobTable.find(jobId);
+    return job && m_data->hasContact(*job, relayedContactLimit, m_data->clock.now());
+}
+
+} // namespace coriandermount::cells
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -154,6 +154,11 @@
     };
     std::multimap<std::string, state_watch> stateWatches;
 
+    /// When the VMs were last heard at which the callers of requests wait, by request. Older entries are forgotten.
+    std::map<jobs::request_id, time_point> contacts;
+    time_point nextContactCheck;
+    /// From when on the keep-alives that arrived during a pause have been read.
+    time_point contactsKnownFrom;
     /// Requests that were withdrawn before they arrived, and the time until which they are remembered.
     std::map<jobs::request_id, time_point> withdrawnEarly;
     /// Ids of unstored jobs that have ended and are not yet removed from the table of open jobs.
@@ -284,6 +289,22 @@
     bool removeWaiter(open_job& job, const jobs::request_id& request);
     /// Removes the caller of a withdrawn request.
     void withdraw(const std::string& id, const jobs::request_id& request, withdrawal_reason reason, time_point now);
+    // Contact with callers: cell_owner_contacts.cpp.
+    void noteKeepAlive(const keep_alive& current, time_point now);
+    void addWaiter(open_job& job, const jobs::run_request& request, job_completion done, time_point now);
+    /// Returns when a VM was last heard at which a caller of the job waits; empty if no caller is known or if some caller's VM
+    /// sends no keep-alives.
+    std::optional<time_point> lastContact(const open_job& job) const;
+    /// Returns whether a VM of the job's callers was heard within `limit` before `now`.
+    bool hasContact(const open_job& job, std::chrono::milliseconds limit, time_point now) const;
+    /// Returns the time by which a lease of the worker that is granted now has to end: a run may go on only while its caller is
+    /// known to wait.
+    time_point leaseLimit(const worker_session& session) const;
+    /// Stops the runs of jobs whose callers are not heard, and lets jobs go on whose callers are heard again.
+    void checkContacts(time_point now);
+    void stopWithoutContact(const open_job& job, time_point now);
+    void resumeContact(const open_job& job, time_point now);
+
     /// Stops the runs of an unknown job that the earlier owner has started.
     void stopOrphans(const std::string& id, time_point now);
     /// Ends, or lets end, a job that no caller waits for any more.
--- a/cells/cell_owner_orders.cpp
+++ b/cells/cell_owner_orders.cpp
@@ -51,7 +51,8 @@
 {
     const worker_registration& worker = session.registration();
     worker_run& current = *session.find(key);
-    start_order order { key, current.attempt, job.accepted.work.payload, session.extendLease(settings.maxLease, now), term.epoch,
+    start_order order { key, current.attempt, job.accepted.work.payload,
+        session.extendLease(settings.maxLease, leaseLimit(session), now), term.epoch,
         job.accepted.work.steps[key.step].gang ? job.steps[key.step].checkpoint : job.task(key).checkpoint };
     current.startableUntil = session.leasesEnded(now);
     ++current.tries;
@@ -208,7 +209,8 @@
 bool cell_owner::data::retryStart(worker_session& session, const task_key& key, const worker_run& current, time_point now)
 {
     open_job* job = jobTable.find(key.jobId);
-    if (!job || job->ended || current.state != run_state::starting || current.tries >= maxStartTries || isSettling())
+    if (!job || job->ended || current.state != run_state::starting || current.tries >= maxStartTries || isSettling()
+        || !hasContact(*job, startContactLimit + lagAllowance(now), now))
         return false;
     // The attempt number stays the same, so the worker executes at most one of the orders.
     sendStart(*job, key, session, now);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -86,7 +86,7 @@
     }
     if (known) {
         noteClaim(*known, request.lentBy, now);
-        known->waiters.push_back({ request.id, std::move(done), request.lentBy.has_value() });
+        addWaiter(*known, request, std::move(done), now);
         known->giveUpAt = std::max(known->giveUpAt, now + request.timeLeft);
         known->startBy = latestStart(waitingJob(*known));
         if (known->withdrawnAt) {
@@ -234,7 +234,7 @@
 {
     const std::uint64_t offset = request.mayHaveStarted ? 0 : newestOffset;
     open_job* job = jobTable.accept(std::move(request.accepted), offset, now);
-    job->waiters.push_back({ request.id, std::move(done), request.lentBy.has_value() });
+    addWaiter(*job, request, std::move(done), now);
     job->giveUpAt = now + request.timeLeft;
     job->startOrder = punctualStart(waitingJob(*job));
     job->startBy = latestStart(waitingJob(*job));
@@ -279,7 +279,8 @@
 
 bool cell_owner::data::lend(open_job& job, time_point now)
 {
-    if (!neighbors || job.lentBy || job.started || job.ended || suspicion.isRestricted(job.accepted.work.id))
+    if (!neighbors || job.lentBy || job.started || job.ended || suspicion.isRestricted(job.accepted.work.id)
+        || !hasContact(job, startContactLimit, now))
         return false;
     if (const auto cell = earlierBorrower(job.accepted.work.id)) {
         job.offset = 0;
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -137,11 +137,12 @@
     poll_order order;
     order.token = term.epoch;
     order.acknowledged = session.durableEnd;
+    const time_point limit = leaseLimit(session);
     // The lease of a worker that does not answer is not extended, so that its runs can be requeued after the lease ends.
     order.extendsLease = session.knowsClock() && !session.runs().empty() && !session.deregistered
-        && now - session.lastAnswerAt < leaseSilenceLimit + lagAllowance(now) && now < session.leaseLimit();
+        && now - session.lastAnswerAt < leaseSilenceLimit + lagAllowance(now) && now < limit;
     if (order.extendsLease)
-        order.leaseEnd = session.extendLease(settings.maxLease, now);
+        order.leaseEnd = session.extendLease(settings.maxLease, limit, now);
     order.wait = pollWait(session, now);
     order.answerLimit = calls.answerLimit(session.failedPolls + 2, pollTimeoutMargin) + lagAllowance(now);
     const worker_registration& worker = session.registration();
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -105,6 +105,15 @@
 /// delay of resubmissions, 1.3 s, less 0.1 s until the owner learns it, 0.05 s in which a worker ends its runs, and 0.1 s for
 /// messages.
 inline constexpr std::chrono::milliseconds withdrawnLeaseLimit { 1050 };
+/// Time between two messages by which a VM tells an owner which requests callers wait for.
+inline constexpr std::chrono::milliseconds keepAliveInterval { 100 };
+/// Time without a keep-alive of the callers of a job from which on no task of it starts: a few keep-alives may be lost or late.
+inline constexpr std::chrono::milliseconds startContactLimit { 400 };
+/// The same from which on its runs are stopped. The rest of `withdrawnLeaseLimit` is time for a few tries of the stop, so that
+/// other runs on the worker go on.
+inline constexpr std::chrono::milliseconds contactLimit { 800 };
+/// The same up to which a cell that has lent a job keeps it alive in the other cell: one keep-alive and its delay.
+inline constexpr std::chrono::milliseconds relayedContactLimit { 150 };
 /// Time after the home cell of a lent job has got another owner within which that owner submits the job again if a caller waits
 /// for it. With a takeover of up to 0.8 s and a stop it stays below the platform's delay of resubmissions, 1.3 s.
 inline constexpr std::chrono::milliseconds lentClaimLimit { 400 };
--- a/cells/fleet_neighbors.cpp
+++ b/cells/fleet_neighbors.cpp
@@ -46,7 +46,8 @@
             const auto cellOwner = m_directory.owner(number);
             return cellOwner ? std::optional(run_target { false, cellOwner->address, cellOwner->epoch }) : std::nullopt;
         };
-        m_routers.push_back(std::make_unique<job_router>(clock, owner, link, std::move(target)));
+        m_routers.push_back(std::make_unique<job_router>(
+            clock, owner, link, std::move(target), [&owner](const std::string& jobId) { return owner.hearsCallers(jobId); }));
     }
 }
 
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -48,6 +48,7 @@
         /// Owner that the job was last sent to, and the id of that request.
         run_target lastTarget;
         jobs::request_id lastRequest;
+        time_point lastSentAt;
         bool inFlight = false;
         /// Whether an owner may have started the job.
         bool mayHaveRun = false;
@@ -82,6 +83,7 @@
     cell_owner& owner;
     owner_link& link;
     target_source target;
+    contact_source contact;
     mutable std::mutex mutex;
     std::uint64_t lastNumber = 0;
     /// Tells the requests of this router from those of others.
@@ -89,6 +91,7 @@
     std::uint64_t lastRequestNumber = 0;
     std::map<std::uint64_t, pending_run> runs;
     std::vector<withdrawn_run> withdrawnRuns;
+    time_point nextKeepAlive;
     /// Since when the cell has had no known owner; empty while it has one.
     std::optional<time_point> ownerlessSince;
     return_schedule returns;
@@ -97,11 +100,12 @@
     std::optional<time_point> endLimit;
     std::array<std::uint64_t, abandonReasonCount> abandoned {};
 
-    data(const clock_source& time, cell_owner& local, owner_link& remote, target_source source)
+    data(const clock_source& time, cell_owner& local, owner_link& remote, target_source source, contact_source callers)
         : clock(time)
         , owner(local)
         , link(remote)
         , target(std::move(source))
+        , contact(std::move(callers))
     {
     }
 
@@ -121,6 +125,10 @@
         const run_target& location, const std::string& jobId, const jobs::request_id& request, withdrawal_reason reason);
     /// Tells a new owner of the requests that were withdrawn at the last one.
     void repeatWithdrawals(const std::optional<run_target>& location, time_point now);
+    /// Tells an owner for which of its requests callers wait.
+    void sendKeepAlives(const std::optional<run_target>& location, time_point now);
+    /// Returns the numbers of these requests, unless a keep-alive is not due.
+    std::vector<std::uint64_t> requestsToKeepAlive(const std::optional<run_target>& location, time_point now);
     std::vector<std::uint64_t> dueRuns(time_point now, const std::optional<run_target>& location);
     std::vector<std::uint64_t> expiredRuns(time_point now) const;
     void expire(std::uint64_t number);
@@ -153,7 +161,9 @@
         request.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(current.deadline - now);
         current.lastSentEpoch = location->epoch;
         request.id = { senderNumber, ++lastRequestNumber };
+        request.keptAlive = true;
         current.lastRequest = request.id;
+        current.lastSentAt = now;
         current.lastTarget = *location;
         current.inFlight = true;
         current.mayHaveRunBefore = current.mayHaveRun;
@@ -278,6 +288,43 @@
         sendWithdrawal(*location, withdrawn.jobId, withdrawn.request, withdrawn.reason);
 }
 
+std::vector<std::uint64_t> job_router::data::requestsToKeepAlive(const std::optional<run_target>& location, time_point now)
+{
+    std::vector<std::pair<std::uint64_t, std::string>> held;
+    {
+        const std::scoped_lock lock(mutex);
+        // After a pause, callers may have left without that being noticed yet.
+        if (!location || now < nextKeepAlive || pauses.isSettling(now))
+            return {};
+        nextKeepAlive = now + keepAliveInterval;
+        for (const auto& [number, current] : runs) {
+            if (current.inFlight && current.lastSentEpoch == location->epoch && now - current.lastSentAt >= keepAliveInterval)
+                held.emplace_back(current.lastRequest.number, current.accepted.work.id);
+        }
+    }
+    std::vector<std::uint64_t> requests;
+    for (const auto& [number, jobId] : held) {
+        if (!contact || contact(jobId))
+            requests.push_back(number);
+    }
+    std::sort(requests.begin(), requests.end());
+    return requests;
+}
+
+void job_router::data::sendKeepAlives(const std::optional<run_target>& location, time_point now)
+{
+    const auto requests = requestsToKeepAlive(location, now);
+    for (std::size_t first = 0; first < requests.size(); first += mostRequestsKeptAlive) {
+        const std::size_t last = std::min(first + mostRequestsKeptAlive, requests.size());
+        const keep_alive current { senderNumber,
+            { requests.begin() + static_cast<std::ptrdiff_t>(first), requests.begin() + static_cast<std::ptrdiff_t>(last) } };
+        if (location->local)
+            owner.noteKeepAlive(current);
+        else
+            link.sendKeepAlive(location->address, current);
+    }
+}
+
 std::vector<std::uint64_t> job_router::data::dueRuns(time_point now, const std::optional<run_target>& location)
 {
     std::vector<std::uint64_t> due;
@@ -360,8 +407,9 @@
     return error { error_kind::shutting_down, "the VM stops before the job could end", returnAfter };
 }
 
-job_router::job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target)
-    : m_data(std::make_shared<data>(clock, owner, link, std::move(target)))
+job_router::job_router(
+    const clock_source& clock, cell_owner& owner, owner_link& link, target_source target, contact_source contact)
+    : m_data(std::make_shared<data>(clock, owner, link, std::move(target), std::move(contact)))
 {
 }
 
@@ -427,6 +475,7 @@
     const auto location = m_data->target();
     m_data->noteOwner(location.has_value(), now);
     m_data->repeatWithdrawals(location, now);
+    m_data->sendKeepAlives(location, now);
     for (const std::uint64_t number : m_data->dueRuns(now, location))
         m_data->sendToOwner(number);
     for (const std::uint64_t number : m_data->expiredRuns(now))
--- a/cells/job_router.h
+++ b/cells/job_router.h
@@ -40,6 +40,9 @@
         const std::string& address, const std::string& jobId, const jobs::request_id& request, withdrawal_reason reason)
         = 0;
 
+    /// Sends a keep-alive to the owner at `address`. Losses are not reported.
+    virtual void sendKeepAlive(const std::string& address, const keep_alive& current) = 0;
+
     /// Asks the owner at `address` which jobs it runs for the cell `home`, and to refuse jobs from earlier ownership terms of
     /// that cell. Completes with an empty, incomplete report if the owner does not answer.
     virtual void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(lent_report)> done) = 0;
@@ -65,9 +68,12 @@
 class job_router {
 public:
     using target_source = std::function<std::optional<run_target>()>;
+    /// Returns whether the callers of a job are known to wait.
+    using contact_source = std::function<bool(const std::string& jobId)>;
 
     /// All referenced arguments must outlive the router. `target` returns the current owner of the cell, empty if there is none.
-    job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target);
+    /// Callers of the router's jobs wait until it is told that they have left, unless `contact` says that they may not.
+    job_router(const clock_source& clock, cell_owner& owner, owner_link& link, target_source target, contact_source contact = {});
     ~job_router();
 
     job_router(const job_router&) = delete;
@@ -84,7 +90,8 @@
     /// Withdraws all requests for a job.
     void withdrawJob(const std::string& jobId, withdrawal_reason reason);
 
-    /// Sends pending jobs to a new owner, and answers those whose time is over. To be called every few tens of milliseconds.
+    /// Sends pending jobs to a new owner, keeps those alive that an owner has, and answers those whose time is over. To be called
+    /// every few tens of milliseconds.
     void tick();
 
     /// Discards all pending jobs without calling their completions. Later owners are still told of withdrawn requests.
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -29,13 +29,12 @@
     m_clockAt = now;
 }
 
-worker_time worker_session::extendLease(std::chrono::milliseconds maxLease, time_point now)
+worker_time worker_session::extendLease(std::chrono::milliseconds maxLease, time_point limit, time_point now)
 {
     if (!m_clockAt)
         return worker_time(0);
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_clockAt);
     const worker_time unlimited = m_clock + elapsed + maxLease;
-    const time_point limit = leaseLimit();
     if (limit == time_point::max()) {
         m_leaseEnd = std::max(m_leaseEnd, unlimited);
         return m_leaseEnd;
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -86,10 +86,10 @@
     void noteClock(worker_time clock, time_point now);
     bool knowsClock() const { return m_clockAt.has_value(); }
 
-    /// Returns the end, on the worker's clock, of a lease of length `maxLease` that starts at `now`, and records the lease as
-    /// granted. `leaseLimit` shortens the new lease only; a longer one that was granted before holds. Returns 0 while the
-    /// worker's clock is not known.
-    worker_time extendLease(std::chrono::milliseconds maxLease, time_point now);
+    /// Returns the end, on the worker's clock, of a lease of length `maxLease` that starts at `now` and ends by `limit`, and
+    /// records the lease as granted. `limit` shortens the new lease only; a longer one that was granted before holds. Returns 0
+    /// while the worker's clock is not known.
+    worker_time extendLease(std::chrono::milliseconds maxLease, time_point limit, time_point now);
     /// Returns the earliest `leaseLimit` of all runs; the highest time if no run has one.
     time_point leaseLimit() const;
     /// Limits the lease for the runs of a job, if it is not limited to an earlier time for them.
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -147,7 +147,7 @@
 {
     return pack(json::array({ packAccepted(request.accepted), request.mayHaveStarted, request.timeLeft.count(),
         request.lentBy ? json::array({ request.lentBy->cell, request.lentBy->epoch }) : json(), request.ownerEpoch,
-        json::array({ request.id.sender, request.id.number }) }));
+        json::array({ request.id.sender, request.id.number }), request.keptAlive }));
 }
 
 result<run_request> decodeRunRequest(const std::string& value)
@@ -160,6 +160,8 @@
         // Requests of earlier builds cannot be withdrawn.
         if (fields.size() > 5)
             request.id = { numberIn<std::uint64_t>(fields.at(5).at(0)), numberIn<std::uint64_t>(fields.at(5).at(1)) };
+        if (fields.size() > 6)
+            request.keptAlive = fields.at(6);
         return request;
     });
 }
--- a/jobs/record_codec.h
+++ b/jobs/record_codec.h
@@ -73,6 +73,8 @@
     /// Epoch of the owner to which the request was sent. A late request may reach the same VM in another ownership term.
     std::uint64_t ownerEpoch = 0;
     request_id id;
+    /// Whether the sender lists the request in keep-alives while the caller waits; earlier builds do not.
+    bool keptAlive = false;
 };
 
 /// Final state of a job.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -217,6 +217,10 @@
     void run(const std::string& address, const jobs::run_request& request, cells::job_completion done) override;
     void withdraw(const std::string& address, const std::string& jobId, const jobs::request_id& request,
         cells::withdrawal_reason reason) override;
+    void sendKeepAlive(const std::string& address, const cells::keep_alive& current) override
+    {
+        heartbeatSocket.send(address, cells::encode(current));
+    }
     void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(cells::lent_report)> done) override;
 };
 
@@ -319,6 +323,13 @@
 
 void entry_node::data::onDatagram(const std::string& datagram)
 {
+    if (cells::isKeepAlive(datagram)) {
+        if (const auto current = cells::decodeKeepAlive(datagram))
+            owner.noteKeepAlive(*current);
+        else
+            reportSkippedInput("node", "keep-alive", {}, current.error().detail);
+        return;
+    }
     const auto current = cells::decodeHeartbeat(datagram);
     if (!current) {
         reportSkippedInput("node", "heartbeat", {}, current.error().detail);
@@ -475,6 +486,7 @@
     std::vector<metrics::metric_sample> samples { { "task_starts_total", {}, cellCounters.starts },
         { "jobs_given_up_total", {}, cellCounters.jobsGivenUp }, { "worker_crashes_total", {}, cellCounters.workerCrashes },
         { "pauses_total", {}, cellCounters.pauses }, { "jobs_lent_total", {}, cellCounters.lentJobs },
+        { "jobs_out_of_contact_total", {}, cellCounters.jobsOutOfContact },
         { "jobs_ended_total", "completed", cellCounters.completedJobs },
         { "jobs_ended_total", "failed", cellCounters.failedJobs },
         { "jobs_ended_total", "cancelled", cellCounters.cancelledJobs }, { "store_calls_total", "append", calls.appends },
--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -24,6 +24,10 @@
         pending = std::move(done);
     }
     void withdraw(const std::string&, const std::string&, const jobs::request_id&, cells::withdrawal_reason) override { }
+    void sendKeepAlive(const std::string& address, const cells::keep_alive& current) override
+    {
+        keepAlives.emplace_back(address, current);
+    }
     void queryLentJobs(const std::string&, jobs::lender, std::function<void(cells::lent_report)>) override { }
 
     /// Sends the job to the owner of `epoch`.
@@ -45,6 +49,7 @@
                                   return std::optional(target);
                               } };
     std::vector<jobs::run_request> requests;
+    std::vector<std::pair<std::string, cells::keep_alive>> keepAlives;
     cells::job_completion pending;
     std::vector<result<jobs::job_state>> answers;
 };
@@ -287,3 +292,68 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_keep_alive, withdrawn_job)
+
+// Guards against owners that take callers for waiting because nothing tells them otherwise (issue 53).
+BOOST_AUTO_TEST_CASE(names_the_requests_whose_callers_wait)
+{
+    const auto number = router.run(local.request(0, "b", 1, 100ms), [](const auto&) {});
+    BOOST_TEST(requests[0].keptAlive);
+    local.loop.runFor(100ms);
+    router.tick();
+    BOOST_REQUIRE(keepAlives.size() == 1);
+    BOOST_TEST(keepAlives[0].first == "owner");
+    BOOST_TEST(keepAlives[0].second.sender == requests[0].id.sender);
+    BOOST_TEST((keepAlives[0].second.requests == std::vector { requests[0].id.number, requests[1].id.number }));
+    router.withdraw(number);
+    local.loop.runFor(100ms);
+    router.tick();
+    BOOST_REQUIRE(keepAlives.size() == 2);
+    BOOST_TEST((keepAlives[1].second.requests == std::vector { requests[0].id.number }));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_sent_if_no_owner_has_a_request)
+{
+    pending(fail(error_kind::owner_unknown));
+    local.loop.runFor(10ms);
+    router.tick();
+    BOOST_TEST(keepAlives.empty());
+}
+
+BOOST_AUTO_TEST_CASE(goes_to_the_owner_that_has_the_requests)
+{
+    sendTo(2);
+    target.address = "next owner";
+    local.loop.runFor(100ms);
+    router.tick();
+    BOOST_REQUIRE(keepAlives.size() == 1);
+    BOOST_TEST(keepAlives[0].first == "next owner");
+    BOOST_TEST((keepAlives[0].second.requests == std::vector { requests[1].id.number }));
+}
+
+// Guards against keep-alives for callers that left while the VM did not run and did not notice (issue 53).
+BOOST_AUTO_TEST_CASE(is_not_sent_just_after_a_pause)
+{
+    router.tick();
+    local.loop.runFor(700ms);
+    router.tick();
+    BOOST_TEST(keepAlives.empty());
+    local.loop.runFor(100ms);
+    router.tick();
+    BOOST_TEST(keepAlives.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(is_split_if_it_would_not_fit_into_a_datagram)
+{
+    for (std::size_t number = 0; number < cells::mostRequestsKeptAlive; ++number)
+        router.run(local.request(0, "of-many-" + std::to_string(number), 1, 100ms), [](const auto&) {});
+    local.loop.runFor(100ms);
+    router.tick();
+    BOOST_REQUIRE(keepAlives.size() == 2);
+    BOOST_TEST(keepAlives[0].second.requests.size() == cells::mostRequestsKeptAlive);
+    BOOST_TEST(keepAlives[1].second.requests.size() == 1U);
+    BOOST_TEST(cells::encode(keepAlives[0].second).size() < 1400U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cells/resubmission_test.cpp
+++ b/tests/cells/resubmission_test.cpp
@@ -48,32 +48,40 @@
     std::string other;
 };
 
-/// Returns a message of an earlier build: without the id of the request.
-std::string withoutRequestId(const std::string& message)
+/// Returns a message of an earlier build, which lacks the last `count` fields.
+std::string withoutLastFields(const std::string& message, std::size_t count)
 {
     auto fields = nlohmann::json::parse(message);
-    fields.erase(fields.size() - 1);
+    for (; count > 0; --count)
+        fields.erase(fields.size() - 1);
     return fields.dump();
 }
 
 } // namespace
 
 // Guards against requests that a VM of another build can't read during an update.
-BOOST_AUTO_TEST_CASE(a_request_of_an_earlier_build_has_no_id)
+BOOST_AUTO_TEST_CASE(a_request_of_an_earlier_build_lacks_its_last_fields)
 {
     jobs::run_request request;
     request.accepted.work = { "a", "queue", "", { jobs::step {} }, true };
     request.accepted.maxAttempts = 1;
     request.ownerEpoch = 3;
     request.id = { 5, 6 };
+    request.keptAlive = true;
     const std::string message = jobs::encodeRunRequest(request);
     const auto current = jobs::decodeRunRequest(message);
     BOOST_REQUIRE(current);
     BOOST_TEST((current->id == request.id));
-    const auto earlier = jobs::decodeRunRequest(withoutRequestId(message));
-    BOOST_REQUIRE(earlier);
-    BOOST_TEST((earlier->id == jobs::request_id {}));
-    BOOST_TEST(earlier->ownerEpoch == 3U);
+    BOOST_TEST(current->keptAlive);
+    const auto withoutKeepAlives = jobs::decodeRunRequest(withoutLastFields(message, 1));
+    BOOST_REQUIRE(withoutKeepAlives);
+    BOOST_TEST((withoutKeepAlives->id == request.id));
+    BOOST_TEST(!withoutKeepAlives->keptAlive);
+    const auto withoutId = jobs::decodeRunRequest(withoutLastFields(message, 2));
+    BOOST_REQUIRE(withoutId);
+    BOOST_TEST((withoutId->id == jobs::request_id {}));
+    BOOST_TEST(!withoutId->keptAlive);
+    BOOST_TEST(withoutId->ownerEpoch == 3U);
 }
 
 BOOST_AUTO_TEST_SUITE(at_most_once)
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -231,6 +231,14 @@
         });
     }
 
+    void sendKeepAlive(const std::string& address, const keep_alive& current) override
+    {
+        fleet.loop.after(networkDelay, [&fleet = fleet, from = name, address, current] {
+            if (vm* target = fleet.reachable(from, address))
+                target->handle([target, current] { target->owner.noteKeepAlive(current); });
+        });
+    }
+
     void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(lent_report)> done) override
     {
         auto answered = std::make_shared<bool>(false);
