cells: Let a job go on however late its caller is heard again

Cause: an owner forgot a request that it had not heard for 5 s, and then ignored keep-alives that list it. A caller that waited through a longer cut was not served although its VM was back. Change: each request in a keep-alive counts as heard. Result: a_caller_that_waits_for_long_until_the_path_is_back_is_served failed before and passes.

--- a/cells/cell_owner_contacts.cpp
+++ b/cells/cell_owner_contacts.cpp
@@ -19,11 +19,8 @@
     // One that was read after a pause may have been sent before the caller left.
     if (isSettling())
         return;
-    for (const std::uint64_t number : current.requests) {
-        const auto known = contacts.find({ current.sender, number });
-        if (known != contacts.end())
-            known->second = now;
-    }
+    for (const std::uint64_t number : current.requests)
+        contacts.insert_or_assign({ current.sender, number }, now);
 }
 
 void cell_owner::data::addWaiter(open_job& job, const jobs::run_request& request, job_completion done, time_point now)
--- a/tests/cells/caller_contact_test.cpp
+++ b/tests/cells/caller_contact_test.cpp
@@ -149,6 +149,19 @@
     expectNoViolation(fleet);
 }
 
+// Guards against jobs that never go on, because the owner has forgotten their requests when the path is back (issue 53).
+BOOST_AUTO_TEST_CASE(a_caller_that_waits_for_long_until_the_path_is_back_is_served)
+{
+    fleet.run(entry, "a", 2, 3s, 20s);
+    fleet.runFor(200ms);
+    cutOff(entry);
+    fleet.runFor(7s);
+    reconnect(entry);
+    fleet.runFor(4s);
+    BOOST_TEST(isCompleted("a"));
+    expectNoViolation(fleet);
+}
+
 // Guards against other runs that end with the lease that the runs of a lost caller limit.
 BOOST_AUTO_TEST_CASE(the_runs_of_other_callers_go_on)
 {
