tests: Show that a VM that is cut off from the others claims the cell

Cause: a VM without the heartbeats of the owner claims the cell if it takes most VMs for reachable, which lasts 0.7 s, and for missing the owner too, which the age of their own heartbeats makes it believe. One that is cut off itself fulfils both for 0.3 s.

--- a/tests/cells/caller_contact_test.cpp
+++ b/tests/cells/caller_contact_test.cpp
@@ -177,6 +177,23 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(when_a_vm_is_cut_off_from_the_others_but_not_from_the_store, remote_caller)
+
+// Guards against a takeover by a VM that misses the heartbeats of all others and takes that for the loss of the owner (found with
+// issue 53).
+BOOST_AUTO_TEST_CASE(it_does_not_take_the_cell_from_an_owner_that_serves)
+{
+    fleet.run(home, "beside", 2, 3s, 20s);
+    fleet.runFor(500ms);
+    fleet.setPartitioned(entry, true);
+    fleet.runFor(4s);
+    BOOST_TEST(fleet.owner(0) == home);
+    BOOST_TEST(isCompleted("beside"));
+    BOOST_TEST(fleet.workers.runs().size() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(when_the_owner_of_a_lent_job_is_cut_off, remote_caller)
 
 // Guards against runs in the other cell that go on until the deadline of a caller that nobody there hears of (issue 53).
