cells: Look up contacts of callers without a map

Cause: in a burst, owners had to look up each waiting job's contact in a map in every pass over the queue. Change: each waiter has the time at which it was heard; only keep-alives look up requests. Requests of under 0.2 s are not listed.

--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -34,8 +34,8 @@
     job_completion done;
     /// Whether the home cell of the job waits on behalf of its callers.
     bool lent = false;
-    /// Whether the sender of the request lists it in keep-alives while the caller waits.
-    bool keptAlive = false;
+    /// When a VM at which the caller waits was last heard; empty if the sender of the request sends no keep-alives.
+    std::optional<time_point> heardAt;
 };
 
 /// Phase of a task: it waits for a start, is placed on a worker, or is done.
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -92,7 +92,7 @@
     endedUnstoredJobs.clear();
     orphanedEnds.clear();
     suspicion.clear();
-    contacts.clear();
+    jobsKeptAlive.clear();
     jobsLentEarlier.clear();
     jobsLentUnanswered.clear();
     lentJobsQueryCompleted = false;
--- a/cells/cell_owner_contacts.cpp
+++ b/cells/cell_owner_contacts.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds checkInterval { 50 };
+    constexpr std::chrono::milliseconds cleanupInterval { 1000 };
     /// Time between two checks from which on keep-alives may have arrived that are not read yet.
     constexpr std::chrono::milliseconds lateCheck = 3 * checkInterval;
 
@@ -19,26 +20,35 @@
     // One that was read after a pause may have been sent before the caller left.
     if (isSettling())
         return;
-    for (const std::uint64_t number : current.requests)
-        contacts.insert_or_assign({ current.sender, number }, now);
+    for (const std::uint64_t number : current.requests) {
+        const jobs::request_id request { current.sender, number };
+        const auto known = jobsKeptAlive.find(request);
+        open_job* job = known == jobsKeptAlive.end() ? nullptr : jobTable.find(known->second);
+        if (!job)
+            continue;
+        for (job_waiter& waiter : job->waiters) {
+            if (waiter.request == request)
+                waiter.heardAt = now;
+        }
+    }
 }
 
 void cell_owner::data::addWaiter(open_job& job, const jobs::run_request& request, job_completion done, time_point now)
 {
-    job.waiters.push_back({ request.id, std::move(done), request.lentBy.has_value(), request.keptAlive });
-    if (request.keptAlive)
-        contacts.insert_or_assign(request.id, now);
+    job.waiters.push_back({ request.id, std::move(done), request.lentBy.has_value(), std::nullopt });
+    if (!request.keptAlive)
+        return;
+    job.waiters.back().heardAt = now;
+    jobsKeptAlive.insert_or_assign(request.id, job.accepted.work.id);
 }
 
-std::optional<time_point> cell_owner::data::lastContact(const open_job& job) const
+std::optional<time_point> cell_owner::data::lastContact(const open_job& job)
 {
     std::optional<time_point> latest;
     for (const job_waiter& waiter : job.waiters) {
-        if (!waiter.keptAlive)
+        if (!waiter.heardAt)
             return std::nullopt;
-        const auto known = contacts.find(waiter.request);
-        const time_point heardAt = known == contacts.end() ? job.arrivedAt : known->second;
-        latest = std::max(latest.value_or(heardAt), heardAt);
+        latest = std::max(latest.value_or(*waiter.heardAt), *waiter.heardAt);
     }
     return latest;
 }
@@ -46,7 +56,7 @@
 bool cell_owner::data::hasContact(const open_job& job, std::chrono::milliseconds limit, time_point now) const
 {
     const auto heardAt = lastContact(job);
-    return !heardAt || now - *heardAt <= limit;
+    return !heardAt || now - *heardAt <= limit || now - *heardAt <= limit + lagAllowance(now);
 }
 
 time_point cell_owner::data::leaseLimit(const worker_session& session) const
@@ -71,12 +81,14 @@
     if (now - nextContactCheck > lateCheck)
         contactsKnownFrom = now + 2 * keepAliveInterval;
     nextContactCheck = now + checkInterval;
-    std::erase_if(contacts, [now](const auto& entry) { return now - entry.second > unstoredRetention; });
+    if (now >= nextContactCleanup) {
+        nextContactCleanup = now + cleanupInterval;
+        std::erase_if(jobsKeptAlive, [this](const auto& entry) { return jobTable.find(entry.second) == nullptr; });
+    }
     if (now < contactsKnownFrom)
         return;
-    const auto limit = contactLimit + lagAllowance(now);
     for (auto& [id, job] : jobTable.open()) {
-        if (job.ended || job.waiters.empty() || hasContact(job, limit, now) != job.outOfContact)
+        if (job.ended || job.waiters.empty() || hasContact(job, contactLimit, now) != job.outOfContact)
             continue;
         job.outOfContact = !job.outOfContact;
         if (job.outOfContact)
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -154,9 +154,10 @@
     };
     std::multimap<std::string, state_watch> stateWatches;
 
-    /// When the VMs were last heard at which the callers of requests wait, by request. Older entries are forgotten.
-    std::map<jobs::request_id, time_point> contacts;
+    /// Open jobs of the requests that keep-alives list. Entries of ended jobs are removed once in a while.
+    std::map<jobs::request_id, std::string> jobsKeptAlive;
     time_point nextContactCheck;
+    time_point nextContactCleanup;
     /// From when on the keep-alives that arrived during a pause have been read.
     time_point contactsKnownFrom;
     /// Requests that were withdrawn before they arrived, and the time until which they are remembered.
@@ -294,8 +295,8 @@
     void addWaiter(open_job& job, const jobs::run_request& request, job_completion done, time_point now);
     /// Returns when a VM was last heard at which a caller of the job waits; empty if no caller is known or if some caller's VM
     /// sends no keep-alives.
-    std::optional<time_point> lastContact(const open_job& job) const;
-    /// Returns whether a VM of the job's callers was heard within `limit` before `now`.
+    static std::optional<time_point> lastContact(const open_job& job);
+    /// Returns whether a VM of the job's callers was heard within `limit` before `now`, or longer ago by the lag of this owner.
     bool hasContact(const open_job& job, std::chrono::milliseconds limit, time_point now) const;
     /// Returns the time by which a lease of the worker that is granted now has to end: a run may go on only while its caller is
     /// known to wait.
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -154,7 +154,7 @@
 
 bool cell_owner::data::mayStart(const open_job& job, time_point now)
 {
-    if (!hasContact(job, startContactLimit + lagAllowance(now), now))
+    if (!hasContact(job, startContactLimit, now))
         return false;
     // Until the other cells have answered, any of them may be running the job.
     if (!lentJobsQueryCompleted && now < takenOverAt + lentJobsAnswerLimit)
--- a/cells/cell_owner_orders.cpp
+++ b/cells/cell_owner_orders.cpp
@@ -210,7 +210,7 @@
 {
     open_job* job = jobTable.find(key.jobId);
     if (!job || job->ended || current.state != run_state::starting || current.tries >= maxStartTries || isSettling()
-        || !hasContact(*job, startContactLimit + lagAllowance(now), now))
+        || !hasContact(*job, startContactLimit, now))
         return false;
     // The attempt number stays the same, so the worker executes at most one of the orders.
     sendStart(*job, key, session, now);
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -107,6 +107,8 @@
 inline constexpr std::chrono::milliseconds withdrawnLeaseLimit { 1050 };
 /// Time between two messages by which a VM tells an owner which requests callers wait for.
 inline constexpr std::chrono::milliseconds keepAliveInterval { 100 };
+/// Age from which on requests are listed; most jobs end earlier.
+inline constexpr std::chrono::milliseconds keptAliveAge { 200 };
 /// Time without a keep-alive of the callers of a job from which on no task of it starts: a few keep-alives may be lost or late.
 inline constexpr std::chrono::milliseconds startContactLimit { 400 };
 /// The same from which on its runs are stopped. The rest of `withdrawnLeaseLimit` is time for a few tries of the stop, so that
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -298,7 +298,7 @@
             return {};
         nextKeepAlive = now + keepAliveInterval;
         for (const auto& [number, current] : runs) {
-            if (current.inFlight && current.lastSentEpoch == location->epoch && now - current.lastSentAt >= keepAliveInterval)
+            if (current.inFlight && current.lastSentEpoch == location->epoch && now - current.lastSentAt >= keptAliveAge)
                 held.emplace_back(current.lastRequest.number, current.accepted.work.id);
         }
     }
