cells: Count the limits of a lost caller from when it was last heard

Cause: leases and stops counted from the time at which the owner learned that a caller had left, or its deadline passed, and a keep-alive counted as fresh when it was read. A VM or an owner that did not run for 0.2 to 0.7 s learned late, so that runs on workers that carry out no stop went on for up to 1.9 s after the caller had left. Change: the limits count from the last keep-alive. After a gap of 0.15 s between two ticks, a VM sends none and an owner reads none for 0.1 s, unless all ticks come late. Result: its_runs_end_in_time_although_its_vm_was_frozen_when_it_left failed for 5 of 7 pauses, ..._its_deadline_passes and ..._the_owner_was_frozen failed; all pass. A test of the router now ticks each 0.1 s, as a router does, and checks more.

--- a/cells/cell_owner_contacts.cpp
+++ b/cells/cell_owner_contacts.cpp
@@ -10,15 +10,13 @@
 
     constexpr std::chrono::milliseconds checkInterval { 50 };
     constexpr std::chrono::milliseconds cleanupInterval { 1000 };
-    /// Time between two checks from which on keep-alives may have arrived that are not read yet.
-    constexpr std::chrono::milliseconds lateCheck = 3 * checkInterval;
 
 } // namespace
 
 void cell_owner::data::noteKeepAlive(const keep_alive& current, time_point now)
 {
-    // One that was read after a pause may have been sent before the caller left.
-    if (isSettling())
+    // One that is read after a pause or a gap may have been sent before the caller left.
+    if (isSettling() || contactChecks.isSettling(now))
         return;
     for (const std::uint64_t number : current.requests) {
         const jobs::request_id request { current.sender, number };
@@ -76,16 +74,16 @@
 
 void cell_owner::data::checkContacts(time_point now)
 {
+    contactChecks.noteTick(now);
     if (now < nextContactCheck)
         return;
-    if (now - nextContactCheck > lateCheck)
-        contactsKnownFrom = now + 2 * keepAliveInterval;
     nextContactCheck = now + checkInterval;
     if (now >= nextContactCleanup) {
         nextContactCleanup = now + cleanupInterval;
         std::erase_if(jobsKeptAlive, [this](const auto& entry) { return jobTable.find(entry.second) == nullptr; });
     }
-    if (now < contactsKnownFrom)
+    // Keep-alives that are ignored now are followed by others.
+    if (contactChecks.isSettling(now - keepAliveInterval))
         return;
     for (auto& [id, job] : jobTable.open()) {
         if (job.ended || job.waiters.empty() || hasContact(job, contactLimit, now) != job.outOfContact)
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -19,6 +19,7 @@
 #include "cells/worker_session.h"
 #include "core/log.h"
 #include "core/pause_monitor.h"
+#include "core/tick_gaps.h"
 #include "jobs/record_tail.h"
 
 namespace coriandermount::cells {
@@ -156,10 +157,9 @@
 
     /// Open jobs of the requests that keep-alives list. Entries of ended jobs are removed once in a while.
     std::map<jobs::request_id, std::string> jobsKeptAlive;
+    tick_gaps contactChecks;
     time_point nextContactCheck;
     time_point nextContactCleanup;
-    /// From when on the keep-alives that arrived during a pause have been read.
-    time_point contactsKnownFrom;
     /// Requests that were withdrawn before they arrived, and the time until which they are remembered.
     std::map<jobs::request_id, time_point> withdrawnEarly;
     /// Ids of unstored jobs that have ended and are not yet removed from the table of open jobs.
@@ -308,8 +308,8 @@
 
     /// Stops the runs of an unknown job that the earlier owner has started.
     void stopOrphans(const std::string& id, time_point now);
-    /// Ends, or lets end, a job that no caller waits for any more.
-    void withdrawJob(open_job& job, withdrawal_reason reason, time_point now);
+    /// Ends, or lets end, a job that no caller waits for any more; `heardAt` is when the last one was known to wait.
+    void withdrawJob(open_job& job, withdrawal_reason reason, time_point heardAt, time_point now);
     /// Ends the jobs whose callers have left, because the next owner can't tell their runs from those of callers that wait.
     void endWithdrawnJobs(time_point now);
     /// Ends and removes a job. `job` is not valid afterwards.
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -56,7 +56,7 @@
                 { "home_epoch", fmt::to_string(knownEpoch(*job.lentBy)) } });
         while (!job.waiters.empty())
             removeWaiter(job, job.waiters.front().request);
-        withdrawJob(job, withdrawal_reason::answered, now);
+        withdrawJob(job, withdrawal_reason::answered, now, now);
     }
 }
 
@@ -110,13 +110,15 @@
     open_job* job = jobTable.find(id);
     if (!job)
         stopOrphans(id, now);
+    // The withdrawal may come late.
+    const time_point heardAt = job ? lastContact(*job).value_or(now) : now;
     if (!job || !removeWaiter(*job, request)) {
         // The messages of one VM come on different connections, so this one may have overtaken its request.
         withdrawnEarly.insert_or_assign(request, now + unstoredRetention);
         return;
     }
     if (!job->ended && job->waiters.empty())
-        withdrawJob(*job, reason, now);
+        withdrawJob(*job, reason, heardAt, now);
 }
 
 bool cell_owner::data::removeWaiter(open_job& job, const jobs::request_id& request)
@@ -157,20 +159,20 @@
             { "since_takeover_ms", fmt::to_string(age.count()) } });
 }
 
-void cell_owner::data::withdrawJob(open_job& job, withdrawal_reason reason, time_point now)
+void cell_owner::data::withdrawJob(open_job& job, withdrawal_reason reason, time_point heardAt, time_point now)
 {
     const std::string id = job.accepted.work.id;
     job.withdrawnAt = now;
     // After a pause, the caller may have left long ago.
     const bool leftLongAgo = isSettling();
-    limitLeases(id, now + (leftLongAgo ? stoppedRunLease : withdrawnLeaseLimit));
+    limitLeases(id, leftLongAgo ? now + stoppedRunLease : heardAt + withdrawnLeaseLimit);
     if (job.lentTo) {
         deferredCalls.emplace_back(
             [self = shared_from_this(), cell = *job.lentTo, id, reason] { self->neighbors->withdraw(cell, id, reason); });
         discardWithdrawnJob(job, withdrawal_outcome::returned);
     } else if (job.isPlaced()) {
         const bool endsAtOnce = reason == withdrawal_reason::answered || leftLongAgo;
-        job.giveUpAt = std::min(job.giveUpAt, endsAtOnce ? now : now + withdrawnRunLimit);
+        job.giveUpAt = std::min(job.giveUpAt, endsAtOnce ? now : std::min(now + withdrawnRunLimit, heardAt + contactLimit));
     } else if (job.offset != newestOffset) {
         // An earlier owner may have started tasks that are not known yet, so the job stays known, but no task of it starts.
         dequeue(job);
@@ -436,7 +438,7 @@
         if (now > job.giveUpAt) {
             if (job.withdrawnAt)
                 noteWithdrawal(id, withdrawal_outcome::stopped);
-            limitLeases(id, now + withdrawnLeaseLimit);
+            limitLeases(id, lastContact(job).value_or(now) + withdrawnLeaseLimit);
             answer(
                 job, fail(error_kind::deadline_passed_while_running, "the time limit of the caller passed before the job ended"));
             endJob(job, jobs::job_state::cancelled);
--- a/cells/job_router.cpp
+++ b/cells/job_router.cpp
@@ -11,6 +11,7 @@
 #include "cells/admission_policy.h"
 #include "core/log.h"
 #include "core/pause_monitor.h"
+#include "core/tick_gaps.h"
 
 namespace coriandermount::cells {
 
@@ -96,6 +97,7 @@
     std::optional<time_point> ownerlessSince;
     return_schedule returns;
     pause_monitor pauses;
+    tick_gaps gaps;
     /// Time by which all jobs have to end because the VM stops; empty if it does not.
     std::optional<time_point> endLimit;
     std::array<std::uint64_t, abandonReasonCount> abandoned {};
@@ -293,8 +295,9 @@
     std::vector<std::pair<std::uint64_t, std::string>> held;
     {
         const std::scoped_lock lock(mutex);
-        // After a pause, callers may have left without that being noticed yet.
-        if (!location || now < nextKeepAlive || pauses.isSettling(now))
+        gaps.noteTick(now);
+        // After a pause or a gap, callers may have left without that being noticed yet.
+        if (!location || now < nextKeepAlive || pauses.isSettling(now) || gaps.isSettling(now))
             return {};
         nextKeepAlive = now + keepAliveInterval;
         for (const auto& [number, current] : runs) {
--- a/tests/cells/caller_contact_test.cpp
+++ b/tests/cells/caller_contact_test.cpp
@@ -34,6 +34,12 @@
         fleet.setPartitioned(vm, false);
     }
 
+    void loseAllStops()
+    {
+        for (unsigned number = 0; number < 3; ++number)
+            fleet.workers.faults(cell_fleet::workerName(0, number)).nextStops.assign(100, order_transport::requestLost());
+    }
+
     std::ptrdiff_t runsAtWorkOf(const std::string& jobId) const
     {
         const auto& runs = fleet.workers.runs();
@@ -82,8 +88,7 @@
 {
     fleet.run(entry, "a", 2, 4s, 20s);
     fleet.runFor(500ms);
-    for (unsigned number = 0; number < 3; ++number)
-        fleet.workers.faults(cell_fleet::workerName(0, number)).nextStops.assign(100, order_transport::requestLost());
+    loseAllStops();
     cutOff(entry);
     fleet.runFor(20ms);
     fleet.disconnectCaller(entry, "a");
@@ -91,6 +96,54 @@
     BOOST_TEST(runsAtWorkOf("a") == 0);
 }
 
+// Guards against leases that last longer because the withdrawal comes late, when its VM runs again (issue 53).
+BOOST_AUTO_TEST_CASE(its_runs_end_in_time_although_its_vm_was_frozen_when_it_left)
+{
+    for (const auto pause : { 150ms, 250ms, 350ms, 450ms, 550ms, 650ms, 750ms }) {
+        BOOST_TEST_CONTEXT("a pause of " << pause.count() << " ms")
+        {
+            remote_caller frozen;
+            frozen.fleet.run(frozen.entry, "a", 2, 4s, 20s);
+            frozen.fleet.runFor(500ms);
+            frozen.loseAllStops();
+            frozen.fleet.freeze(frozen.entry);
+            frozen.fleet.disconnectCaller(frozen.entry, "a");
+            frozen.fleet.runFor(pause);
+            frozen.fleet.thaw(frozen.entry);
+            frozen.fleet.runFor(resubmitting_callers::retransmissionDelay - pause);
+            BOOST_TEST(frozen.runsAtWorkOf("a") == 0);
+        }
+    }
+}
+
+// Guards against leases that last longer because the deadline of the caller comes after it was last heard (issue 53).
+BOOST_AUTO_TEST_CASE(its_runs_end_in_time_although_its_deadline_passes)
+{
+    fleet.run(entry, "a", 2, 4s, 1100ms);
+    fleet.runFor(500ms);
+    loseAllStops();
+    cutOff(entry);
+    fleet.disconnectCaller(entry, "a");
+    fleet.runFor(resubmitting_callers::retransmissionDelay);
+    BOOST_TEST(runsAtWorkOf("a") == 0);
+}
+
+// Guards against keep-alives that an owner reads after it was frozen, and that are older than the loss of the caller (issue 53).
+BOOST_AUTO_TEST_CASE(its_runs_end_in_time_although_the_owner_was_frozen)
+{
+    fleet.run(entry, "a", 2, 4s, 20s);
+    fleet.runFor(500ms);
+    loseAllStops();
+    fleet.freeze(home);
+    fleet.runFor(110ms);
+    cutOff(entry);
+    fleet.disconnectCaller(entry, "a");
+    fleet.runFor(400ms);
+    fleet.thaw(home);
+    fleet.runFor(resubmitting_callers::retransmissionDelay - 400ms);
+    BOOST_TEST(runsAtWorkOf("a") == 0);
+}
+
 // Guards against starts for callers that nobody has heard of for a second (issue 53).
 BOOST_AUTO_TEST_CASE(none_of_its_waiting_tasks_start)
 {
--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -325,7 +325,10 @@
 {
     sendTo(2);
     target.address = "next owner";
-    local.loop.runFor(200ms);
+    local.loop.runFor(100ms);
+    router.tick();
+    BOOST_TEST(keepAlives.empty());
+    local.loop.runFor(100ms);
     router.tick();
     BOOST_REQUIRE(keepAlives.size() == 1);
     BOOST_TEST(keepAlives[0].first == "next owner");
@@ -344,6 +347,21 @@
     BOOST_TEST(keepAlives.size() == 1U);
 }
 
+// Guards against keep-alives for callers that left in a shorter gap, and against none at all from a VM whose ticks are all late.
+BOOST_AUTO_TEST_CASE(is_not_sent_just_after_a_gap_unless_all_ticks_are_late)
+{
+    router.tick();
+    local.loop.runFor(300ms);
+    router.tick();
+    BOOST_TEST(keepAlives.empty());
+    local.loop.runFor(300ms);
+    router.tick();
+    BOOST_TEST(keepAlives.size() == 1U);
+    local.loop.runFor(300ms);
+    router.tick();
+    BOOST_TEST(keepAlives.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(is_split_if_it_would_not_fit_into_a_datagram)
 {
     for (std::size_t number = 0; number < cells::mostRequestsKeptAlive; ++number)
