soak: Has callers that wait longer and callers that leave

Cause: all callers waited for about 1.5 s, only 0.2 s longer than the delay of a resubmission, so that the deadline ended runs that would outlast a caller. None left before its deadline.

Change: callers wait for 1.5, 3 or 8 s, and 15% of the submissions close their connection earlier. Both are drawn from a stream of their own.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -37,6 +37,11 @@
 HOST, SERVICE = "soak.example", "soak-service"
 LENGTHS_MS = (50, 170, 300, 500, 760, 1000, 1300, 1600, 1600, 1800, 1800, 2000, 2000)
 COUNTS = (1, 1, 2, 2, 3, 4, 8)
+# How long callers wait at least, and how often each is drawn. The deployments of the users have the first; nothing bounds it.
+PATIENCE_S = {1.5: 6, 3: 2, 8: 2}
+# Share of the submissions whose caller closes its connection before it is answered, and the latest time for it.
+LEAVING_SHARE = 0.15
+LATEST_LEAVING_S = 2.5
 # Disruptions, and how often each is drawn.
 KINDS = {"roll": 2, "freeze": 2, "term_frozen": 1, "kill": 2, "starve": 2, "pause_workers": 3, "late": 3, "store_down": 1,
          "store_loses": 3, "hup": 1, "config": 1, "crash_workers": 3, "mute_workers": 3,
@@ -381,8 +386,9 @@
         except (OSError, asyncio.TimeoutError):
             return vm, None
 
-    async def submit(self, job, body, wait, submissions):
-        """Sends a job once and returns the status, or None when there was no answer."""
+    async def submit(self, job, body, wait, submissions, leaves_after=None):
+        """Sends a job once and returns the status, or None when there was no answer. A caller that leaves closes its connection after
+        `leaves_after` seconds, although it has told the VM that it waits for `wait` seconds."""
         vm, connection = await self.connect()
         if connection is None:
             return None
@@ -393,11 +399,12 @@
         headers += [("Connection", "close")] if closes else []
         status, keep, how = None, False, "timeout"
         try:
-            status, answered, _ = await asyncio.wait_for(connection.call("POST", f"/main/{job}", body, headers), wait)
+            status, answered, _ = await asyncio.wait_for(
+                connection.call("POST", f"/main/{job}", body, headers), wait if leaves_after is None else leaves_after)
             told_to_close = answered.get("connection", "").lower() == "close"
             keep = not closes and not (told_to_close and self.dice.random() < 0.5)
         except asyncio.TimeoutError:
-            pass
+            how = "timeout" if leaves_after is None else "left"
         except (OSError, EOFError, ValueError):
             how = "broken"
         finally:
@@ -408,7 +415,7 @@
         ended = time.monotonic()
         submissions.append((vm.name, sent - self.began, ended - self.began, status if status is not None else how))
         self.answers[status if status is not None else how] = self.answers.get(status if status is not None else how, 0) + 1
-        if status is None:
+        if status is None and how != "left":
             self.note_unanswered(job, vm, process, sent, ended, how)
         return status
 
@@ -437,11 +444,22 @@
         body = json.dumps({"spec": spec, "best_effort": True, "phases": phases}).encode()
         return job, body, max(1.5, len(phases) * ms / 1000 + 0.7)
 
+    def manners(self, wait):
+        """Returns how long the caller of the next job waits, at least `wait` seconds, and for each of its submissions when it leaves or None.
+
+        The dice are apart from those of the job, so that the jobs of a seed stay the same."""
+        dice = random.Random(f"{self.seed} caller {len(self.jobs)}")
+        wait = max(wait, dice.choices(list(PATIENCE_S), list(PATIENCE_S.values()))[0])
+        leaving = [dice.uniform(0.02, min(wait, LATEST_LEAVING_S)) if dice.random() < LEAVING_SHARE else None
+                   for _ in range(SUBMISSIONS)]
+        return wait, leaving
+
     async def caller(self):
-        job, body, wait = self.new_job()
+        job, body, shortest_wait = self.new_job()
+        wait, leaving = self.manners(shortest_wait)
         submissions = self.jobs.setdefault(job, [])
-        for _ in range(SUBMISSIONS):
-            status = await self.submit(job, body, wait, submissions)
+        for leaves_after in leaving:
+            status = await self.submit(job, body, wait, submissions, leaves_after)
             if status not in (None, 502, 504):
                 return
             await asyncio.sleep(RETRANSMIT_S)
