soak: Cuts VMs off from each other

Cause: all VMs reached each other in each play, so that no withdrawal, heartbeat or call between them was ever lost without the end of a process.

Change: with odd seeds, a relay carries calls and heartbeats between VMs. The store's stand-in names it in the registrations that a VM reads. The new kind cut_vms loses datagrams and holds or resets connections between some VMs, in one direction or both, in a series of its own. A summary has the seconds until the last caller had ended and until all VMs were ready. The unused second argument of the store's stand-in is gone.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -45,9 +45,9 @@
 # Disruptions, and how often each is drawn.
 KINDS = {"roll": 2, "freeze": 2, "term_frozen": 1, "kill": 2, "starve": 2, "pause_workers": 3, "late": 3, "store_down": 1,
          "store_loses": 3, "hup": 1, "config": 1, "crash_workers": 3, "mute_workers": 3,
-         "cut_workers": 3}
-# They are drawn in a series of their own, so that the draws of the others stay the same for a seed.
-APART = ("crash_workers", "mute_workers", "cut_workers")
+         "cut_workers": 3, "cut_vms": 1}
+# They are drawn in a series of their own each, so that the draws of the others stay the same for a seed.
+APART = {"apart": ("crash_workers", "mute_workers", "cut_workers"), "vms": ("cut_vms",)}
 LIBC = ctypes.CDLL(None)
 
 
@@ -119,6 +119,7 @@
         super().__init__(name, [play.program], os.path.join(play.folder, name + ".log"), environment)
         self.play, self.domain, self.ip = play, domain, ip
         self.front, self.ready = f"{ip}:{FRONT}", f"{ip}:{READY}"
+        self.store_address = play.store_address
         self.told = False
         self.restarting = None
         # Times of disruptions as [from, to, what].
@@ -176,7 +177,7 @@
 thaw_ms = 300
 retransmit_ms = {int(RETRANSMIT_S * 1000)}
 [platform]
-addr = "{play.store_address}"
+addr = "{self.store_address}"
 form = "log"
 writes_per_s = 800
 reads_per_s = 2000
@@ -257,7 +258,15 @@
         self.jobs = {}
         self.lags, self.stalls, self.late_answers = [], [], []
         self.killed_after_grace = 0
+        # Seconds until the last disruption and the last caller had ended, and until all VMs were ready.
+        self.quiet_after, self.ready_after = 0.0, 0.0
         self.cut_connections = 0
+        # Whether VMs reach each other through a relay, which can cut them off. A relay accepts connections to VMs that are gone, so
+        # every second seed does without.
+        self.has_relay = "cut_vms" in self.kinds and seed % 2 == 1
+        self.relay = None
+        # Datagrams up to the last cut, and connections that cuts found open.
+        self.lost_datagrams, self.cut_peer_connections = 0, 0
         self.version = 100
         self.done_kinds = {}
         self.processes = []
@@ -306,11 +315,23 @@
         network = self.reserve_network()
         self.store_address = f"{network}.0.1:{FRONT}"
         python = [sys.executable, "-S", "-E", "-B"]
-        store = Process("store", python + [os.path.join(HERE, "store.py"), self.store_address, "32"],
+        for number, domain in enumerate(self.domains):
+            for index in range(self.vms_each[number]):
+                vm = Vm(self, f"vm-{domain[-1]}-{index}", domain, f"{network}.{number + 1}.{index + 1}")
+                self.vms[vm.name] = vm
+        pairs = self.write_pairs(network) if self.has_relay else []
+        store = Process("store", python + [os.path.join(HERE, "store.py"), self.store_address, *pairs],
                         os.path.join(self.folder, "store.log"))
         self.processes.append(store)
         await store.start()
         await self.until_served(store, "serving")
+        if self.has_relay:
+            self.relay_address = f"{network}.0.2:{FRONT}"
+            self.relay = Process("relay", python + [os.path.join(HERE, "relay.py"), self.relay_address, *pairs],
+                                 os.path.join(self.folder, "relay.log"))
+            self.processes.append(self.relay)
+            await self.relay.start()
+            await self.until_served(self.relay, "serving")
         await self.configure({})
         for number, domain in enumerate(self.domains):
             listed = [f"w-{domain[-1]}-{index}={network}.{number + 101}.{index + 1}:{FRONT}"
@@ -324,10 +345,7 @@
                 for item in group:
                     self.workers[item.split("=")[0]] = (process, item.split("=")[1])
                 await process.start()
-            for index in range(self.vms_each[number]):
-                vm = Vm(self, f"vm-{domain[-1]}-{index}", domain, f"{network}.{number + 1}.{index + 1}")
-                self.vms[vm.name] = vm
-                self.processes.append(vm)
+        self.processes += self.vms.values()
         for process in {id(process): process for process, _ in self.workers.values()}.values():
             await self.until_served(process, "serving")
         for vm in self.vms.values():
@@ -339,6 +357,19 @@
             raise RuntimeError("the VMs do not become ready")
         await asyncio.sleep(1)
 
+    def write_pairs(self, network):
+        """Gives each VM an address of the store for its own, and each pair of VMs one of the relay. Returns the file for both."""
+        rows = []
+        for reader, vm in enumerate(self.vms.values()):
+            vm.store_address = f"{network}.0.{reader + 3}:{FRONT}"
+            rows += [{"from": vm.name, "to": other.name, "store": vm.store_address, "target": f"{other.ip}:{PEER_FIRST}",
+                      "at": f"{network}.{reader + 151}.{number + 1}:{PEER_FIRST}"}
+                     for number, other in enumerate(self.vms.values()) if other is not vm]
+        path = os.path.join(self.folder, "pairs.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(rows, file)
+        return [path]
+
     async def until_served(self, process, word):
         for _ in range(600):
             with open(process.output, "rb") as file:
@@ -565,6 +596,20 @@
                 self.workers[name][1], "POST", f"/standin/cut?seconds={seconds}&resets={resets}&pids={pids}") for name in chosen))
         await asyncio.sleep(seconds)
 
+    async def cut_vms(self, dice):
+        names = list(self.vms)
+        some = dice.sample(names, dice.randint(1, len(names) - 1))
+        others = [name for name in names if name not in some]
+        others = dice.sample(others, dice.choice([1, len(others)]))
+        seconds, resets, ways = dice.uniform(0.2, 3), dice.randint(0, 1), dice.choice([1, 2, 2])
+        self.note(f"{', '.join(some)} can't {'reach' if ways == 2 else 'send to'} {', '.join(others)} for {seconds:.2f} s, "
+                  f"connections {'are reset' if resets else 'hang'}")
+        pairs = [(one, other) for one in some for other in others]
+        pairs += [pair[::-1] for pair in pairs] if ways == 2 else []
+        body = json.dumps({"pairs": pairs, "seconds": seconds, "resets": bool(resets)}).encode()
+        await wire.call_once(self.relay_address, "POST", "/standin/cut", body)
+        await asyncio.sleep(seconds)
+
     async def store_down(self, dice):
         seconds, silent = dice.uniform(0.5, 4), dice.randint(0, 1)
         self.note(f"store down for {seconds:.2f} s, {'without answers' if silent else '503'}")
@@ -613,7 +658,10 @@
     # Checks.
 
     def events(self):
-        for process in {id(process): process for process, _ in self.workers.values()}.values():
+        stand_ins = {id(process): process for process, _ in self.workers.values()}
+        if self.relay:
+            stand_ins[id(self.relay)] = self.relay
+        for process in stand_ins.values():
             with open(process.output, encoding="utf-8", errors="replace") as lines:
                 for line in lines:
                     try:
@@ -622,6 +670,9 @@
                         continue
                     if event["event"] == "stall":
                         self.add_stall(process, event["since"], event["t"])
+                    elif event["event"] == "cut" and process is self.relay:
+                        self.cut_peer_connections += event["connections"]
+                        self.lost_datagrams = event["lost"]
                     elif event["event"] == "cut":
                         self.cut_connections += event["connections"]
                     elif "worker" in event:
@@ -711,7 +762,9 @@
         return {"seed": self.seed, "vms": self.vms_each, "workers": self.workers_each, "disruptions": self.done_kinds,
                 "jobs": len(self.jobs), "answers": {str(key): value for key, value in sorted(self.answers.items(), key=str)},
                 "runs": len(runs), "ends": ends, "abandoned": abandoned, "killed_after_grace": self.killed_after_grace,
-                "cut_connections": self.cut_connections,
+                "cut_connections": self.cut_connections, "cut_peer_connections": self.cut_peer_connections,
+                "lost_datagrams": self.lost_datagrams,
+                "quiet_after_s": round(self.quiet_after, 1), "ready_after_s": round(self.ready_after, 1),
                 "lagged_s": round(sum(end - start for start, end in self.lags), 1),
                 "stalls": len(self.stalls), "violations": rules,
                 "twice": {cause: len(jobs) for cause, jobs in sorted(self.pairs.items())}}
@@ -723,13 +776,15 @@
         lag = asyncio.ensure_future(self.measure_lag())
         end = self.began + self.seconds
         dice = random.Random(self.seed * 1000003)
-        apart = {kind: often for kind, often in self.kinds.items() if kind in APART}
-        others = {kind: often for kind, often in self.kinds.items() if kind not in APART}
+        apart = {name: {kind: often for kind, often in self.kinds.items() if kind in kinds} for name, kinds in APART.items()}
+        others = {kind: often for kind, often in self.kinds.items() if not any(kind in kinds for kinds in APART.values())}
+        if not self.has_relay:
+            del apart["vms"]
         drawn = [{"roll": 1} if "roll" in others else others] + [others] * dice.randint(0, 2)
         series = [asyncio.ensure_future(self.series(random.Random(self.seed * 1000003 + number + 1), end, kinds))
                   for number, kinds in enumerate(drawn) if kinds]
-        if apart:
-            series.append(asyncio.ensure_future(self.series(random.Random(f"{self.seed} apart"), end, apart)))
+        series += [asyncio.ensure_future(self.series(random.Random(f"{self.seed} {name}"), end, kinds))
+                   for name, kinds in apart.items() if kinds]
         callers = []
         while time.monotonic() < end:
             callers.append(asyncio.ensure_future(self.caller()))
@@ -739,8 +794,10 @@
         for process in self.processes:
             process.signal(signal.SIGCONT)
         self.note("quiet")
+        self.quiet_after = time.monotonic() - self.began
         if not await self.until_ready():
             self.violation("UNSERVED", f"not all VMs are ready {READY_LIMIT_S} s after the last disruption")
+        self.ready_after = time.monotonic() - self.began
         await asyncio.sleep(STABLE_WINDOW_S)
         end = time.monotonic() + QUIET_S
         callers = []
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -1,11 +1,14 @@
 """Stand-in for the platform's metadata store: a log with partitions, and topics that keep the newest record of each key.
 
-    store.py ADDRESS PARTS
+    store.py ADDRESS [READERS]
 
-Calls under /standin/ are those of the operator, the workers and the soak; all others follow the platform's protocol."""
+Calls under /standin/ are those of the operator, the workers and the soak; all others follow the platform's protocol. READERS is a file with
+rows of `from`, `store` (address of the store for the VM of that name), `target` and `at`: this VM reads the address `at` in place of `target`
+in registrations of VMs."""
 
 import asyncio
 import base64
+import functools
 import json
 import random
 import sys
@@ -16,6 +19,12 @@
 APPEND_S = 0.002
 PAGE = 500
 READ_ONLY = ("keyed.op", "keyed.servers")
+VM_TOPIC = "keyed.vms"
+
+
+def as_text(address):
+    """Returns the MessagePack encoding of an address, which is shorter than 32 bytes."""
+    return bytes([0xa0 + len(address)]) + address.encode()
 
 
 class Partition:
@@ -57,7 +66,8 @@
     def partition(self, query):
         return self.topics.setdefault((query["topic"], int(query.get("part", 0))), Partition())
 
-    async def handle(self, method, path, query, headers, body):
+    async def handle(self, method, path, query, headers, body, relays=()):
+        """`relays` holds pairs of the address in a registration and the one that the caller reads in its place."""
         if path.startswith("/standin/"):
             return self.standin(path, query, body)
         now = time.monotonic()
@@ -77,12 +87,12 @@
                 raise wire.Silent
             return answer
         if path == "/api/log-read":
-            answer = await self.read(query)
+            answer = await self.read(query, relays)
             if time.monotonic() < self.losing_until and random.random() < self.loss:
                 raise wire.Silent
             return answer
         if path == "/api/log-newest":
-            return self.read_newest(query)
+            return self.read_newest(query, relays)
         if path == "/api/log-trim":
             partition = self.partition(query or json.loads(body))
             before = min(int((query or {}).get("before_offset", 0) or json.loads(body)["before_offset"]), partition.end())
@@ -139,7 +149,14 @@
                 partition.producers[query["producer"]] = known
             return 200, answer
 
-    async def read(self, query):
+    @staticmethod
+    def relayed(query, content, relays):
+        if query["topic"] == VM_TOPIC:
+            for target, at in relays:
+                content = content.replace(target, at)
+        return content
+
+    async def read(self, query, relays):
         partition = self.partition(query)
         start = int(query["from"])
         until = time.monotonic() + min(int(query.get("wait_ms", 0)), 30000) / 1000
@@ -155,19 +172,28 @@
         for content in partition.records[start - partition.first:]:
             if len(answer) + len(content) > limit:
                 break
+            content = self.relayed(query, content, relays)
             answer += len(content).to_bytes(4, "big") + content
         return 200, answer
 
-    def read_newest(self, query):
+    def read_newest(self, query, relays):
         partition = self.partition(query)
         keys = sorted(key for key in partition.newest if key > query.get("after", ""))
-        items = [{"key": key, "value": base64.b64encode(partition.newest[key][0]).decode(), "offset": partition.newest[key][1]}
-                 for key in keys[:PAGE]]
+        items = [{"key": key, "value": base64.b64encode(self.relayed(query, partition.newest[key][0], relays)).decode(),
+                  "offset": partition.newest[key][1]} for key in keys[:PAGE]]
         return 200, {"items": items, "has_more": len(keys) > PAGE, "end_offset": partition.end()}
 
 
 async def main():
-    server = await wire.serve(sys.argv[1], Store().handle)
+    store = Store()
+    server = await wire.serve(sys.argv[1], store.handle)
+    readers = {}
+    if sys.argv[2:]:
+        with open(sys.argv[2], encoding="utf-8") as file:
+            for row in json.load(file):
+                readers.setdefault(row["store"], []).append((as_text(row["target"]), as_text(row["at"])))
+    for address, relays in readers.items():
+        await wire.serve(address, functools.partial(store.handle, relays=relays))
     print("serving", flush=True)
     await server.serve_forever()
 
