--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -79,6 +79,8 @@
         self.ended_up_to = {}
         self.ends = []
         self.last_end = 0
+        # Highest number of an end that an answer has listed.
+        self.last_listed = 0
         self.changed = asyncio.Event()
         self.late_until = 0.0
         self.late_share = 0.0
@@ -173,6 +175,10 @@
         self.hold(fields)
         self.advance()
         acknowledged = int(fields.get("ack_seq", 0))
+        for number, task, attempt, how, _ in self.ends:
+            # An acknowledgement that was meant for an earlier boot says nothing about an end that nobody has been told of.
+            if how == "done" and number <= min(acknowledged, self.last_listed):
+                self.note(event="noted", task=task, attempt=attempt, token=self.token)
         self.ends = [row for row in self.ends if row[0] > acknowledged]
         until = time.monotonic() + min(int(fields.get("wait_ms", 0)), 2000) / 1000
         while not any(row[0] > acknowledged for row in self.ends) and (left := until - time.monotonic()) > 0:
@@ -187,6 +193,7 @@
         running = [[task, attempt, "", min(100, int(100 * (now - run["began"]) / (run["ms"] / 1000))), 0]
                    for (task, attempt), run in self.runs.items()]
         rows = [row for row in self.ends if row[0] > acknowledged][:MOST_ENDS]
+        self.last_listed = max([self.last_listed] + [row[0] for row in rows])
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "finished": rows}
 
     async def carry_out(self, path, fields):
