--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -37,12 +37,24 @@
 HOST, SERVICE = "soak.example", "soak-service"
 LENGTHS_MS = (50, 170, 300, 500, 760, 1000, 1300, 1600, 1600, 1800, 1800, 2000, 2000)
 COUNTS = (1, 1, 2, 2, 3, 4, 8)
+# How long callers wait at least, and how often each is drawn. The deployments of the users have the first; nothing bounds it.
+PATIENCE_S = {1.5: 6, 3: 2, 8: 2}
+# Share of the submissions whose caller closes its connection before it is answered, and the latest time for it.
+LEAVING_SHARE = 0.15
+LATEST_LEAVING_S = 2.5
+# Share of the jobs that are stored, and of these the share that arrives again after it was accepted, and the times until then.
+STORED_SHARE = 0.1
+REPEATED_SHARE = 0.2
+REPEATED_S = (0.5, 4)
+# An order to start a run is void when the lease in it has ended, by a clock that is up to 2% slow. So one that is carried out later than
+# this has been sent after the owner had noted an end.
+OLDEST_START_S = 1.1
 # Disruptions, and how often each is drawn.
 KINDS = {"roll": 2, "freeze": 2, "term_frozen": 1, "kill": 2, "starve": 2, "pause_workers": 3, "late": 3, "store_down": 1,
          "store_loses": 3, "hup": 1, "config": 1, "crash_workers": 3, "mute_workers": 3,
-         "cut_workers": 3}
-# They are drawn in a series of their own, so that the draws of the others stay the same for a seed.
-APART = ("crash_workers", "mute_workers", "cut_workers")
+         "cut_workers": 3, "cut_vms": 1}
+# They are drawn in a series of their own each, so that the draws of the others stay the same for a seed.
+APART = {"apart": ("crash_workers", "mute_workers", "cut_workers"), "vms": ("cut_vms",)}
 LIBC = ctypes.CDLL(None)
 
 
@@ -114,6 +126,7 @@
         super().__init__(name, [play.program], os.path.join(play.folder, name + ".log"), environment)
         self.play, self.domain, self.ip = play, domain, ip
         self.front, self.ready = f"{ip}:{FRONT}", f"{ip}:{READY}"
+        self.store_address = play.store_address
         self.told = False
         self.restarting = None
         # Times of disruptions as [from, to, what].
@@ -171,7 +184,7 @@
 thaw_ms = 300
 retransmit_ms = {int(RETRANSMIT_S * 1000)}
 [platform]
-addr = "{play.store_address}"
+addr = "{self.store_address}"
 form = "log"
 writes_per_s = 800
 reads_per_s = 2000
@@ -250,9 +263,20 @@
         # Jobs with two runs of a task, by cause.
         self.pairs = {}
         self.jobs = {}
+        self.stored = set()
+        # Tasks of stored jobs whose end as done was acknowledged.
+        self.noted_stored_tasks = 0
         self.lags, self.stalls, self.late_answers = [], [], []
         self.killed_after_grace = 0
+        # Seconds until the last disruption and the last caller had ended, and until all VMs were ready.
+        self.quiet_after, self.ready_after = 0.0, 0.0
         self.cut_connections = 0
+        # Whether VMs reach each other through a relay, which can cut them off. A relay accepts connections to VMs that are gone, so
+        # every second seed does without.
+        self.has_relay = "cut_vms" in self.kinds and seed % 2 == 1
+        self.relay = None
+        # Datagrams up to the last cut, and connections that cuts found open.
+        self.lost_datagrams, self.cut_peer_connections = 0, 0
         self.version = 100
         self.done_kinds = {}
         self.processes = []
@@ -301,11 +325,23 @@
         network = self.reserve_network()
         self.store_address = f"{network}.0.1:{FRONT}"
         python = [sys.executable, "-S", "-E", "-B"]
-        store = Process("store", python + [os.path.join(HERE, "store.py"), self.store_address, "32"],
+        for number, domain in enumerate(self.domains):
+            for index in range(self.vms_each[number]):
+                vm = Vm(self, f"vm-{domain[-1]}-{index}", domain, f"{network}.{number + 1}.{index + 1}")
+                self.vms[vm.name] = vm
+        pairs = self.write_pairs(network) if self.has_relay else []
+        store = Process("store", python + [os.path.join(HERE, "store.py"), self.store_address, *pairs],
                         os.path.join(self.folder, "store.log"))
         self.processes.append(store)
         await store.start()
         await self.until_served(store, "serving")
+        if self.has_relay:
+            self.relay_address = f"{network}.0.2:{FRONT}"
+            self.relay = Process("relay", python + [os.path.join(HERE, "relay.py"), self.relay_address, *pairs],
+                                 os.path.join(self.folder, "relay.log"))
+            self.processes.append(self.relay)
+            await self.relay.start()
+            await self.until_served(self.relay, "serving")
         await self.configure({})
         for number, domain in enumerate(self.domains):
             listed = [f"w-{domain[-1]}-{index}={network}.{number + 101}.{index + 1}:{FRONT}"
@@ -319,10 +355,7 @@
                 for item in group:
                     self.workers[item.split("=")[0]] = (process, item.split("=")[1])
                 await process.start()
-            for index in range(self.vms_each[number]):
-                vm = Vm(self, f"vm-{domain[-1]}-{index}", domain, f"{network}.{number + 1}.{index + 1}")
-                self.vms[vm.name] = vm
-                self.processes.append(vm)
+        self.processes += self.vms.values()
         for process in {id(process): process for process, _ in self.workers.values()}.values():
             await self.until_served(process, "serving")
         for vm in self.vms.values():
@@ -334,6 +367,19 @@
             raise RuntimeError("the VMs do not become ready")
         await asyncio.sleep(1)
 
+    def write_pairs(self, network):
+        """Gives each VM an address of the store for its own, and each pair of VMs one of the relay. Returns the file for both."""
+        rows = []
+        for reader, vm in enumerate(self.vms.values()):
+            vm.store_address = f"{network}.0.{reader + 3}:{FRONT}"
+            rows += [{"from": vm.name, "to": other.name, "store": vm.store_address, "target": f"{other.ip}:{PEER_FIRST}",
+                      "at": f"{network}.{reader + 151}.{number + 1}:{PEER_FIRST}"}
+                     for number, other in enumerate(self.vms.values()) if other is not vm]
+        path = os.path.join(self.folder, "pairs.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(rows, file)
+        return [path]
+
     async def until_served(self, process, word):
         for _ in range(600):
             with open(process.output, "rb") as file:
@@ -381,8 +427,9 @@
         except (OSError, asyncio.TimeoutError):
             return vm, None
 
-    async def submit(self, job, body, wait, submissions):
-        """Sends a job once and returns the status, or None when there was no answer."""
+    async def submit(self, job, body, wait, submissions, leaves_after=None):
+        """Sends a job once and returns the status, or None when there was no answer. A caller that leaves closes its connection after
+        `leaves_after` seconds, although it has told the VM that it waits for `wait` seconds."""
         vm, connection = await self.connect()
         if connection is None:
             return None
@@ -393,11 +440,12 @@
         headers += [("Connection", "close")] if closes else []
         status, keep, how = None, False, "timeout"
         try:
-            status, answered, _ = await asyncio.wait_for(connection.call("POST", f"/main/{job}", body, headers), wait)
+            status, answered, _ = await asyncio.wait_for(
+                connection.call("POST", f"/main/{job}", body, headers), wait if leaves_after is None else leaves_after)
             told_to_close = answered.get("connection", "").lower() == "close"
             keep = not closes and not (told_to_close and self.dice.random() < 0.5)
         except asyncio.TimeoutError:
-            pass
+            how = "timeout" if leaves_after is None else "left"
         except (OSError, EOFError, ValueError):
             how = "broken"
         finally:
@@ -406,9 +454,11 @@
             else:
                 connection.close()
         ended = time.monotonic()
-        submissions.append((vm.name, sent - self.began, ended - self.began, status if status is not None else how))
-        self.answers[status if status is not None else how] = self.answers.get(status if status is not None else how, 0) + 1
-        if status is None:
+        outcome = status if status is not None else how
+        submissions.append((vm.name, sent - self.began, ended - self.began, outcome))
+        counted = f"stored, {outcome}" if job in self.stored else outcome
+        self.answers[counted] = self.answers.get(counted, 0) + 1
+        if status is None and how != "left" and job not in self.stored:
             self.note_unanswered(job, vm, process, sent, ended, how)
         return status
 
@@ -437,12 +487,32 @@
         body = json.dumps({"spec": spec, "best_effort": True, "phases": phases}).encode()
         return job, body, max(1.5, len(phases) * ms / 1000 + 0.7)
 
+    def manners(self, wait):
+        """Returns how long the caller of the next job waits, at least `wait` seconds, for each of its submissions when it leaves or None,
+        and whether its job is stored, with the seconds from its acceptance to a repetition or None.
+
+        The dice are apart from those of the job, so that the jobs of a seed stay the same."""
+        dice = random.Random(f"{self.seed} caller {len(self.jobs)}")
+        wait = max(wait, dice.choices(list(PATIENCE_S), list(PATIENCE_S.values()))[0])
+        leaving = [dice.uniform(0.02, min(wait, LATEST_LEAVING_S)) if dice.random() < LEAVING_SHARE else None
+                   for _ in range(SUBMISSIONS)]
+        is_stored = dice.random() < STORED_SHARE
+        repeated_after = dice.uniform(*REPEATED_S) if dice.random() < REPEATED_SHARE else None
+        return wait, leaving, is_stored, repeated_after
+
     async def caller(self):
-        job, body, wait = self.new_job()
+        job, body, shortest_wait = self.new_job()
+        wait, leaving, is_stored, repeated_after = self.manners(shortest_wait)
         submissions = self.jobs.setdefault(job, [])
-        for _ in range(SUBMISSIONS):
-            status = await self.submit(job, body, wait, submissions)
+        if is_stored:
+            self.stored.add(job)
+            body = json.dumps({key: value for key, value in json.loads(body).items() if key != "best_effort"}).encode()
+        for leaves_after in leaving:
+            status = await self.submit(job, body, wait, submissions, leaves_after)
             if status not in (None, 502, 504):
+                if is_stored and status == 200 and repeated_after is not None:
+                    await asyncio.sleep(repeated_after)
+                    await self.submit(job, body, wait, submissions)
                 return
             await asyncio.sleep(RETRANSMIT_S)
 
@@ -547,6 +617,20 @@
                 self.workers[name][1], "POST", f"/standin/cut?seconds={seconds}&resets={resets}&pids={pids}") for name in chosen))
         await asyncio.sleep(seconds)
 
+    async def cut_vms(self, dice):
+        names = list(self.vms)
+        some = dice.sample(names, dice.randint(1, len(names) - 1))
+        others = [name for name in names if name not in some]
+        others = dice.sample(others, dice.choice([1, len(others)]))
+        seconds, resets, ways = dice.uniform(0.2, 3), dice.randint(0, 1), dice.choice([1, 2, 2])
+        self.note(f"{', '.join(some)} can't {'reach' if ways == 2 else 'send to'} {', '.join(others)} for {seconds:.2f} s, "
+                  f"connections {'are reset' if resets else 'hang'}")
+        pairs = [(one, other) for one in some for other in others]
+        pairs += [pair[::-1] for pair in pairs] if ways == 2 else []
+        body = json.dumps({"pairs": pairs, "seconds": seconds, "resets": bool(resets)}).encode()
+        await wire.call_once(self.relay_address, "POST", "/standin/cut", body)
+        await asyncio.sleep(seconds)
+
     async def store_down(self, dice):
         seconds, silent = dice.uniform(0.5, 4), dice.randint(0, 1)
         self.note(f"store down for {seconds:.2f} s, {'without answers' if silent else '503'}")
@@ -595,7 +679,10 @@
     # Checks.
 
     def events(self):
-        for process in {id(process): process for process, _ in self.workers.values()}.values():
+        stand_ins = {id(process): process for process, _ in self.workers.values()}
+        if self.relay:
+            stand_ins[id(self.relay)] = self.relay
+        for process in stand_ins.values():
             with open(process.output, encoding="utf-8", errors="replace") as lines:
                 for line in lines:
                     try:
@@ -604,6 +691,9 @@
                         continue
                     if event["event"] == "stall":
                         self.add_stall(process, event["since"], event["t"])
+                    elif event["event"] == "cut" and process is self.relay:
+                        self.cut_peer_connections += event["connections"]
+                        self.lost_datagrams = event["lost"]
                     elif event["event"] == "cut":
                         self.cut_connections += event["connections"]
                     elif "worker" in event:
@@ -617,6 +707,8 @@
 
     def cause(self, job, second):
         """Returns how the submission before the second run ended, and what its VM was going through then."""
+        if job in self.stored:
+            return "of a stored job"
         earlier = [item for item in self.jobs.get(job, []) if self.began + item[2] <= second["from"]]
         if not earlier:
             return "while the caller waited"
@@ -627,7 +719,7 @@
         return f"after {how} from a VM with {' and '.join(sorted(kinds)) or 'no disruption'}"
 
     def check_runs(self):
-        runs, stops = {}, {}
+        runs, stops, noted = {}, {}, {}
         for event in list(self.events()):
             # A worker that is back after a crash may start a run that the boot before had started too.
             key = (event["task"], event["worker"], event["born"], event["attempt"])
@@ -635,8 +727,11 @@
                 runs[key] = {"from": event["t"], "to": float("inf"), "how": "running", "token": event["token"]}
             elif event["event"] == "end":
                 runs[key].update(to=event["t"], how=event["how"])
+            elif event["event"] == "noted":
+                noted[event["task"]] = min(noted.get(event["task"], event["t"]), event["t"])
             else:
                 stops.setdefault(key, event["t"])
+        self.noted_stored_tasks = sum(task.split(".")[0] in self.stored for task in noted)
         by_task = {}
         for key, run in runs.items():
             task, worker, _, attempt = key
@@ -647,6 +742,13 @@
             if statuses and all(status in (429, 503) for status in statuses):
                 self.violation("REFUSED", f"task {task} has started, but its job was refused: {self.jobs[job]}")
             same.sort(key=lambda run: run["from"])
+            for run in same:
+                if job in self.stored and run["from"] > noted.get(task, float("inf")) + OLDEST_START_S:
+                    self.violation("AGAIN", f"task {task} of a stored job: attempt {run['attempt']} started on {run['worker']} at "
+                                            f"{run['from'] - self.began:.3f}, token {run['token']}; an owner had noted its end as done at "
+                                            f"{noted[task] - self.began:.3f}; attempts "
+                                            f"{[(one['attempt'], one['worker'], one['how']) for one in same]}; "
+                                            f"submissions {self.jobs[job]}")
             for index, first in enumerate(same):
                 for second in same[index + 1:]:
                     spans = [span for run in (first, second) for span in self.workers[run["worker"]][0].spans]
@@ -692,8 +794,11 @@
             ends[run["how"]] = ends.get(run["how"], 0) + 1
         return {"seed": self.seed, "vms": self.vms_each, "workers": self.workers_each, "disruptions": self.done_kinds,
                 "jobs": len(self.jobs), "answers": {str(key): value for key, value in sorted(self.answers.items(), key=str)},
-                "runs": len(runs), "ends": ends, "abandoned": abandoned, "killed_after_grace": self.killed_after_grace,
-                "cut_connections": self.cut_connections,
+                "runs": len(runs), "stored_runs": sum(key[0].split(".")[0] in self.stored for key in runs), "ends": ends,
+                "noted_stored_tasks": self.noted_stored_tasks, "abandoned": abandoned, "killed_after_grace": self.killed_after_grace,
+                "cut_connections": self.cut_connections, "cut_peer_connections": self.cut_peer_connections,
+                "lost_datagrams": self.lost_datagrams,
+                "quiet_after_s": round(self.quiet_after, 1), "ready_after_s": round(self.ready_after, 1),
                 "lagged_s": round(sum(end - start for start, end in self.lags), 1),
                 "stalls": len(self.stalls), "violations": rules,
                 "twice": {cause: len(jobs) for cause, jobs in sorted(self.pairs.items())}}
@@ -705,13 +810,15 @@
         lag = asyncio.ensure_future(self.measure_lag())
         end = self.began + self.seconds
         dice = random.Random(self.seed * 1000003)
-        apart = {kind: often for kind, often in self.kinds.items() if kind in APART}
-        others = {kind: often for kind, often in self.kinds.items() if kind not in APART}
+        apart = {name: {kind: often for kind, often in self.kinds.items() if kind in kinds} for name, kinds in APART.items()}
+        others = {kind: often for kind, often in self.kinds.items() if not any(kind in kinds for kinds in APART.values())}
+        if not self.has_relay:
+            del apart["vms"]
         drawn = [{"roll": 1} if "roll" in others else others] + [others] * dice.randint(0, 2)
         series = [asyncio.ensure_future(self.series(random.Random(self.seed * 1000003 + number + 1), end, kinds))
                   for number, kinds in enumerate(drawn) if kinds]
-        if apart:
-            series.append(asyncio.ensure_future(self.series(random.Random(f"{self.seed} apart"), end, apart)))
+        series += [asyncio.ensure_future(self.series(random.Random(f"{self.seed} {name}"), end, kinds))
+                   for name, kinds in apart.items() if kinds]
         callers = []
         while time.monotonic() < end:
             callers.append(asyncio.ensure_future(self.caller()))
@@ -721,8 +828,10 @@
         for process in self.processes:
             process.signal(signal.SIGCONT)
         self.note("quiet")
+        self.quiet_after = time.monotonic() - self.began
         if not await self.until_ready():
             self.violation("UNSERVED", f"not all VMs are ready {READY_LIMIT_S} s after the last disruption")
+        self.ready_after = time.monotonic() - self.began
         await asyncio.sleep(STABLE_WINDOW_S)
         end = time.monotonic() + QUIET_S
         callers = []
