--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -101,9 +101,9 @@
 /// How long the runs of a job go on after its last caller has left. Together with the detection of the loss and a stop order it
 /// stays well below the platform's delay of resubmissions, 1.3 s, which may arrive in another cell.
 inline constexpr std::chrono::milliseconds withdrawnRunLimit { 500 };
-/// Time after an owner has learned that a caller has left by which the leases of the workers that run its job end: the platform's
-/// delay of resubmissions, 1.3 s, less 0.1 s until the owner learns it, 0.05 s in which a worker ends its runs, and 0.1 s for
-/// messages.
+/// Time after the caller of a job was last known to wait by which new leases of the workers that run it end: the platform's delay
+/// of resubmissions, 1.3 s, less 0.1 s in which the VM of the caller may not have noticed that it left, 0.05 s in which a worker
+/// ends its runs, and 0.1 s for messages.
 inline constexpr std::chrono::milliseconds withdrawnLeaseLimit { 1050 };
 /// Time between two messages by which a VM tells an owner which requests callers wait for.
 inline constexpr std::chrono::milliseconds keepAliveInterval { 100 };
--- a/core/pause_monitor.h
+++ b/core/pause_monitor.h
@@ -13,7 +13,7 @@
 class pause_monitor {
 public:
     /// Shortest time without a call of `noteRunning` that counts as a pause. Jobs of callers that leave during a shorter one end
-    /// in time before the platform's delay of resubmissions, 1.3 s, as that takes 0.65 s.
+    /// before the platform's delay of resubmissions, 1.3 s, as that takes 0.65 s, if their workers answer.
     static constexpr std::chrono::milliseconds shortestPause { 600 };
     /// Time after a pause until what arrived meanwhile has been handled: two checks for callers that have left.
     static constexpr std::chrono::milliseconds settleTime { 100 };
