cells, platform: Evacuate failure domains

Cause: operators ask with a record in the store that nothing more starts on the workers of a failure domain, and nothing read it. Change: VMs read the records with the configuration. The owner of an evacuated cell starts nothing new, lets started jobs place their other tasks for half of the bound, and lends its jobs to the cell with most room, or refuses them at once when no cell takes them. A cell that returns, and a worker that is cold, get their capacity back over a ramp.

--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -119,6 +119,10 @@
     std::optional<cell_number> lentTo;
     /// Time at which the last caller stops waiting and the job is given up.
     time_point giveUpAt;
+    /// Cells that have refused the job since this one was evacuated, and the shortest time after which one of them asks the
+    /// caller to return.
+    std::set<cell_number> refusedBy;
+    std::optional<std::chrono::milliseconds> returnAfter;
 
     /// Returns whether all steps that the step depends on are done.
     bool stepIsReady(std::uint32_t step) const;
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -13,7 +13,7 @@
 std::string_view nameOf(refusal_reason value)
 {
     constexpr std::array<std::string_view, refusalReasonCount> names { "expected_too_late", "waited_too_long", "owner_overloaded",
-        "no_worker", "fits_no_worker" };
+        "no_worker", "fits_no_worker", "evacuated" };
     return names[static_cast<std::size_t>(value)];
 }
 
@@ -81,6 +81,9 @@
     pace = {};
     writeLog(log_level::info, "cell", "ownership term started",
         { { "epoch", fmt::to_string(term.epoch) }, { "previous_stopped", term.previousOwnerStopped ? "yes" : "no" } });
+    evacuationLog = {};
+    if (evacuation.isActive())
+        reportEvacuation("cell is evacuated", takenOverAt);
     writeOwnerRecord(takenOverAt);
 }
 
@@ -214,6 +217,7 @@
     verifyOwnership(now);
     checkSuspicions(now);
     schedule(now);
+    trackEvacuation(now);
     if (!settling)
         lendWaitingJobs(now);
     planStarts(now);
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -13,6 +13,7 @@
 
 #include "cells/cell_job_table.h"
 #include "cells/cell_settings.h"
+#include "cells/evacuation.h"
 #include "cells/keep_alive.h"
 #include "cells/worker_link.h"
 #include "core/clock.h"
@@ -93,6 +94,8 @@
     no_worker,
     /// No worker of the service is large enough for a task of the job, or has the label that it requires.
     fits_no_worker,
+    /// The cell is evacuated, and no other cell takes the job.
+    evacuated,
 };
 
 /// What became of a job whose callers had all left.
@@ -132,7 +135,7 @@
 std::string_view nameOf(orphan_outcome value);
 
 /// Number of values of `refusal_reason`.
-inline constexpr std::size_t refusalReasonCount = static_cast<std::size_t>(refusal_reason::fits_no_worker) + 1;
+inline constexpr std::size_t refusalReasonCount = static_cast<std::size_t>(refusal_reason::evacuated) + 1;
 
 /// Returns the name of a value, as used in logs and metrics.
 std::string_view nameOf(refusal_reason value);
@@ -163,6 +166,10 @@
 /// Counters for metrics, counted since the owner object was created.
 struct cell_counters {
     std::uint64_t lentJobs = 0;
+    /// Lent jobs that another cell runs because this one is evacuated; they count as lent too.
+    std::uint64_t relocatedJobs = 0;
+    /// Relocated jobs that another cell has refused.
+    std::uint64_t relocationsRefused = 0;
     /// Attempts placed on a worker; a start order that is sent again is not counted again.
     std::uint64_t starts = 0;
     std::uint64_t completedJobs = 0;
@@ -229,6 +236,11 @@
     /// Notes that all reachable VMs of the cell know the term of `epoch`, so that they submit again the jobs whose callers wait.
     void noteTermKnown(std::uint64_t epoch);
 
+    /// Sets which cells are evacuated, as the store says. No job starts on the workers of an evacuated cell; its jobs are lent.
+    void setEvacuations(const evacuation_state& state);
+    /// Returns the phase of the own cell, and the number of runs that are left on its workers.
+    std::pair<evacuation_phase, std::size_t> evacuation() const;
+
     /// Sets the cells that may run jobs for this one; none by default. `neighbors` is not used after the owner is destroyed.
     void setNeighbors(neighbor_cells& neighbors);
 
--- a/cells/cell_owner_admission.cpp
+++ b/cells/cell_owner_admission.cpp
@@ -32,6 +32,8 @@
             return "no worker of the service answers";
         case refusal_reason::fits_no_worker:
             return "no worker of the service is large enough for a task of the job or has the required label";
+        case refusal_reason::evacuated:
+            return "the failure domain is evacuated, and no other one takes the job";
         case refusal_reason::expected_too_late:
         case refusal_reason::waited_too_long:
             break;
@@ -53,6 +55,10 @@
 
 void cell_owner::data::admit(open_job& job, time_point now)
 {
+    if (evacuation.isActive() && isRefusable(job)) {
+        admitElsewhere(job, now);
+        return;
+    }
     // Whether an earlier owner has started the job is known once all workers have listed their runs, and which workers answer is
     // known a moment after a pause.
     const bool isDecidable = isRefusable(job) && mayStart(job, now) && !isSettling();
@@ -161,7 +167,9 @@
 
 double cell_owner::data::usableCores(const service_id& service, const jobs::step& step, time_point until) const
 {
-    const auto silentFrom = clock.now() - leaseSilenceLimit - lagAllowance(clock.now());
+    const auto now = clock.now();
+    const double share = evacuation.usableShare(now);
+    const auto silentFrom = now - leaseSilenceLimit - lagAllowance(now);
     double cores = 0;
     for (const auto& [id, session] : sessions) {
         const auto& worker = session.registration();
@@ -170,9 +178,10 @@
         if (worker.service != service || worker.draining || session.deregistered || silent || session.startsPausedUntil() > until
             || !session.isLargeEnough(step))
             continue;
-        cores += static_cast<double>(worker.capacity.cpuMillis) / 1000.0 * usableShare / session.slowness();
+        cores += static_cast<double>(worker.capacity.cpuMillis) / 1000.0 * usableShare * session.usableShare(now)
+            / session.slowness();
     }
-    return cores;
+    return cores * share;
 }
 
 double cell_owner::data::usableCores(const open_job& job) const
@@ -234,7 +243,7 @@
     ownerPlan.reset();
     if (pace.isLimited())
         ownerPlan.emplace(now + pace.timeUntilDone(0));
-    if (readyJobs.empty() || isSettling())
+    if (readyJobs.empty() || isSettling() || evacuation.isActive())
         return;
     std::vector<std::pair<std::string, refusal_reason>> refused;
     std::vector<std::string> undecided;
@@ -280,7 +289,7 @@
 
 void cell_owner::data::lendWaitingJobs(time_point now)
 {
-    if (!neighbors)
+    if (!neighbors || evacuation.isActive())
         return;
     std::vector<std::string> waiting;
     for (auto entry = readyJobs.begin(); entry != readyJobs.end() && waiting.size() < maxLendTries; ++entry) {
@@ -297,7 +306,9 @@
 {
     if (reason == refusal_reason::fits_no_worker)
         return longestReturn;
-    if (reason == refusal_reason::no_worker)
+    if (reason == refusal_reason::evacuated && job.returnAfter)
+        return *job.returnAfter;
+    if (reason == refusal_reason::no_worker || reason == refusal_reason::evacuated)
         return returns.reserve(now, noWorkerReturn, std::chrono::microseconds(0));
     const auto plan = plans.find(job.accepted.service);
     const auto workerTime = plan == plans.end() ? std::chrono::milliseconds(0) : plan->second.drainTime(now);
@@ -329,7 +340,8 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(job.giveUpAt - job.arrivedAt), wait);
     // An earlier owner may have started the job, so that its caller can't be told that it has not run.
     const bool notRun = job.offset == newestOffset;
-    const auto refusalKind = isMissingCapacity(reason) ? error_kind::no_worker : error_kind::overloaded;
+    const bool noneAsked = reason == refusal_reason::evacuated && job.refusedBy.empty() && !job.lentBy;
+    const auto refusalKind = isMissingCapacity(reason) || noneAsked ? error_kind::no_worker : error_kind::overloaded;
     error refusal { notRun ? refusalKind : error_kind::deadline_passed_while_running, std::string(detailOf(reason)), wait };
     answer(job, tl::unexpected(std::move(refusal)));
     endJob(job, jobs::job_state::cancelled);
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -12,6 +12,7 @@
 #include "cells/cell_job_table.h"
 #include "cells/cell_owner.h"
 #include "cells/crash_suspicion.h"
+#include "cells/evacuation.h"
 #include "cells/neighbor_cells.h"
 #include "cells/owner_lag.h"
 #include "cells/start_pace.h"
@@ -189,6 +190,19 @@
     /// Whether the verification reads the newest record of each key, because the next ones are not kept any more.
     bool verificationReadsNewest = false;
 
+    /// Which cells are evacuated; empty until it has been read for the first time.
+    std::optional<evacuation_state> evacuations;
+    /// Evacuation of this cell.
+    cell_evacuation evacuation;
+    /// What has been logged about the evacuation in this term.
+    struct evacuation_log {
+        bool lastStart = false;
+        bool empty = false;
+    };
+    evacuation_log evacuationLog;
+    /// When the last task was started in this term.
+    std::optional<time_point> lastStartAt;
+
     crash_suspicion suspicion;
     cell_counters counters;
 
@@ -199,6 +213,7 @@
         , clock(time)
         , stream(std::move(source))
         , settings(limits)
+        , evacuation(limits.evacuationBound)
     {
     }
 
@@ -339,6 +354,25 @@
     void checkUnstoredJobs(time_point now);
     void failWaiters(std::string_view reason);
 
+    // Evacuation of the cell: cell_owner_evacuation.cpp.
+    void setEvacuations(const evacuation_state& state, time_point now);
+    /// Logs a change of the evacuation, with the age of what is known and the runs that are left.
+    void reportEvacuation(std::string_view message, time_point now) const;
+    /// Moves the waiting jobs of an evacuated cell, and logs its last start and when it is empty.
+    void trackEvacuation(time_point now);
+    /// Returns whether the job may start now, as far as evacuations are concerned.
+    bool evacuationAllows(const open_job& job, time_point now) const;
+    /// Decides about a job of an evacuated cell: lends it, refuses it if no cell takes it, or queues it if too little is known.
+    /// `job` may not be valid afterwards.
+    void admitElsewhere(open_job& job, time_point now);
+    /// Lends a job of an evacuated cell; returns false if no cell takes it.
+    bool relocate(open_job& job, time_point now);
+    /// Notes that another cell has refused a job of an evacuated cell.
+    void noteRelocationRefused(open_job& job, cell_number by, const error& refusal);
+    std::size_t runsLeft() const;
+    /// Returns the processors of all workers, and the part of them that runs use, in thousandths of a core.
+    std::pair<double, double> cellCpu(time_point now) const;
+
     // Too little processor time: cell_owner_overload.cpp.
     /// Adapts the limit on starts to the lag of this owner.
     void limitStarts(time_point now);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -194,7 +194,7 @@
 void cell_owner::data::schedule(time_point now)
 {
     workersAwaitVerification = false;
-    if (!givesOrders() || waitingJobs() == 0 || isSettling())
+    if (!givesOrders() || waitingJobs() == 0 || isSettling() || !evacuation.allowsStartedJobs(now))
         return;
     auto largestFree = largestFreeCpu(now);
     scheduleQueue(readyJobs, resumeReadyAt, largestFree, now);
@@ -221,7 +221,7 @@
             entry = queue.erase(entry);
             continue;
         }
-        if (!mayStart(*job, now)) {
+        if (!mayStart(*job, now) || !evacuationAllows(*job, now)) {
             ++entry;
             continue;
         }
@@ -299,7 +299,7 @@
         const auto& registration = session.registration();
         if (registration.service != job.accepted.service || !session.acceptsStarts(now))
             continue;
-        if (!stepDefinition.need.fitsInto(session.free())
+        if (!session.hasRoomFor(stepDefinition.need, now)
             || (!stepDefinition.requiredLabel.empty() && !session.hasLabel(stepDefinition.requiredLabel)))
             continue;
         if (!rack.empty() && session.rack() != rack)
@@ -343,6 +343,7 @@
         if (session.acceptsStarts(now))
             capacity += static_cast<double>(session.registration().capacity.cpuMillis) / 1000.0 * usableShare;
     }
+    capacity *= evacuation.usableShare(now);
     std::array<double, reportedPriorities> waiting {};
     for (const auto& rank : readyJobs) {
         const open_job* job = jobTable.find(std::get<std::string>(rank));
--- a/cells/cell_owner_orders.cpp
+++ b/cells/cell_owner_orders.cpp
@@ -33,6 +33,7 @@
     job.started = true;
     job.firstStart = job.firstStart.value_or(now);
     ++counters.starts;
+    lastStartAt = now;
     averageTaskCpu += averageTaskCpuWeight * (static_cast<double>(step.need.cpuMillis) - averageTaskCpu);
 
     worker_run added;
@@ -210,7 +211,7 @@
 {
     open_job* job = jobTable.find(key.jobId);
     if (!job || job->ended || current.state != run_state::starting || current.tries >= maxStartTries || isSettling()
-        || !hasContact(*job, startContactLimit, now))
+        || !evacuation.allowsStartedJobs(now) || !hasContact(*job, startContactLimit, now))
         return false;
     // The attempt number stays the same, so the worker executes at most one of the orders.
     sendStart(*job, key, session, now);
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -246,19 +246,27 @@
     noteClaim(*job, request.lentBy, now);
     if (request.mayHaveStarted)
         adoptOrphans(*job);
-    if (!lend(*job, now))
+    if (evacuation.isActive())
+        admitElsewhere(*job, now);
+    else if (!lend(*job, now))
         admit(*job, now);
 }
 
 std::int64_t cell_owner::data::idleCpu(const service_id& service, time_point now) const
 {
     const auto usual = std::max(static_cast<std::int64_t>(averageTaskCpu), std::int64_t { 1 });
+    const double share = evacuation.usableShare(now);
+    if (share <= 0)
+        return 0;
     std::int64_t idle = 0;
     for (const auto& [id, session] : sessions) {
         if (session.registration().service == service && session.acceptsStarts(now))
             idle += session.free().cpuMillis / usual * usual;
     }
-    return idle;
+    if (share == 1)
+        return idle;
+    const auto [all, used] = cellCpu(now);
+    return std::min(idle, static_cast<std::int64_t>(std::max(share * all - used, 0.0)));
 }
 
 bool cell_owner::data::hasRunsOf(const std::string& jobId) const
@@ -333,8 +341,10 @@
         return;
     }
     if (rowOf(result.error().kind).result == outcome::not_run) {
-        job->lentTo.reset();
+        const auto refusedBy = std::exchange(job->lentTo, std::nullopt);
         job->started = false;
+        if (evacuation.isActive() && refusedBy)
+            noteRelocationRefused(*job, *refusedBy, result.error());
         admit(*job, clock.now());
         return;
     }
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -42,7 +42,7 @@
         // A boot that was known from its answer to a poll only has no capacity yet.
         if (session.deregistered || session.registration().capacity.cpuMillis == 0)
             session.noteRegistered(now);
-        session.update(std::move(registration));
+        session.update(std::move(registration), now);
         return;
     }
     writeLog(log_level::info, "cell", "worker restarted",
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -15,6 +15,10 @@
     std::chrono::milliseconds stopGrace { 50 };
     /// How long finished jobs are remembered: the time that the platform requires, plus a margin of one minute.
     std::chrono::milliseconds finishedRetention { 180000 };
+    /// Time after which no task may start in an evacuated cell, counted from the request of the operators.
+    std::chrono::milliseconds evacuationBound { 5000 };
+    /// Whether operators evacuate cells, so that an owner gives no start before it has read which ones are evacuated.
+    bool hasEvacuations = false;
 };
 
 /// Number of attempts reserved for each epoch, so that every attempt of an epoch is higher than all of earlier epochs.
--- a/cells/fleet_neighbors.cpp
+++ b/cells/fleet_neighbors.cpp
@@ -1,5 +1,6 @@
 #include "cells/fleet_neighbors.h"
 
+#include <algorithm>
 #include <atomic>
 
 namespace coriandermount::cells {
@@ -51,6 +52,40 @@
     }
 }
 
+fleet_neighbors::reserved_capacity& fleet_neighbors::reservedSince(cell_number cell, const reported_owner& cellOwner)
+{
+    reserved_capacity& reserved = m_reserved[cell];
+    if (reserved.heartbeatAt != cellOwner.heartbeatAt)
+        reserved = { cellOwner.heartbeatAt, 0, std::chrono::microseconds(0) };
+    return reserved;
+}
+
+std::optional<cell_number> fleet_neighbors::chooseCell(const relocation_need& need, const std::set<cell_number>& excluded)
+{
+    std::vector<relocation_target> targets;
+    const std::scoped_lock lock(m_mutex);
+    for (cell_number number = 0; number < m_reserved.size(); ++number) {
+        const auto cellOwner = number == m_self || excluded.contains(number) ? std::nullopt : m_directory.owner(number);
+        if (!cellOwner)
+            continue;
+        const reserved_capacity& reserved = reservedSince(number, *cellOwner);
+        const auto& idle = cellOwner->load.idleCpu;
+        const auto& waits = cellOwner->load.waitByPriority;
+        const auto found = idle.find(need.service.value);
+        relocation_target target { number, (found == idle.end() ? 0 : found->second) - reserved.cpuMillis };
+        if (!waits.empty())
+            target.wait = waits[std::min<std::size_t>(need.priority, waits.size() - 1)];
+        target.wait += std::chrono::duration_cast<std::chrono::milliseconds>(reserved.serviceTime);
+        targets.push_back(target);
+    }
+    const auto chosen = chooseRelocationTarget(targets, need.cpuMillis);
+    if (chosen) {
+        m_reserved[*chosen].cpuMillis += need.cpuMillis;
+        m_reserved[*chosen].serviceTime += need.serviceTime;
+    }
+    return chosen;
+}
+
 std::optional<cell_number> fleet_neighbors::reserveCapacity(const service_id& service, std::int64_t cpuMillis)
 {
     std::optional<cell_number> best;
@@ -60,9 +95,7 @@
         const auto cellOwner = number == m_self ? std::nullopt : m_directory.owner(number);
         if (!cellOwner)
             continue;
-        reserved_capacity& reserved = m_reserved[number];
-        if (reserved.heartbeatAt != cellOwner->heartbeatAt)
-            reserved = { cellOwner->heartbeatAt, 0 };
+        const reserved_capacity& reserved = reservedSince(number, *cellOwner);
         const auto found = cellOwner->load.idleCpu.find(service.value);
         const std::int64_t idle = (found == cellOwner->load.idleCpu.end() ? 0 : found->second) - reserved.cpuMillis;
         if (idle >= capacityFactor * cpuMillis && idle > bestIdle) {
--- a/cells/fleet_neighbors.h
+++ b/cells/fleet_neighbors.h
@@ -19,6 +19,7 @@
         cell_number self, cell_number cells);
 
     std::optional<cell_number> reserveCapacity(const service_id& service, std::int64_t cpuMillis) override;
+    std::optional<cell_number> chooseCell(const relocation_need& need, const std::set<cell_number>& excluded) override;
     void run(cell_number cell, jobs::run_request request, job_completion done) override;
     void withdraw(cell_number cell, const std::string& jobId, withdrawal_reason reason) override;
     void queryLentJobs(std::uint64_t epoch, std::function<void(const lent_jobs& lent, bool complete)> done) override;
@@ -33,8 +34,13 @@
     struct reserved_capacity {
         time_point heartbeatAt;
         std::int64_t cpuMillis = 0;
+        /// Time for which the jobs that were sent use the capacity of the cell.
+        std::chrono::microseconds serviceTime { 0 };
     };
 
+    /// Returns what was reserved since the heartbeat of the owner. To be called with the mutex held.
+    reserved_capacity& reservedSince(cell_number cell, const reported_owner& cellOwner);
+
     owner_link& m_link;
     const vm_directory& m_directory;
     cell_number m_self;
--- a/cells/neighbor_cells.h
+++ b/cells/neighbor_cells.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "cells/cell_job_table.h"
@@ -25,6 +26,10 @@
     /// The capacity counts as reserved until the next heartbeat of that cell's owner.
     virtual std::optional<cell_number> reserveCapacity(const service_id& service, std::int64_t cpuMillis) = 0;
 
+    /// Returns the cell that takes a job of a cell that is evacuated, or nothing if there is none: see `chooseRelocationTarget`.
+    /// The need counts as used there until the next heartbeat of that cell's owner.
+    virtual std::optional<cell_number> chooseCell(const relocation_need& need, const std::set<cell_number>& excluded) = 0;
+
     /// Runs a job in another cell. Completes as `job_router::run` does.
     virtual void run(cell_number cell, jobs::run_request request, job_completion done) = 0;
 
--- a/cells/worker_link.h
+++ b/cells/worker_link.h
@@ -42,6 +42,8 @@
     std::vector<std::string> labels;
     /// Start time of the worker process, which identifies the boot. Later boots have higher values.
     std::int64_t bootTime = 0;
+    /// Time for which the worker is still slow after its start, when it wrote the registration.
+    std::chrono::milliseconds coldLeft { 0 };
 };
 
 /// Time on the steady clock of one boot of a worker, in milliseconds since the worker's own epoch.
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -21,6 +21,7 @@
     , m_registration(std::move(registration))
     , m_appearedAt(now)
 {
+    m_warmup.note(m_registration.coldLeft, now);
 }
 
 void worker_session::noteClock(worker_time clock, time_point now)
@@ -157,6 +158,14 @@
     return left;
 }
 
+bool worker_session::hasRoomFor(const jobs::resources& need, time_point now) const
+{
+    if (!need.fitsInto(free()))
+        return false;
+    const double usable = usableShare(now) * static_cast<double>(m_registration.capacity.cpuMillis);
+    return m_used.cpuMillis == 0 || static_cast<double>(m_used.cpuMillis + need.cpuMillis) <= usable;
+}
+
 std::uint32_t worker_session::runsOfStep(const std::string& jobId, std::uint32_t step) const
 {
     return static_cast<std::uint32_t>(std::count_if(
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "cells/cell_settings.h"
+#include "cells/evacuation.h"
 #include "cells/worker_link.h"
 
 namespace coriandermount::cells {
@@ -71,7 +72,11 @@
 
     const worker_registration& registration() const { return m_registration; }
     /// Replaces the registration by a newer one of the same boot.
-    void update(worker_registration registration) { m_registration = std::move(registration); }
+    void update(worker_registration registration, time_point now)
+    {
+        m_warmup.note(registration.coldLeft, now);
+        m_registration = std::move(registration);
+    }
 
     /// Returns when the registration of this boot arrived, or arrived again after the worker had been deregistered.
     time_point appearedAt() const { return m_appearedAt; }
@@ -126,6 +131,10 @@
     bool awaitsProof(time_point now) const;
     /// Returns the capacity that no run has reserved.
     jobs::resources free() const;
+    /// Returns the share of the capacity that tasks may use; less than 1 while the worker is slow after its start.
+    double usableShare(time_point now) const { return m_warmup.usableShare(now); }
+    /// Returns whether another task fits beside the present runs. One task fits on an idle worker however cold it is.
+    bool hasRoomFor(const jobs::resources& need, time_point now) const;
     /// Returns the number of runs of one step on this worker.
     std::uint32_t runsOfStep(const std::string& jobId, std::uint32_t step) const;
     /// Returns the number of runs of one job on this worker.
@@ -202,6 +211,7 @@
 
 private:
     worker_registration m_registration;
+    worker_warmup m_warmup;
     time_point m_appearedAt;
     std::map<task_key, worker_run> m_runs;
     jobs::resources m_used;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -123,6 +123,8 @@
         limits.maxLease = settings.maxLease;
         limits.stopGrace = settings.stopGrace;
         limits.finishedRetention = settings.statusRetention + retentionMargin;
+        limits.hasEvacuations = settings.evacuationBound.has_value();
+        limits.evacuationBound = settings.evacuationBound.value_or(limits.evacuationBound);
         return limits;
     }
 
@@ -154,11 +156,11 @@
     platform::store_client store;
     platform::worker_client workerLink;
     rcu_value<jobs::queue_table> table;
-    platform::config_follower configuration;
     jobs::configuration_gate gate;
     /// One intake per cell, indexed by cell number.
     std::vector<std::unique_ptr<jobs::job_intake>> intakes;
     cells::cell_owner owner;
+    platform::config_follower configuration;
     platform::worker_registry workers;
     cells::cell_member member;
     cells::vm_directory directory;
@@ -232,9 +234,10 @@
     , client(clientOptions(values))
     , store(client, values.storeAddress)
     , workerLink(client)
-    , configuration(store, clock, table)
     , gate(clock)
     , owner(store, workerLink, clock, { jobTopic, cell }, cellSettings(values))
+    , configuration(store, clock, table,
+          { values.failureDomains, [this](const cells::evacuation_state& state) { owner.setEvacuations(state); } })
     , workers(store, clock, owner, values.failureDomain)
     , member(store, clock, owner, workers, { cellTopic, cell }, cell, identity())
     , directory(store, *this, clock, { vmTopic, 0 }, registration(), [this] { return ownHeartbeat(); })
@@ -483,9 +486,13 @@
 {
     const auto cellCounters = owner.counterValues();
     const auto calls = store.counters();
+    const auto [evacuationPhase, runsLeft] = owner.evacuation();
     std::vector<metrics::metric_sample> samples { { "task_starts_total", {}, cellCounters.starts },
         { "jobs_given_up_total", {}, cellCounters.jobsGivenUp }, { "worker_crashes_total", {}, cellCounters.workerCrashes },
         { "pauses_total", {}, cellCounters.pauses }, { "jobs_lent_total", {}, cellCounters.lentJobs },
+        { "jobs_relocated_total", {}, cellCounters.relocatedJobs },
+        { "relocations_refused_total", {}, cellCounters.relocationsRefused },
+        { "cell_evacuation_phase", {}, static_cast<std::uint64_t>(evacuationPhase) }, { "cell_runs", {}, runsLeft },
         { "jobs_out_of_contact_total", {}, cellCounters.jobsOutOfContact },
         { "jobs_ended_total", "completed", cellCounters.completedJobs },
         { "jobs_ended_total", "failed", cellCounters.failedJobs },
--- a/tests/cells/other_owners_test.cpp
+++ b/tests/cells/other_owners_test.cpp
@@ -106,6 +106,10 @@
 /// Other cells without free capacity, whose owners have announced their epochs.
 struct announced_epochs : cells::neighbor_cells {
     std::optional<cells::cell_number> reserveCapacity(const service_id&, std::int64_t) override { return std::nullopt; }
+    std::optional<cells::cell_number> chooseCell(const cells::relocation_need&, const std::set<cells::cell_number>&) override
+    {
+        return std::nullopt;
+    }
     void run(cells::cell_number, jobs::run_request, cells::job_completion) override { }
     void withdraw(cells::cell_number, const std::string&, cells::withdrawal_reason) override { }
     void queryLentJobs(std::uint64_t, std::function<void(const cells::lent_jobs&, bool)> done) override { done({}, true); }
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -5,6 +5,9 @@
 
 #include <fmt/format.h>
 
+#include "jobs/record_tail.h"
+#include "platform/evacuation_list.h"
+
 namespace coriandermount::fakes {
 
 using namespace cells;
@@ -26,6 +29,45 @@
     constexpr std::int64_t workerCpu = 16000;
     constexpr std::int64_t taskCpu = 7000;
 
+    constexpr const char* operatorTopic = "operators";
+
+    std::vector<std::string> domainNames(unsigned domains)
+    {
+        std::vector<std::string> names;
+        for (unsigned domain = 0; domain < domains; ++domain)
+            names.push_back(std::to_string(domain));
+        return names;
+    }
+
+    /// Reads the evacuations and passes them to an owner.
+    class evacuation_reader final : jobs::record_listener {
+    public:
+        evacuation_reader(jobs::record_store& store, const clock_source& clock, cell_owner& owner, unsigned domains)
+            : m_list(domainNames(domains), [&owner](const evacuation_state& state) { owner.setEvacuations(state); })
+            , m_tail(store, clock, { operatorTopic, 0 }, *this)
+        {
+        }
+
+        void start() { m_tail.start(); }
+        void tick(time_point now) { m_tail.tick(now); }
+
+    private:
+        void onSnapshot(const std::vector<jobs::record>& records) override { m_list.applySnapshot(records); }
+        void onRecord(const jobs::record& current) override { m_list.apply(current); }
+        void onCaughtUp(time_point requestedAt) override { m_list.publish(requestedAt); }
+
+        platform::evacuation_list m_list;
+        jobs::record_tail m_tail;
+    };
+
+    cell_settings settingsOf(bool hasEvacuations)
+    {
+        cell_settings settings;
+        settings.hasEvacuations = hasEvacuations;
+        settings.evacuationBound = cell_fleet::evacuationBound;
+        return settings;
+    }
+
     unsigned domainOf(const std::string& vm) { return static_cast<unsigned>(std::stoul(vm.substr(2, vm.find('-') - 2))); }
 
 } // namespace
@@ -50,6 +92,7 @@
     std::deque<std::function<void()>> arrived;
     bool workerSourceStarted = false;
     cell_owner owner;
+    evacuation_reader evacuations;
     cell_member member;
     vm_directory directory;
     job_router router;
@@ -62,7 +105,8 @@
         , cell(domainOf(name))
         , incarnation(incarnationNumber)
         , processorMillis(parent.m_processorMillis[name])
-        , owner(*this, *this, parent.loop, { "jobs", cell }, {})
+        , owner(*this, *this, parent.loop, { "jobs", cell }, settingsOf(parent.m_hasEvacuations))
+        , evacuations(*this, parent.loop, owner, parent.m_domains)
         , member(*this, parent.loop, owner, *this, { "cells", cell }, cell, identity())
         , directory(*this, *this, parent.loop, { "vms", 0 }, { identity(), name, { std::to_string(cell) } },
               [this] {
@@ -120,6 +164,7 @@
         member.setHeartbeatScope(directory.heartbeatScope());
         member.tick();
         directory.tick();
+        evacuations.tick(fleet.loop.now());
         owner.tick();
         router.tick();
         neighbors.tick();
@@ -158,6 +203,7 @@
 
     void start(const worker_registration& worker, const start_order& order, completion<order_answer> done) override
     {
+        fleet.noteStartSent(name, order);
         fleet.workers.start(worker.id, order, completeIfAlive<tl::expected<order_answer, order_failure>>(std::move(done)));
     }
     void stop(const worker_registration& worker, const stop_order& order, completion<order_answer> done) override
@@ -277,8 +323,9 @@
     }
 };
 
-cell_fleet::cell_fleet(unsigned domains, unsigned vms, unsigned workersPerDomain)
+cell_fleet::cell_fleet(unsigned domains, unsigned vms, unsigned workersPerDomain, bool hasEvacuations)
     : m_domains(domains)
+    , m_hasEvacuations(hasEvacuations)
 {
     workers.noteEventsIn(timeline);
     for (unsigned domain = 0; domain < domains; ++domain) {
@@ -306,6 +353,8 @@
     timeline.note(vm + " starts");
     auto started = std::make_shared<cell_fleet::vm>(*this, vm, ++m_lastIncarnation);
     m_vms.emplace(vm, started);
+    m_disturbedAt[vm] = loop.now();
+    started->evacuations.start();
     started->directory.start();
     started->member.start();
     schedule(vm);
@@ -407,12 +456,14 @@
 void cell_fleet::freeze(const std::string& vm)
 {
     timeline.note(vm + " freezes");
+    m_disturbedAt[vm] = loop.now();
     m_vms.at(vm)->frozen = true;
 }
 
 void cell_fleet::thaw(const std::string& vm)
 {
     timeline.note(vm + " thaws");
+    m_disturbedAt[vm] = loop.now();
     const auto target = m_vms.at(vm);
     target->frozen = false;
     for (const auto& call : std::exchange(target->arrived, {}))
@@ -529,6 +580,46 @@
     return m_vms.at(name)->owner.state(jobId);
 }
 
+void cell_fleet::evacuate(unsigned domain)
+{
+    timeline.note(fmt::format("domain {} is evacuated", domain));
+    jobs::append_request request;
+    request.stream = { operatorTopic, 0 };
+    request.records.push_back({ "evacuate/" + std::to_string(domain), "{}", 0 });
+    records.append(request, store_fault::none, [this, domain](const auto&) { m_evacuatedAt.try_emplace(domain, loop.now()); });
+}
+
+void cell_fleet::endEvacuation(unsigned domain)
+{
+    timeline.note(fmt::format("domain {} is taken back", domain));
+    m_evacuatedAt.erase(domain);
+    jobs::append_request request;
+    request.stream = { operatorTopic, 0 };
+    request.records.push_back({ "evacuate/" + std::to_string(domain), std::nullopt, 0 });
+    records.append(request, store_fault::none, [](const auto&) {});
+}
+
+void cell_fleet::noteStartSent(const std::string& vm, const start_order& order)
+{
+    const unsigned domain = domainOf(vm);
+    ++m_startsSent[domain];
+    const auto evacuated = m_evacuatedAt.find(domain);
+    if (evacuated == m_evacuatedAt.end() || loop.now() <= evacuated->second + evacuationBound)
+        return;
+    const auto fault = m_storeFaults.find(vm);
+    const bool disturbed = m_vms.at(vm)->frozen || m_partitioned.contains(vm)
+        || (fault != m_storeFaults.end() && fault->second != store_fault::none) || loop.now() < m_disturbedAt[vm] + stableTime;
+    if (!disturbed)
+        m_startsInEvacuatedDomains.push_back(fmt::format("{}.{}.{} was started by {} in the evacuated domain {}",
+            order.task.jobId, order.task.step, order.task.index, vm, domain));
+}
+
+std::size_t cell_fleet::startsSent(unsigned domain) const
+{
+    const auto found = m_startsSent.find(domain);
+    return found == m_startsSent.end() ? 0 : found->second;
+}
+
 cell_counters cell_fleet::counterValues(const std::string& vm) const { return m_vms.at(vm)->owner.counterValues(); }
 
 } // namespace coriandermount::fakes
--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -32,8 +32,9 @@
 /// Fleet in virtual time with one cell in each failure domain. Not thread-safe.
 class cell_fleet {
 public:
-    /// Starts `vms` VMs and `workers` workers of 16 cores in each of `domains` failure domains.
-    cell_fleet(unsigned domains, unsigned vms, unsigned workers);
+    /// Starts `vms` VMs and `workers` workers of 16 cores in each of `domains` failure domains. With `hasEvacuations`, VMs give
+    /// no start before they have read which domains are evacuated.
+    cell_fleet(unsigned domains, unsigned vms, unsigned workers, bool hasEvacuations = false);
     ~cell_fleet();
 
     cell_fleet(const cell_fleet&) = delete;
@@ -51,6 +52,7 @@
     /// Sets the fault of the record store that a VM sees from now on.
     void setStoreFault(const std::string& vm, store_fault fault)
     {
+        m_disturbedAt[vm] = loop.now();
         timeline.note(fmt::format("{} gets store fault {}", vm, static_cast<int>(fault)));
         m_storeFaults[vm] = fault;
     }
@@ -69,6 +71,7 @@
     void setPartitioned(const std::string& vm, bool partitioned)
     {
         timeline.note(vm + (partitioned ? " is cut off" : " is in reach"));
+        m_disturbedAt[vm] = loop.now();
         partitioned ? (void)m_partitioned.insert(vm) : (void)m_partitioned.erase(vm);
     }
 
@@ -77,6 +80,18 @@
     /// Lets a frozen VM run on. It handles what has arrived in the order of arrival.
     void thaw(const std::string& vm);
 
+    /// Evacuates a domain, as operators do, until `endEvacuation`.
+    void evacuate(unsigned domain);
+    void endEvacuation(unsigned domain);
+    /// Returns a message for each start order that a VM has sent to a worker of a domain later than the bound after the
+    /// evacuation, without a disturbance of the VM or of its path to the store for `stableTime` before.
+    const std::vector<std::string>& startsInEvacuatedDomains() const { return m_startsInEvacuatedDomains; }
+    /// Number of start orders that were sent to the workers of a domain.
+    std::size_t startsSent(unsigned domain) const;
+
+    static constexpr std::chrono::milliseconds evacuationBound { 5000 };
+    static constexpr std::chrono::milliseconds stableTime { 4000 };
+
     /// Delivers a heartbeat to a VM, as one that was garbled on its way.
     void deliver(const std::string& vm, const cells::heartbeat& garbled);
 
@@ -132,7 +147,15 @@
     /// Tells the owners that were called by a VM that these calls are broken.
     void breakCallsOf(const std::string& from);
 
+    void noteStartSent(const std::string& vm, const cells::start_order& order);
+
     unsigned m_domains;
+    bool m_hasEvacuations;
+    std::map<unsigned, time_point> m_evacuatedAt;
+    /// When a VM, or its path to the store or to other VMs, was last disturbed.
+    std::map<std::string, time_point> m_disturbedAt;
+    std::map<unsigned, std::size_t> m_startsSent;
+    std::vector<std::string> m_startsInEvacuatedDomains;
     /// Must outlive the VMs, which answer calls while they are destroyed.
     std::map<std::string, std::chrono::milliseconds> m_callDelays;
     std::map<std::string, std::uint32_t> m_processorMillis;
--- a/tests/platform/config_follower_test.cpp
+++ b/tests/platform/config_follower_test.cpp
@@ -58,7 +58,10 @@
     rcu_value<jobs::queue_table> table;
     /// Versions that were in force, 0 for none.
     std::set<std::uint64_t> seen;
-    platform::config_follower follower { *this, loop, table };
+    /// What the store says about evacuations; empty until it has answered.
+    std::optional<cells::evacuation_state> evacuations;
+    platform::config_follower follower { *this, loop, table,
+        platform::evacuation_list({ "argos", "nemea" }, [this](const auto& state) { evacuations = state; }) };
 };
 
 struct published_configurations {
@@ -69,10 +72,18 @@
         loop.runFor(5ms);
     }
 
+    void publishEvacuation(const std::string& key, const std::optional<std::string>& value)
+    {
+        records.append({ stream, { { key, value, 0 } }, std::nullopt, std::nullopt }, store_fault::none, [](const auto&) {});
+        loop.runFor(5ms);
+    }
+
     virtual_loop loop;
     memory_record_store records { loop };
 };
 
+using cell_set = std::set<cells::cell_number>;
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(the_configuration, published_configurations)
@@ -147,3 +158,53 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(the_evacuated_failure_domains, published_configurations)
+
+BOOST_AUTO_TEST_CASE(are_those_whose_records_exist)
+{
+    // Guards against an evacuation that a VM overlooks, or that never ends.
+    configured_vm vm(loop, records);
+    BOOST_TEST(!vm.evacuations.has_value());
+    vm.runFor(50ms);
+    BOOST_REQUIRE(vm.evacuations.has_value());
+    BOOST_TEST(vm.evacuations->cells.empty());
+    publishEvacuation("evacuate/nemea", "{}");
+    vm.runFor(50ms);
+    BOOST_TEST((vm.evacuations->cells == cell_set { 1 }));
+    publishEvacuation("evacuate/nemea", std::nullopt);
+    vm.runFor(50ms);
+    BOOST_TEST(vm.evacuations->cells.empty());
+}
+
+BOOST_AUTO_TEST_CASE(are_known_after_a_restart_and_when_the_store_has_dropped_its_history)
+{
+    // Guards against a new boot that starts tasks in a domain which was evacuated before, and against a removal that is missed.
+    publishEvacuation("evacuate/argos", "{}");
+    configured_vm vm(loop, records);
+    vm.runFor(50ms);
+    BOOST_TEST((vm.evacuations->cells == cell_set { 0 }));
+    vm.fault = store_fault::refuses_requests;
+    vm.runFor(3s);
+    publishEvacuation("evacuate/argos", std::nullopt);
+    records.compact();
+    vm.fault = store_fault::none;
+    vm.runFor(1s);
+    BOOST_TEST(vm.evacuations->cells.empty());
+}
+
+BOOST_AUTO_TEST_CASE(do_not_change_for_records_that_cannot_be_read)
+{
+    // Guards against a domain that is emptied, or a configuration that is not applied, because of a record that is not valid.
+    configured_vm vm(loop, records);
+    publishEvacuation("evacuate/nemea", "no document");
+    publishEvacuation("evacuate/unknown", "{}");
+    publishEvacuation("evacuate/", "{}");
+    publishEvacuation("evacuate", "{}");
+    publish(3);
+    vm.runFor(50ms);
+    BOOST_TEST(vm.evacuations->cells.empty());
+    BOOST_TEST(vm.last() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
