--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -23,6 +23,9 @@
 RESTART_S = 0.5
 KILL_GRACE_S = 0.05
 STABLE_WINDOW_S = 3
+# Time after which no task may start in an evacuated domain, and how long evacuations last.
+EVACUATION_BOUND_S = 5
+EVACUATION_S = (6, 10)
 # A stand-in or a VM that continues after a pause needs a moment to notice it.
 WAKE_S = 0.02
 # Lag of this process from which a moment says nothing about how soon a VM answers.
@@ -52,9 +55,9 @@
 # Disruptions, and how often each is drawn.
 KINDS = {"roll": 2, "freeze": 2, "term_frozen": 1, "kill": 2, "starve": 2, "pause_workers": 3, "late": 3, "store_down": 1,
          "store_loses": 3, "hup": 1, "config": 1, "crash_workers": 3, "mute_workers": 3,
-         "cut_workers": 3, "cut_vms": 1}
+         "cut_workers": 3, "cut_vms": 1, "evacuate": 1}
 # They are drawn in a series of their own each, so that the draws of the others stay the same for a seed.
-APART = {"apart": ("crash_workers", "mute_workers", "cut_workers"), "vms": ("cut_vms",)}
+APART = {"apart": ("crash_workers", "mute_workers", "cut_workers"), "vms": ("cut_vms",), "evacuations": ("evacuate",)}
 LIBC = ctypes.CDLL(None)
 
 
@@ -175,6 +178,7 @@
 recovery_s = 12
 max_hold_ms = 1000
 kill_grace_ms = {int(KILL_GRACE_S * 1000)}
+evacuate_ms = {EVACUATION_BOUND_S * 1000}
 cancel_ms = 3000
 visible_ms = 3000
 finish_s = 14
@@ -270,6 +274,9 @@
         self.killed_after_grace = 0
         # Seconds until the last disruption and the last caller had ended, and until all VMs were ready.
         self.quiet_after, self.ready_after = 0.0, 0.0
+        # Times between which no task may start in a domain, and times in which VMs could not reach the store.
+        self.evacuated, self.store_outages = [], []
+        self.starts_in_evacuations = 0
         self.cut_connections = 0
         # Whether VMs reach each other through a relay, which can cut them off. A relay accepts connections to VMs that are gone, so
         # every second seed does without.
@@ -635,13 +642,17 @@
         seconds, silent = dice.uniform(0.5, 4), dice.randint(0, 1)
         self.note(f"store down for {seconds:.2f} s, {'without answers' if silent else '503'}")
         await wire.call_once(self.store_address, "POST", f"/standin/down?seconds={seconds}&silent={silent}")
+        began = time.monotonic()
         await asyncio.sleep(seconds)
+        self.store_outages.append((began, time.monotonic()))
 
     async def store_loses(self, dice):
         seconds = dice.uniform(1, 4)
         self.note(f"store loses answers for {seconds:.2f} s")
         await wire.call_once(self.store_address, "POST", f"/standin/lose?seconds={seconds}&share=0.3")
+        began = time.monotonic()
         await asyncio.sleep(seconds)
+        self.store_outages.append((began, time.monotonic()))
 
     async def hup(self, _):
         for vm in self.vms.values():
@@ -658,6 +669,17 @@
             await self.configure(extra, timeout_ms)
             await asyncio.sleep(dice.uniform(0.3, 1.5))
 
+    async def evacuate(self, dice):
+        domain, seconds = dice.choice(self.domains), dice.uniform(*EVACUATION_S)
+        put = f"/standin/put?topic=keyed.op&part=0&key=evacuate/{domain}"
+        self.note(f"{domain} is evacuated for {seconds:.2f} s")
+        await wire.call_once(self.store_address, "POST", put, b"{}")
+        began = time.monotonic()
+        await asyncio.sleep(seconds)
+        self.evacuated.append((domain, began, time.monotonic()))
+        await wire.call_once(self.store_address, "POST", put, b"")
+        self.note(f"{domain} is taken back")
+
     async def series(self, dice, end, kinds):
         """Plays disruptions one after another. Each series has dice of its own, so that its draws don't depend on the others."""
         while True:
@@ -763,6 +785,22 @@
                             + f"; submissions {[(vm, round(sent, 3), round(end, 3), how) for vm, sent, end, how in self.jobs.get(job, [])]}")
         return runs
 
+    def check_evacuations(self, runs):
+        """Checks that no VM whose path to the store is sound has started a task in a domain later than the bound after its evacuation."""
+        for (task, worker, _, attempt), run in runs.items():
+            for domain, began, ended in self.evacuated:
+                if worker.split("-")[1] != domain[-1] or not began < run["from"] < ended:
+                    continue
+                self.starts_in_evacuations += 1
+                # A worker may carry out an order late, until the lease in it has ended.
+                sent = run["from"] - OLDEST_START_S
+                spans = self.store_outages + [(start, end) for vm in self.vms.values() if vm.domain == domain
+                                              for start, end, _ in vm.disturbed]
+                calm = not any(start < run["from"] and end > sent - STABLE_WINDOW_S for start, end in spans)
+                if sent > began + EVACUATION_BOUND_S and calm:
+                    self.violation("EVAC", f"task {task}, attempt {attempt}, started on {worker} {run['from'] - began:.3f} s after the "
+                                           f"evacuation of {domain}")
+
     def vm_lines(self):
         for vm in self.vms.values():
             with open(vm.output, encoding="utf-8", errors="replace") as lines:
@@ -771,6 +809,7 @@
 
     def report(self):
         runs = self.check_runs()
+        self.check_evacuations(runs)
         self.check_answers()
         abandoned = {}
         broken_jobs = set(re.findall(r"\b[0-9a-f]{16}\b", " ".join(text for _, text in self.violations)))
@@ -797,7 +836,7 @@
                 "runs": len(runs), "stored_runs": sum(key[0].split(".")[0] in self.stored for key in runs), "ends": ends,
                 "noted_stored_tasks": self.noted_stored_tasks, "abandoned": abandoned, "killed_after_grace": self.killed_after_grace,
                 "cut_connections": self.cut_connections, "cut_peer_connections": self.cut_peer_connections,
-                "lost_datagrams": self.lost_datagrams,
+                "lost_datagrams": self.lost_datagrams, "starts_in_evacuations": self.starts_in_evacuations,
                 "quiet_after_s": round(self.quiet_after, 1), "ready_after_s": round(self.ready_after, 1),
                 "lagged_s": round(sum(end - start for start, end in self.lags), 1),
                 "stalls": len(self.stalls), "violations": rules,
