net: Wait for sockets with epoll in the HTTP client

Cause: an owner has a long poll open at each worker, and curl_multi_perform looks at every open call in each turn, with a system call each. Change: curl_multi_socket_action on sockets that epoll reports. Calls whose deadlines have passed are judged after all sockets that are ready have been read, as before.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,15 +1,20 @@
 #include "net/http_client.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <future>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <unordered_map>
 
 #include <curl/curl.h>
 #include <strings.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include "core/guarded_call.h"
 
@@ -20,6 +25,8 @@
     using steady_time = std::chrono::steady_clock::time_point;
 
     constexpr std::chrono::milliseconds longestPoll { 1000 };
+    /// Number of ready sockets that are handled in one turn.
+    constexpr int eventsPerTurn = 64;
 
     /// Initializes libcurl once for the process.
     struct curl_library {
@@ -119,9 +126,25 @@
     std::unordered_map<CURL*, std::unique_ptr<transfer>> running;
     deadline_list deadlines;
     std::vector<CURL*> idleHandles;
+    /// Sockets of the calls, and the event that `send` and the destructor raise.
+    int epoll = -1;
+    int wakeup = -1;
+    /// When libcurl asks to be called, if it does.
+    std::optional<steady_time> timer;
     std::thread thread;
 
+    static int onSocketChange(CURL*, curl_socket_t socket, int wanted, void* context, void* known);
+    static int onTimerChange(CURLM*, long milliseconds, void* context);
+
+    void open();
     void run();
+    void raiseWakeup() const;
+    /// Waits up to `limit` for sockets and handles those that are ready, and calls for which libcurl's timer is due; returns the
+    /// number of ready sockets. `beforeReading` is called before any socket is used.
+    template <class Call> int handleSockets(std::chrono::milliseconds limit, const Call& beforeReading);
+    void handleTimer();
+    /// Reads all sockets that are ready.
+    void drainSockets();
     void startSubmitted();
     void begin(std::unique_ptr<transfer> current);
     void collectFinished();
@@ -129,25 +152,121 @@
     void failUnsent(steady_time now);
     /// Fails the calls whose deadlines had passed at `readAt`. The sockets must have been read after that time.
     void failOverdue(steady_time readAt);
+    /// Returns the time until a deadline passes or libcurl asks to be called.
     std::chrono::milliseconds timeToNextDeadline() const;
     void finish(CURL* handle, CURLcode code);
     void countTraffic(CURL* handle);
 };
 
+int http_client::data::onSocketChange(CURL*, curl_socket_t socket, int wanted, void* context, void* known)
+{
+    auto& self = *static_cast<data*>(context);
+    if (wanted == CURL_POLL_REMOVE) {
+        epoll_ctl(self.epoll, EPOLL_CTL_DEL, socket, nullptr);
+        curl_multi_assign(self.multi, socket, nullptr);
+        return 0;
+    }
+    epoll_event event {};
+    event.events = (wanted & CURL_POLL_IN ? EPOLLIN : 0U) | (wanted & CURL_POLL_OUT ? EPOLLOUT : 0U);
+    event.data.fd = socket;
+    // The number of a closed socket may be used again before libcurl has taken leave of the old one.
+    if (epoll_ctl(self.epoll, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, socket, &event) != 0)
+        epoll_ctl(self.epoll, known ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket, &event);
+    curl_multi_assign(self.multi, socket, &self);
+    return 0;
+}
+
+int http_client::data::onTimerChange(CURLM*, long milliseconds, void* context)
+{
+    auto& self = *static_cast<data*>(context);
+    if (milliseconds < 0)
+        self.timer.reset();
+    else
+        self.timer = std::chrono::steady_clock::now() + std::chrono::milliseconds(milliseconds);
+    return 0;
+}
+
+void http_client::data::open()
+{
+    multi = curl_multi_init();
+    epoll = epoll_create1(EPOLL_CLOEXEC);
+    wakeup = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    epoll_event event {};
+    event.events = EPOLLIN;
+    event.data.fd = wakeup;
+    epoll_ctl(epoll, EPOLL_CTL_ADD, wakeup, &event);
+    curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(options.maxConnectionsPerServer));
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, static_cast<long>(options.maxCachedConnections));
+    curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &onSocketChange);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &onTimerChange);
+    curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+}
+
+void http_client::data::raiseWakeup() const
+{
+    const std::uint64_t one = 1;
+    // A failed write leaves an event that has been raised and not handled yet.
+    [[maybe_unused]] const auto written = write(wakeup, &one, sizeof one);
+}
+
+template <class Call> int http_client::data::handleSockets(std::chrono::milliseconds limit, const Call& beforeReading)
+{
+    // Only the sockets that are ready are touched. `curl_multi_perform` looks at all calls, each of which costs a system call,
+    // and an owner has a long poll open at every worker.
+    std::array<epoll_event, eventsPerTurn> events {};
+    const int ready = epoll_wait(epoll, events.data(), eventsPerTurn, static_cast<int>(limit.count()));
+    beforeReading();
+    int active = 0;
+    for (int index = 0; index < ready; ++index) {
+        const epoll_event& event = events[static_cast<std::size_t>(index)];
+        if (event.data.fd == wakeup) {
+            std::uint64_t raised = 0;
+            [[maybe_unused]] const auto taken = read(wakeup, &raised, sizeof raised);
+            continue;
+        }
+        const int readable = event.events & (EPOLLIN | EPOLLHUP | EPOLLERR) ? CURL_CSELECT_IN : 0;
+        const int writable = event.events & EPOLLOUT ? CURL_CSELECT_OUT : 0;
+        const int broken = event.events & EPOLLERR ? CURL_CSELECT_ERR : 0;
+        curl_multi_socket_action(multi, event.data.fd, readable | writable | broken, &active);
+    }
+    handleTimer();
+    collectFinished();
+    return ready;
+}
+
+void http_client::data::handleTimer()
+{
+    int active = 0;
+    if (timer && *timer <= std::chrono::steady_clock::now()) {
+        timer.reset();
+        curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &active);
+    }
+}
+
+void http_client::data::drainSockets()
+{
+    while (handleSockets(std::chrono::milliseconds(0), [] {}) == eventsPerTurn) { }
+}
+
 void http_client::data::run()
 {
     while (!stopping.load()) {
         startSubmitted();
+        handleTimer();
+        collectFinished();
+        auto readAt = std::chrono::steady_clock::now();
+        handleSockets(timeToNextDeadline(), [&] {
+            readAt = std::chrono::steady_clock::now();
+            failUnsent(readAt);
+        });
         // The thread may have had no processor time for longer than the timeout of a call: an answer that has arrived meanwhile
         // is read before the call is judged. The timeouts of libcurl are not used, because it checks them before it reads a
         // socket.
-        const auto readAt = std::chrono::steady_clock::now();
-        failUnsent(readAt);
-        int active = 0;
-        curl_multi_perform(multi, &active);
-        collectFinished();
+        if (deadlines.empty() || deadlines.begin()->first > readAt)
+            continue;
+        drainSockets();
         failOverdue(readAt);
-        curl_multi_poll(multi, nullptr, 0, static_cast<int>(timeToNextDeadline().count()), nullptr);
     }
     startSubmitted();
     while (!running.empty())
@@ -242,10 +361,13 @@
 
 std::chrono::milliseconds http_client::data::timeToNextDeadline() const
 {
-    if (deadlines.empty())
-        return longestPoll;
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadlines.begin()->first - std::chrono::steady_clock::now());
-    return std::clamp(left, std::chrono::milliseconds(0), longestPoll);
+    const auto now = std::chrono::steady_clock::now();
+    auto next = now + longestPoll;
+    if (!deadlines.empty())
+        next = std::min(next, deadlines.begin()->first);
+    if (timer)
+        next = std::min(next, *timer);
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(next - now), std::chrono::milliseconds(0));
 }
 
 void http_client::data::countTraffic(CURL* handle)
@@ -291,20 +413,20 @@
 {
     static const curl_library library;
     m_data->options = std::move(options);
-    m_data->multi = curl_multi_init();
-    curl_multi_setopt(m_data->multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(m_data->options.maxConnectionsPerServer));
-    curl_multi_setopt(m_data->multi, CURLMOPT_MAXCONNECTS, static_cast<long>(m_data->options.maxCachedConnections));
+    m_data->open();
     m_data->thread = std::thread([this] { m_data->run(); });
 }
 
 http_client::~http_client()
 {
     m_data->stopping.store(true);
-    curl_multi_wakeup(m_data->multi);
+    m_data->raiseWakeup();
     m_data->thread.join();
     for (CURL* handle : m_data->idleHandles)
         curl_easy_cleanup(handle);
     curl_multi_cleanup(m_data->multi);
+    close(m_data->epoll);
+    close(m_data->wakeup);
 }
 
 void http_client::send(http_call call, http_completion done)
@@ -319,7 +441,7 @@
         m_data->submitted.push_back(std::move(current));
     }
     if (first)
-        curl_multi_wakeup(m_data->multi);
+        m_data->raiseWakeup();
 }
 
 tl::expected<http_reply, transport_error> http_client::sendAndWait(http_call call)
