cells: Look at fewer workers for each job, and take the remote factor from the settings

Cause: each answer to a poll and each task of a job walked over all workers of the cell, and the factor for tasks away from their data was a constant, which is 1.5 and 2 on two deployments.

--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -534,6 +534,8 @@
     void handleLostRun(
         const worker_session& session, const task_key& key, const worker_run& lost, run_end_proof proof, time_point now);
     void pollWorkers(time_point now);
+    /// Polls a worker if its next poll is due, or if a poll can show what became of a run.
+    void pollIfDue(worker_session& session, time_point now);
     void poll(worker_session& session, time_point now);
     /// Polls a worker without waiting for the answer to a poll in flight, which is ignored.
     void pollAtOnce(worker_session& session, time_point now);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -17,9 +17,8 @@
     /// Weight of each task of a long-running step that already runs on a worker. Spreads the tasks, so that the loss of one
     /// worker ends few of them.
     constexpr double spreadWeight = 1.0;
-    /// Assumed factor by which a task takes longer on a worker outside the rack of its data. The platform's own factor is not
-    /// known to the cell yet.
-    constexpr double remoteFactor = 3.0;
+    /// Factor by which a worker counts as slower for a task whose last run there failed.
+    constexpr double failedFactor = 3.0;
     /// Number of priority levels that the reported load distinguishes.
     constexpr std::uint32_t reportedPriorities = 4;
 
@@ -168,11 +167,15 @@
 cell_owner::data::largest_free_cpu cell_owner::data::largestFreeCpu(time_point now) const
 {
     largest_free_cpu largest;
+    // Nearly all workers of a cell offer the same service.
+    auto known = largest.end();
     for (const auto& [id, session] : sessions) {
         if (!session.acceptsStarts(now))
             continue;
-        std::int64_t& known = largest[session.registration().service];
-        known = std::max(known, session.free().cpuMillis);
+        const auto& service = session.registration().service;
+        if (known == largest.end() || known->first != service)
+            known = largest.try_emplace(service, 0).first;
+        known->second = std::max(known->second, session.free().cpuMillis);
     }
     return largest;
 }
@@ -276,10 +279,13 @@
 bool cell_owner::data::scheduleStep(open_job& job, std::uint32_t step, time_point now)
 {
     auto& waiting = job.steps[step].waiting;
+    // Most jobs have no run yet, which is found out once and not for each task.
+    const bool hasRuns = hasRunsOf(job.accepted.work.id);
     while (!waiting.empty()) {
         const std::uint32_t index = waiting.back();
         const task_key key { job.accepted.work.id, 0, step, index };
-        worker_session* session = runsOnAnyWorker(key) ? nullptr : chooseWorker(job, step, job.steps[step].tasks[index], {}, now);
+        const bool stillRuns = hasRuns && runsOnAnyWorker(key);
+        worker_session* session = stillRuns ? nullptr : chooseWorker(job, step, job.steps[step].tasks[index], {}, now);
         if (!session)
             return false;
         waiting.pop_back();
@@ -314,9 +320,9 @@
         const double unusedShare = static_cast<double>(session.free().cpuMillis - stepDefinition.need.cpuMillis) / totalCpu;
         double score = session.slowness() + unusedShareWeight * unusedShare;
         if (!stepDefinition.dataRack.empty() && !session.hasLabel(stepDefinition.dataRack))
-            score *= remoteFactor;
+            score *= settings.remoteFactor;
         if (id == task.failedOn)
-            score *= remoteFactor;
+            score *= failedFactor;
         if (stepDefinition.longRunning)
             score += spreadWeight * session.runsOfStep(job.accepted.work.id, step);
         if (!best || score < bestScore) {
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -273,9 +273,11 @@
 {
     const bool lost = std::any_of(
         unverifiedLosses.begin(), unverifiedLosses.end(), [&jobId](const lost_run& run) { return run.task.jobId == jobId; });
-    return lost || std::any_of(sessions.begin(), sessions.end(), [&jobId](const auto& entry) {
+    const task_key first { jobId, 0, 0, 0 };
+    return lost || std::any_of(sessions.begin(), sessions.end(), [&first](const auto& entry) {
         const auto& runs = entry.second.runs();
-        return std::any_of(runs.begin(), runs.end(), [&jobId](const auto& run) { return run.first.jobId == jobId; });
+        const auto found = runs.lower_bound(first);
+        return found != runs.end() && found->first.jobId == first.jobId;
     });
 }
 
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -104,12 +104,10 @@
 
 void cell_owner::data::pollWorkers(time_point now)
 {
-    const int tolerated = calls.toleratedLosses();
     // Once its lease has ended, a worker may take as long as for a stop to end its runs.
     const time_point beforeGrace = now - settings.stopGrace;
     for (auto entry = sessions.begin(); entry != sessions.end();) {
         worker_session& session = entry->second;
-        session.toleratedLosses = tolerated;
         const bool runsEnded = beforeGrace >= session.leasesEnded(beforeGrace);
         if (session.deregistered && runsEnded && !session.pollInFlight) {
             // The platform says that a worker without a registration has gone, and all its runs with it.
@@ -119,16 +117,22 @@
         }
         if (session.failedPolls > 1 && !session.runs().empty() && runsEnded)
             dropRuns(session, beforeGrace, run_end_proof::leases_ended, now);
-        const bool needed = !session.listed || !session.runs().empty() || session.durableEnd > session.acknowledgedEnd
-            || session.lastEnd > session.durableEnd;
-        if (session.awaitsProof(now))
-            pollAtOnce(session, now);
-        else if (needed && !session.pollInFlight && now >= session.nextPoll)
-            poll(session, now);
+        pollIfDue(session, now);
         ++entry;
     }
 }
 
+void cell_owner::data::pollIfDue(worker_session& session, time_point now)
+{
+    session.toleratedLosses = calls.toleratedLosses();
+    const bool needed = !session.listed || !session.runs().empty() || session.durableEnd > session.acknowledgedEnd
+        || session.lastEnd > session.durableEnd;
+    if (session.awaitsProof(now))
+        pollAtOnce(session, now);
+    else if (needed && !session.pollInFlight && now >= session.nextPoll)
+        poll(session, now);
+}
+
 void cell_owner::data::poll(worker_session& session, time_point now)
 {
     session.pollInFlight = true;
@@ -214,8 +218,9 @@
         return;
     applyPollAnswer(session, sentAt, *answer, now);
     schedule(now);
-    if (givesOrders())
-        pollWorkers(now);
+    // Each tick looks at all workers; an answer says something about its own one only.
+    if (const auto answered = sessions.find(addressee.id); givesOrders() && answered != sessions.end())
+        pollIfDue(answered->second, now);
 }
 
 void cell_owner::data::onPollFailed(worker_session& session, order_failure failure, time_point now)
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -15,6 +15,8 @@
     std::chrono::milliseconds stopGrace { 50 };
     /// How long finished jobs are remembered: the time that the platform requires, plus a margin of one minute.
     std::chrono::milliseconds finishedRetention { 180000 };
+    /// Factor by which a task takes longer on another rack than that of its data, as the platform sets it.
+    double remoteFactor = 3.0;
     /// Time after which no task may start in an evacuated cell, counted from the request of the operators.
     std::chrono::milliseconds evacuationBound { 5000 };
     /// Whether operators evacuate cells, so that an owner gives no start before it has read which ones are evacuated.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -123,6 +123,7 @@
         limits.maxLease = settings.maxLease;
         limits.stopGrace = settings.stopGrace;
         limits.finishedRetention = settings.statusRetention + retentionMargin;
+        limits.remoteFactor = settings.remoteFactor;
         limits.hasEvacuations = settings.evacuationBound.has_value();
         limits.evacuationBound = settings.evacuationBound.value_or(limits.evacuationBound);
         return limits;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -228,6 +228,8 @@
 addr = "10.0.0.2:1"
 [bounds]
 max_hold_ms = 900
+remote_factor = 1.5
+evacuate_ms = 4000
 [limits]
 cpu_share = 0.12
 cores = 2
@@ -235,6 +237,8 @@
     const auto settings = parseBootSettings(text);
     BOOST_REQUIRE(settings);
     BOOST_TEST((settings->maxLease == 900ms));
+    BOOST_TEST(settings->remoteFactor == 1.5);
+    BOOST_TEST((settings->evacuationBound == 4000ms));
     BOOST_TEST(settings->processorMillis == 240U);
     BOOST_TEST((settings->failureDomains == std::vector<std::string> { "a", "b" }));
     BOOST_TEST(!parseBootSettings("node_name = 5"));
