--- a/bench/owner_bench.cpp
+++ b/bench/owner_bench.cpp
@@ -65,7 +65,7 @@
     }
     template <class Answer> completion<Answer> counted(completion<Answer> done)
     {
-        return [this, done = std::move(done)](const auto& answer) { count([&] { done(answer); }); };
+        return [this, done = std::move(done)](const auto& answer) { this->count([&] { done(answer); }); };
     }
 
     double m_seconds = 0;
