cells: Logs what is observed of each lost worker

A job was shown as failed without a crash of its workers that the log could show: crash reports named neither the observation, nor the time since the loss, nor what else was lost then.

A crash report now names the observation (a later boot, another worker at the address, only silence) and the time since the run was given up; the loss of a worker names its silence and the number of other workers lost at that time; a worker that answers again is logged. worker_crashes_total has the observation as its reason, and lost_workers_heard_again_total counts the losses without a crash. No decision changes.

--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -13,6 +13,7 @@
 
 #include "cells/cell_job_table.h"
 #include "cells/cell_settings.h"
+#include "cells/crash_suspicion.h"
 #include "cells/evacuation.h"
 #include "cells/keep_alive.h"
 #include "cells/worker_link.h"
@@ -186,8 +187,10 @@
     std::array<std::uint64_t, withdrawalOutcomeCount> withdrawnJobs {};
     /// Times for which the process did not run, counted from `pause_monitor::shortestPause` on.
     std::uint64_t pauses = 0;
-    /// Crashes of workers, counted for each task that may have caused them.
-    std::uint64_t workerCrashes = 0;
+    /// Crashes of workers, counted for each task that may have caused them and indexed by `crash_observation`.
+    std::array<std::uint64_t, crashObservationCount> workerCrashes {};
+    /// Lost workers with runs that answered again in the same boot.
+    std::uint64_t lostWorkersHeardAgain = 0;
     /// Jobs that failed because a task of theirs crashes the workers that start it.
     std::uint64_t jobsGivenUp = 0;
     /// Start orders of which a try had no answer, by the time until it was known what became of the run. The bounds are those of
--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -10,6 +10,13 @@
 
     /// One in this number of the workers of a service may be reserved for suspected jobs; at least one is.
     constexpr std::size_t workersPerReservation = 4;
+    /// Workers that were last heard within this time of each other may have been lost together.
+    constexpr std::chrono::milliseconds commonLossWindow { 1000 };
+
+    std::string millisecondsBetween(time_point from, time_point to)
+    {
+        return fmt::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count());
+    }
 
 } // namespace
 
@@ -28,19 +35,38 @@
     if (worker.draining)
         return;
     suspicion.noteSilence(worker, dropped, now);
+    reportLoss(session, dropped, now);
     for (const auto& run : dropped) {
         if (open_job* job = jobTable.find(run.task.jobId))
             job->dirty = true;
     }
 }
 
-void cell_owner::data::reportCrashes(const worker_id& worker, const std::vector<task_key>& tasks)
+void cell_owner::data::reportLoss(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now) const
+{
+    if (dropped.empty())
+        return;
+    const auto lostTogether = std::count_if(sessions.begin(), sessions.end(), [&](const auto& entry) {
+        const worker_session& other = entry.second;
+        return &other != &session && other.failedPolls > 1
+            && std::chrono::abs(other.lastAnswerAt - session.lastAnswerAt) <= commonLossWindow;
+    });
+    writeLog(log_level::info, "cell", "worker lost under tasks",
+        { { "worker", session.registration().id.value }, { "runs", fmt::to_string(dropped.size()) },
+            { "silence_ms", millisecondsBetween(session.lastAnswerAt, now) }, { "others_lost", fmt::to_string(lostTogether) },
+            { "workers", fmt::to_string(sessions.size()) } });
+}
+
+void cell_owner::data::reportCrashes(const std::vector<counted_crash>& crashes, time_point now)
 {
-    for (const auto& key : tasks) {
-        ++counters.workerCrashes;
+    for (const auto& crash : crashes) {
+        const task_key& key = crash.task;
+        ++counters.workerCrashes[static_cast<std::size_t>(crash.observation)];
         writeLog(log_level::warning, "cell", "worker crashed under a task",
             { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
-                { "worker", worker.value }, { "crashes", fmt::to_string(suspicion.crashesUnder(key)) },
+                { "worker", crash.worker.value }, { "observation", std::string(nameOf(crash.observation)) },
+                { "since_loss_ms", millisecondsBetween(crash.lostAt, now) },
+                { "crashes", fmt::to_string(suspicion.crashesUnder(key)) },
                 { "outcome", suspicion.isToBlame(key) ? "to_blame" : "suspected" } });
         open_job* job = jobTable.find(key.jobId);
         if (!job || job->ended || !job->contains(key))
@@ -159,7 +185,7 @@
 {
     if (suspicion.empty())
         return;
-    reportCrashes({}, suspicion.expire(now));
+    reportCrashes(suspicion.expire(now), now);
     for (auto& [worker, session] : sessions) {
         if (session.reservedFor.empty())
             continue;
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -502,8 +502,10 @@
     void noteSilence(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now);
     /// Returns whether the task runs until its job is cancelled, so that it is never given up.
     static bool isLongRunning(const open_job& job, const task_key& key);
-    /// Logs and counts a crash of a worker under the given tasks, and gives up the jobs that are to blame.
-    void reportCrashes(const worker_id& worker, const std::vector<task_key>& tasks);
+    /// Logs the loss of a worker with runs, and how many others were lost at that time.
+    void reportLoss(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now) const;
+    /// Logs and counts crashes of workers under their tasks, and gives up the jobs that are to blame.
+    void reportCrashes(const std::vector<counted_crash>& crashes, time_point now);
     void giveUp(open_job& job, const task_key& key);
     /// Returns whether tasks of the job start only on a worker that is reserved for it.
     bool isRestricted(const open_job& job) const;
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -30,7 +30,7 @@
 {
     const auto found = sessions.find(registration.id);
     if (found == sessions.end()) {
-        reportCrashes(registration.id, suspicion.noteBoot(registration, now));
+        reportCrashes(suspicion.noteBoot(registration, now), now);
         const worker_id id = registration.id;
         sessions.emplace(id, worker_session(std::move(registration), now));
         return;
@@ -59,7 +59,7 @@
     session = std::move(next);
     for (const auto& [key, current] : ended)
         handleLostRun(session, key, current, run_end_proof::worker_restarted, now);
-    reportCrashes(before.id, suspicion.noteRestart(before.id, before.bootTime, exposed, now));
+    reportCrashes(suspicion.noteRestart(before.id, before.bootTime, exposed, now), now);
 }
 
 void cell_owner::data::removeWorker(const worker_id& id)
@@ -246,7 +246,11 @@
     session.listed = true;
     noteEndList(session, answer.endsComplete);
     session.noteClock(answer.clock, now);
-    suspicion.noteAnswer(session.registration().id, session.registration().bootTime);
+    if (const auto cleared = suspicion.noteAnswer(session.registration().id, session.registration().bootTime); cleared > 0) {
+        ++counters.lostWorkersHeardAgain;
+        writeLog(log_level::info, "cell", "lost worker answers again",
+            { { "worker", session.registration().id.value }, { "runs", fmt::to_string(cleared) } });
+    }
     session.acknowledgedEnd = std::max(session.acknowledgedEnd, session.acknowledging);
     const std::uint64_t before = session.lastEnd;
     for (const auto& ended : answer.ended) {
--- a/cells/crash_suspicion.cpp
+++ b/cells/crash_suspicion.cpp
@@ -1,6 +1,7 @@
 #include "cells/crash_suspicion.h"
 
 #include <algorithm>
+#include <array>
 
 #include "cells/cell_settings.h"
 
@@ -22,6 +23,12 @@
 
 } // namespace
 
+std::string_view nameOf(crash_observation value)
+{
+    constexpr std::array<std::string_view, crashObservationCount> names { "restarted", "replaced", "silent" };
+    return names[static_cast<std::size_t>(value)];
+}
+
 const crash_suspicion::suspect* crash_suspicion::find(const task_key& task) const
 {
     const auto job = m_jobs.find(task.jobId);
@@ -63,24 +70,28 @@
     return runs;
 }
 
-std::vector<task_key> crash_suspicion::noteRestart(
+std::vector<counted_crash> crash_suspicion::noteRestart(
     const worker_id& worker, std::int64_t bootTime, std::vector<exposed_run> runs, time_point now)
 {
+    counted_crash crash { {}, crash_observation::restarted, worker, now };
     if (const auto silent = m_silent.find({ worker, bootTime }); silent != m_silent.end()) {
+        crash.lostAt = silent->second.since;
         const auto pending = takePending(silent);
         runs.insert(runs.end(), pending.begin(), pending.end());
     }
-    return countCrash(std::move(runs), now);
+    return countCrash(std::move(runs), crash, now);
 }
 
-std::vector<task_key> crash_suspicion::noteBoot(const worker_registration& worker, time_point now)
+std::vector<counted_crash> crash_suspicion::noteBoot(const worker_registration& worker, time_point now)
 {
-    std::vector<task_key> changed;
+    std::vector<counted_crash> changed;
     for (auto silent = m_silent.begin(); silent != m_silent.end();) {
         const auto next = std::next(silent);
-        const bool sameWorker = silent->first.first == worker.id || silent->second.address == worker.address;
-        if (sameWorker && silent->first.second < worker.bootTime) {
-            const auto counted = countCrash(takePending(silent), now);
+        const bool sameId = silent->first.first == worker.id;
+        if ((sameId || silent->second.address == worker.address) && silent->first.second < worker.bootTime) {
+            const counted_crash crash { {}, sameId ? crash_observation::restarted : crash_observation::replaced,
+                silent->first.first, silent->second.since };
+            const auto counted = countCrash(takePending(silent), crash, now);
             changed.insert(changed.end(), counted.begin(), counted.end());
         }
         silent = next;
@@ -88,25 +99,27 @@
     return changed;
 }
 
-void crash_suspicion::noteAnswer(const worker_id& worker, std::int64_t bootTime)
+std::size_t crash_suspicion::noteAnswer(const worker_id& worker, std::int64_t bootTime)
 {
     if (m_silent.empty())
-        return;
+        return 0;
     const auto silent = m_silent.find({ worker, bootTime });
     if (silent == m_silent.end())
-        return;
-    for (const auto& run : takePending(silent))
+        return 0;
+    const auto runs = takePending(silent);
+    for (const auto& run : runs)
         eraseIfClear(run.task);
+    return runs.size();
 }
 
-std::vector<task_key> crash_suspicion::countCrash(std::vector<exposed_run> runs, time_point now)
+std::vector<counted_crash> crash_suspicion::countCrash(std::vector<exposed_run> runs, const counted_crash& crash, time_point now)
 {
     const auto isUnlikely = [this](const exposed_run& run) { return run.established && !find(run.task); };
     if (!std::all_of(runs.begin(), runs.end(), isUnlikely))
         std::erase_if(runs, isUnlikely);
     const bool oneJob = std::all_of(
         runs.begin(), runs.end(), [&runs](const exposed_run& run) { return run.task.jobId == runs.front().task.jobId; });
-    std::vector<task_key> changed;
+    std::vector<counted_crash> changed;
     for (const auto& run : runs) {
         suspected_job& job = m_jobs[run.task.jobId];
         job.lastLoss = now;
@@ -114,7 +127,8 @@
         task.established = false;
         ++(run.confirmed ? task.counts.confirmed : task.counts.possible);
         task.counts.alone = oneJob;
-        changed.push_back(run.task);
+        changed.push_back(crash);
+        changed.back().task = run.task;
     }
     return changed;
 }
@@ -201,16 +215,17 @@
 
 void crash_suspicion::forget(const std::string& jobId) { m_jobs.erase(jobId); }
 
-std::vector<task_key> crash_suspicion::expire(time_point now)
+std::vector<counted_crash> crash_suspicion::expire(time_point now)
 {
-    std::vector<task_key> changed;
+    std::vector<counted_crash> changed;
     for (auto silent = m_silent.begin(); silent != m_silent.end();) {
         const auto next = std::next(silent);
         if (now > silent->second.since + crashVerdictLimit) {
+            const counted_crash crash { {}, crash_observation::silent, silent->first.first, silent->second.since };
             auto runs = takePending(silent);
             for (auto& run : runs)
                 run.confirmed = false;
-            const auto counted = countCrash(std::move(runs), now);
+            const auto counted = countCrash(std::move(runs), crash, now);
             changed.insert(changed.end(), counted.begin(), counted.end());
         }
         silent = next;
--- a/cells/crash_suspicion.h
+++ b/cells/crash_suspicion.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -24,6 +25,31 @@
     bool established = false;
 };
 
+/// What shows that a worker may have crashed.
+enum class crash_observation {
+    /// A later boot under the same id.
+    restarted,
+    /// A later boot of another worker at the same address.
+    replaced,
+    /// No answer for `crashVerdictLimit`.
+    silent,
+};
+
+/// Number of values of `crash_observation`.
+inline constexpr std::size_t crashObservationCount = static_cast<std::size_t>(crash_observation::silent) + 1;
+
+/// Returns the name of a value, as used in logs and metrics.
+std::string_view nameOf(crash_observation value);
+
+/// A crash that was counted under a task.
+struct counted_crash {
+    task_key task;
+    crash_observation observation = crash_observation::restarted;
+    worker_id worker;
+    /// When the owner gave the run up.
+    time_point lostAt;
+};
+
 /// Counts, for each task, the crashes of workers that had started it. A worker that stops answering has crashed if a later boot
 /// is registered under its id or at its address, and has not if it answers in the same boot; until then its runs are pending.
 /// Not thread-safe.
@@ -32,13 +58,13 @@
     /// Records the runs of a worker whose leases have ended in silence.
     void noteSilence(const worker_registration& worker, const std::vector<exposed_run>& runs, time_point now);
     /// Records that a worker has left the boot `bootTime` behind, with the runs that it had then, and counts a crash for its
-    /// pending runs as well. Returns the tasks whose counts have changed.
-    std::vector<task_key> noteRestart(
+    /// pending runs as well. Returns the counted crashes.
+    std::vector<counted_crash> noteRestart(
         const worker_id& worker, std::int64_t bootTime, std::vector<exposed_run> runs, time_point now);
-    /// Counts a crash for the pending runs of workers that `worker` has replaced. Returns the tasks whose counts have changed.
-    std::vector<task_key> noteBoot(const worker_registration& worker, time_point now);
-    /// Records that a worker has answered, so that it had not crashed in this boot.
-    void noteAnswer(const worker_id& worker, std::int64_t bootTime);
+    /// Counts a crash for the pending runs of workers that `worker` has replaced. Returns the counted crashes.
+    std::vector<counted_crash> noteBoot(const worker_registration& worker, time_point now);
+    /// Records that a worker has answered, so that it had not crashed in this boot. Returns the number of its pending runs.
+    std::size_t noteAnswer(const worker_id& worker, std::int64_t bootTime);
     /// Records that a run of the task has gone on for long enough to be an unlikely cause of crashes.
     void noteEstablished(const task_key& task);
     /// Records that the task is done.
@@ -67,8 +93,8 @@
     void forget(const std::string& jobId);
     /// Counts possible crashes for pending runs whose worker has not returned in time, and forgets jobs without crashes for a
     /// while.
-    /// Returns the tasks whose counts have changed.
-    std::vector<task_key> expire(time_point now);
+    /// Returns the counted crashes.
+    std::vector<counted_crash> expire(time_point now);
     void clear();
 
 private:
@@ -90,7 +116,8 @@
     using boot_key = std::pair<worker_id, std::int64_t>;
 
     const suspect* find(const task_key& task) const;
-    std::vector<task_key> countCrash(std::vector<exposed_run> runs, time_point now);
+    /// Counts a crash for `runs`; each counted crash is a copy of `crash` with its task.
+    std::vector<counted_crash> countCrash(std::vector<exposed_run> runs, const counted_crash& crash, time_point now);
     /// Removes the pending runs of a boot and returns them.
     std::vector<exposed_run> takePending(std::map<boot_key, silent_worker>::iterator silent);
     void eraseIfClear(const task_key& task);
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -489,9 +489,9 @@
     const auto calls = store.counters();
     const auto [evacuationPhase, runsLeft] = owner.evacuation();
     std::vector<metrics::metric_sample> samples { { "task_starts_total", {}, cellCounters.starts },
-        { "jobs_given_up_total", {}, cellCounters.jobsGivenUp }, { "worker_crashes_total", {}, cellCounters.workerCrashes },
-        { "pauses_total", {}, cellCounters.pauses }, { "jobs_lent_total", {}, cellCounters.lentJobs },
-        { "jobs_relocated_total", {}, cellCounters.relocatedJobs },
+        { "jobs_given_up_total", {}, cellCounters.jobsGivenUp },
+        { "lost_workers_heard_again_total", {}, cellCounters.lostWorkersHeardAgain }, { "pauses_total", {}, cellCounters.pauses },
+        { "jobs_lent_total", {}, cellCounters.lentJobs }, { "jobs_relocated_total", {}, cellCounters.relocatedJobs },
         { "relocations_refused_total", {}, cellCounters.relocationsRefused },
         { "cell_evacuation_phase", {}, static_cast<std::uint64_t>(evacuationPhase) }, { "cell_runs", {}, runsLeft },
         { "jobs_out_of_contact_total", {}, cellCounters.jobsOutOfContact },
@@ -531,6 +531,9 @@
     for (std::size_t decision = 0; decision < cells::startDecisionCount; ++decision)
         samples.push_back({ "start_decisions_total", cells::nameOf(static_cast<cells::start_decision>(decision)),
             cellCounters.startDecisions[decision] });
+    for (std::size_t observation = 0; observation < cells::crashObservationCount; ++observation)
+        samples.push_back({ "worker_crashes_total", cells::nameOf(static_cast<cells::crash_observation>(observation)),
+            cellCounters.workerCrashes[observation] });
     for (std::size_t proof = 0; proof < cells::runEndProofCount; ++proof)
         samples.push_back(
             { "runs_lost_total", cells::nameOf(static_cast<cells::run_end_proof>(proof)), cellCounters.lostRuns[proof] });
