tests: Sound stored jobs are completed however their workers are lost

Four ways to lose workers under a task that does no harm, each of which ends its job as failed on this code: crashes behind cuts after the lease has ended, crashes of several workers at the same moment, silence for longer than a verdict takes, and losses without a verdict before a change of the owner.

--- /dev/null
+++ b/tests/cells/lost_workers_test.cpp
@@ -0,0 +1,126 @@
+// Checks that jobs whose tasks don't crash workers are completed, however often their workers are lost.
+#include <boost/test/unit_test.hpp>
+
+#include "tests/fakes/cell_fleet.h"
+#include "tests/fakes/fleet_checks.h"
+
+using namespace coriandermount;
+using namespace coriandermount::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A fleet that runs a stored job with one task, which does no harm.
+struct fleet_with_a_sound_job : cell_fleet {
+    explicit fleet_with_a_sound_job(unsigned vms = 2)
+        : cell_fleet(1, vms, workerCount)
+    {
+        runFor(2s);
+        store(owner(0), "sound", 1, 3s);
+    }
+
+    /// Runs the fleet until the task has started once more and has run for a while. Returns its worker.
+    std::string awaitNextRun()
+    {
+        for (auto passed = 0ms; passed < 60s && workers.runs().size() == seenRuns; passed += 10ms)
+            runFor(10ms);
+        BOOST_REQUIRE(workers.runs().size() > seenRuns);
+        seenRuns = workers.runs().size();
+        runFor(700ms);
+        return workers.runs().back().worker.value;
+    }
+
+    void setCutOff(const std::string& worker, bool cutOff) { workers.faults(worker).partitioned = cutOff; }
+
+    void expectCompletedWithin(std::chrono::milliseconds limit)
+    {
+        runFor(limit);
+        BOOST_TEST((state(0, "sound") == jobs::job_state::completed));
+        expectNoViolation(*this);
+    }
+
+    static constexpr unsigned workerCount = 12;
+    std::size_t seenRuns = 0;
+};
+
+struct fleet_of_three_vms_with_a_sound_job : fleet_with_a_sound_job {
+    fleet_of_three_vms_with_a_sound_job()
+        : fleet_with_a_sound_job(3)
+    {
+    }
+};
+
+/// Number of times that a worker is lost under the task.
+constexpr int losses = 4;
+/// Time after which the runs of a worker that is cut off have ended with its lease.
+constexpr auto leaseHasEnded = 2500ms;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_sound_stored_job)
+
+BOOST_AUTO_TEST_SUITE(is_completed)
+
+// Guards against crashes that are counted for runs that had ended with their lease before.
+BOOST_FIXTURE_TEST_CASE(after_its_workers_crash_behind_cuts, fleet_with_a_sound_job)
+{
+    for (int number = 0; number < losses; ++number) {
+        const std::string worker = awaitNextRun();
+        setCutOff(worker, true);
+        runFor(leaseHasEnded);
+        workers.crash(worker);
+        setCutOff(worker, false);
+    }
+    BOOST_TEST(workers.crashesUnder({ "sound", 0, 0, 0 }) == 0U);
+    expectCompletedWithin(30s);
+}
+
+// Guards against a crash of many workers at the same moment that is put down to each of their tasks.
+BOOST_FIXTURE_TEST_CASE(after_the_racks_of_its_workers_crash, fleet_with_a_sound_job)
+{
+    constexpr unsigned othersOfRack = 3;
+    for (int number = 0; number < losses; ++number) {
+        const std::string worker = awaitNextRun();
+        workers.crash(worker);
+        for (unsigned other = 0, crashed = 0; crashed < othersOfRack; ++other) {
+            if (workerName(0, other) == worker)
+                continue;
+            workers.crash(workerName(0, other));
+            ++crashed;
+        }
+    }
+    expectCompletedWithin(60s);
+}
+
+// Guards against silence that ends a job like a crash that was observed.
+BOOST_FIXTURE_TEST_CASE(after_its_workers_are_silent_for_longer_than_a_verdict_takes, fleet_with_a_sound_job)
+{
+    for (int number = 0; number < losses; ++number) {
+        const std::string worker = awaitNextRun();
+        setCutOff(worker, true);
+        runFor(cells::crashVerdictLimit + 3s);
+        setCutOff(worker, false);
+    }
+    expectCompletedWithin(60s);
+}
+
+// Guards against losses without a verdict that a new owner takes for crashes.
+BOOST_FIXTURE_TEST_CASE(after_its_workers_are_cut_off_before_each_change_of_the_owner, fleet_of_three_vms_with_a_sound_job)
+{
+    constexpr int takeovers = 5;
+    for (int number = 0; number < takeovers; ++number) {
+        const std::string worker = awaitNextRun();
+        setCutOff(worker, true);
+        runFor(leaseHasEnded);
+        const std::string vm = owner(0);
+        kill(vm);
+        runFor(2s);
+        start(vm);
+        setCutOff(worker, false);
+    }
+    expectCompletedWithin(60s);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
