--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -95,6 +95,7 @@
     endedUnstoredJobs.clear();
     orphanedEnds.clear();
     suspicion.clear();
+    toGiveUp.clear();
     jobsKeptAlive.clear();
     jobsLentEarlier.clear();
     jobsLentUnanswered.clear();
--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -12,6 +12,16 @@
     constexpr std::size_t workersPerReservation = 4;
     /// Workers that were last heard within this time of each other may have been lost together.
     constexpr std::chrono::milliseconds commonLossWindow { 1000 };
+    /// Time within which workers that were lost together are found: a few polls without an answer.
+    constexpr std::chrono::milliseconds commonLossReportLimit { 2000 };
+    /// Time within which a broken call is reported.
+    constexpr std::chrono::milliseconds brokenCallMargin { 50 };
+    /// Longest time for which the loss of a worker that is not polled counts as unnoticed.
+    constexpr std::chrono::milliseconds longestUnnoticedLoss { 2000 };
+    /// Time after an answer within which the leases of a worker have certainly not ended.
+    constexpr std::chrono::milliseconds certainLease = maxPollWait;
+    /// Time after its start within which a run is a likely cause when its worker is lost.
+    constexpr std::chrono::milliseconds startWindow { 100 };
 
     std::string millisecondsBetween(time_point from, time_point to)
     {
@@ -20,21 +30,44 @@
 
 } // namespace
 
-std::vector<exposed_run> cell_owner::data::exposedRuns(const worker_session& session)
+exposed_run cell_owner::data::exposedRun(
+    const worker_session& session, const task_key& key, const worker_run& current, time_point now)
 {
-    std::vector<exposed_run> exposed;
-    for (const auto& [key, current] : session.runs())
-        exposed.push_back({ key, current.confirmedAt.has_value(), session.isEstablished(current) });
+    const time_point startedAt = current.confirmedAt.value_or(current.sentAt);
+    exposed_run exposed { key, current.confirmedAt.has_value(), session.isEstablished(current), loss_timing::unknown };
+    // Refused connections tell when the worker had crashed at the latest; its silence only tells when it was last heard.
+    const time_point lostAtMost = session.refusedAt.value_or(now);
+    if ((session.refusedAt ? lostAtMost : session.lastAnswerAt) - startedAt <= startWindow)
+        exposed.timing = loss_timing::at_start;
+    else if (lostAtMost - session.lastAnswerAt <= certainLease && !current.leaseLimit)
+        exposed.timing = loss_timing::in_lease;
     return exposed;
 }
 
+void cell_owner::data::noteFall(const worker_session& session, time_point sentAt, time_point now)
+{
+    const worker_registration& worker = session.registration();
+    if (worker.draining)
+        return;
+    std::set<task_key> tasks;
+    for (const auto& [key, current] : session.runs())
+        tasks.insert(key);
+    // A call that was open for a while broke when the worker crashed.
+    const time_point from = now - sentAt > brokenCallMargin ? now - brokenCallMargin : session.lastAnswerAt;
+    suspicion.noteFall(worker.id, worker.bootTime, std::move(tasks), std::max(from, now - longestUnnoticedLoss), now);
+}
+
 void cell_owner::data::noteSilence(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now)
 {
     // A draining worker leaves as announced.
     const worker_registration& worker = session.registration();
     if (worker.draining)
         return;
-    suspicion.noteSilence(worker, dropped, now);
+    // A deregistered worker may have left as announced in a list that this owner has not read.
+    if (session.refusedAt && !session.deregistered)
+        reportLosses(suspicion.noteRefusal(worker, dropped, now), now);
+    else
+        suspicion.noteSilence(worker, dropped, now);
     reportLoss(session, dropped, now);
     for (const auto& run : dropped) {
         if (open_job* job = jobTable.find(run.task.jobId))
@@ -42,6 +75,16 @@
     }
 }
 
+void cell_owner::data::noteAlive(const worker_registration& worker)
+{
+    const auto cleared = suspicion.noteAlive(worker.id, worker.bootTime);
+    if (cleared == 0)
+        return;
+    ++counters.lostWorkersHeardAgain;
+    writeLog(log_level::info, "cell", "lost worker answers again",
+        { { "worker", worker.id.value }, { "runs", fmt::to_string(cleared) }, { "draining", worker.draining ? "yes" : "no" } });
+}
+
 void cell_owner::data::reportLoss(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now) const
 {
     if (dropped.empty())
@@ -57,22 +100,51 @@
             { "workers", fmt::to_string(sessions.size()) } });
 }
 
-void cell_owner::data::reportCrashes(const std::vector<counted_crash>& crashes, time_point now)
+void cell_owner::data::reportLosses(const std::vector<judged_loss>& losses, time_point now)
 {
-    for (const auto& crash : crashes) {
-        const task_key& key = crash.task;
-        ++counters.workerCrashes[static_cast<std::size_t>(crash.observation)];
+    for (const auto& loss : losses) {
+        const task_key& key = loss.task;
+        ++counters.workerCrashes[static_cast<std::size_t>(loss.observation)];
+        const bool toBlame = suspicion.isToBlame(key);
         writeLog(log_level::warning, "cell", "worker crashed under a task",
             { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
-                { "worker", crash.worker.value }, { "observation", std::string(nameOf(crash.observation)) },
-                { "since_loss_ms", millisecondsBetween(crash.lostAt, now) },
+                { "worker", loss.worker.value }, { "observation", std::string(nameOf(loss.observation)) },
+                { "since_loss_ms", millisecondsBetween(loss.lostAt, now) },
                 { "crashes", fmt::to_string(suspicion.crashesUnder(key)) },
-                { "outcome", suspicion.isToBlame(key) ? "to_blame" : "suspected" } });
+                { "attributed", fmt::to_string(suspicion.crashesAttributedTo(key)) },
+                { "outcome", toBlame ? "to_blame" : "suspected" } });
         open_job* job = jobTable.find(key.jobId);
         if (!job || job->ended || !job->contains(key))
             continue;
         job->dirty = true;
-        if (suspicion.isToBlame(key) && !isLongRunning(*job, key))
+        if (toBlame && !isLongRunning(*job, key))
+            giveUpLater(key, now);
+    }
+}
+
+void cell_owner::data::giveUpLater(const task_key& key, time_point now)
+{
+    if (toGiveUp.try_emplace(key, now + commonLossReportLimit).second)
+        lastBlamedAt = now;
+}
+
+bool cell_owner::data::isWitness(const worker_session& session) const
+{
+    return !toGiveUp.empty() && !session.deregistered && session.lastAnswerAt < lastBlamedAt;
+}
+
+void cell_owner::data::giveUpBlamed(time_point now)
+{
+    for (auto entry = toGiveUp.begin(); entry != toGiveUp.end();) {
+        const auto [key, due] = *entry;
+        open_job* job = jobTable.find(key.jobId);
+        const bool open = job && !job->ended;
+        if (open && due > now) {
+            ++entry;
+            continue;
+        }
+        entry = toGiveUp.erase(entry);
+        if (open && suspicion.isToBlame(key))
             giveUp(*job, key);
     }
 }
@@ -95,8 +167,8 @@
 bool cell_owner::data::isRestricted(const open_job& job) const
 {
     const std::string& id = job.accepted.work.id;
-    // A cut takes many workers at once, and their tasks would wait for each other. The limit on starts holds for stored jobs.
-    return suspicion.isRestricted(id) && !(job.accepted.work.answeredAtEnd && suspicion.isUnproven(id));
+    // A cut takes many workers at once, and their tasks would wait for each other.
+    return suspicion.isRestricted(id) && !suspicion.isUnproven(id);
 }
 
 bool cell_owner::data::scheduleRestricted(open_job& job, std::uint32_t step, time_point now)
@@ -109,10 +181,11 @@
         // A long-running task is started again however its runs end, so no verdict on it is awaited.
         const bool longRunning = isLongRunning(job, key);
         if (!longRunning && suspicion.isToBlame(key)) {
-            giveUp(job, key);
+            giveUpLater(key, now);
             return false;
         }
-        if ((longRunning || !suspicion.awaitsVerdict(key)) && !runsOnAnyWorker(key))
+        const bool mayStart = longRunning || (!suspicion.awaitsVerdict(key) && now >= suspicion.heldBackUntil(key));
+        if (mayStart && !runsOnAnyWorker(key))
             startable.push_back(index);
     }
     if (startable.empty()) {
@@ -185,7 +258,8 @@
 {
     if (suspicion.empty())
         return;
-    reportCrashes(suspicion.expire(now), now);
+    reportLosses(suspicion.expire(now), now);
+    giveUpBlamed(now);
     for (auto& [worker, session] : sessions) {
         if (session.reservedFor.empty())
             continue;
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -212,6 +212,10 @@
     std::optional<time_point> lastStartAt;
 
     crash_suspicion suspicion;
+    /// Tasks whose jobs are to be given up, and when.
+    std::map<task_key, time_point> toGiveUp;
+    /// When the last one was added.
+    time_point lastBlamedAt;
     cell_counters counters;
 
     data(jobs::record_store& target, worker_link& orders, const clock_source& time, jobs::record_stream source,
@@ -496,16 +500,26 @@
     cell_load currentLoad() const;
 
     // Jobs that crash workers: cell_owner_crashes.cpp.
-    /// Returns the runs that a worker may be executing.
-    static std::vector<exposed_run> exposedRuns(const worker_session& session);
+    /// Returns what is known of a run of a worker that was lost.
+    static exposed_run exposedRun(const worker_session& session, const task_key& key, const worker_run& current, time_point now);
+    /// Records that a worker was first found not to answer, with the runs that it may have been executing. `sentAt` is the time
+    /// of the call that was refused.
+    void noteFall(const worker_session& session, time_point sentAt, time_point now);
     /// Records that a worker has stopped answering while it may have executed the given runs.
     void noteSilence(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now);
+    /// Records that a worker has not crashed in its present boot.
+    void noteAlive(const worker_registration& worker);
     /// Returns whether the task runs until its job is cancelled, so that it is never given up.
     static bool isLongRunning(const open_job& job, const task_key& key);
     /// Logs the loss of a worker with runs, and how many others were lost at that time.
     void reportLoss(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now) const;
-    /// Logs and counts crashes of workers under their tasks, and gives up the jobs that are to blame.
-    void reportCrashes(const std::vector<counted_crash>& crashes, time_point now);
+    /// Logs and counts losses of workers under their tasks.
+    void reportLosses(const std::vector<judged_loss>& losses, time_point now);
+    /// Gives up the job of a task that is to blame, unless other workers turn out to have been lost together with its own.
+    void giveUpLater(const task_key& key, time_point now);
+    /// Returns whether a call to the worker would show whether it was lost together with those of a job that is to be given up.
+    bool isWitness(const worker_session& session) const;
+    void giveUpBlamed(time_point now);
     void giveUp(open_job& job, const task_key& key);
     /// Returns whether tasks of the job start only on a worker that is reserved for it.
     bool isRestricted(const open_job& job) const;
--- a/cells/cell_owner_orders.cpp
+++ b/cells/cell_owner_orders.cpp
@@ -80,7 +80,11 @@
 
 void cell_owner::data::noteCall(worker_session* session, time_point sentAt, std::optional<order_failure> failure, time_point now)
 {
-    if (failure == order_failure::not_sent || (failure && mayBeOwnLag(*failure, now)))
+    if (session && failure == order_failure::connection_refused && !session->refusedAt) {
+        session->refusedAt = now;
+        noteFall(*session, sentAt, now);
+    }
+    if (failure && (isUnsent(*failure) || mayBeOwnLag(*failure, now)))
         return;
     if (failure == order_failure::no_answer) {
         // Of a worker that has fallen silent, only the first losses say something about the network.
@@ -110,7 +114,7 @@
     const auto now = clock.now();
     worker_session* addressed = sessionOf(addressee);
     noteCall(addressed, sentAt, answer ? std::nullopt : std::optional(answer.error()), now);
-    pace.noteEnd(now, answer || (answer.error() != order_failure::not_sent && answer.error() != order_failure::no_answer));
+    pace.noteEnd(now, answer || (!isUnsent(answer.error()) && answer.error() != order_failure::no_answer));
     if (!addressed)
         return;
     worker_session& session = *addressed;
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -30,7 +30,7 @@
 {
     const auto found = sessions.find(registration.id);
     if (found == sessions.end()) {
-        reportCrashes(suspicion.noteBoot(registration, now), now);
+        reportLosses(suspicion.noteBoot(registration, now), now);
         const worker_id id = registration.id;
         sessions.emplace(id, worker_session(std::move(registration), now));
         return;
@@ -42,6 +42,8 @@
         // A boot that was known from its answer to a poll only has no capacity yet.
         if (session.deregistered || session.registration().capacity.cpuMillis == 0)
             session.noteRegistered(now);
+        if (registration.draining)
+            noteAlive(registration);
         session.update(std::move(registration), now);
         return;
     }
@@ -51,7 +53,14 @@
             { "earlier_address", session.registration().address }, { "runs", fmt::to_string(session.runs().size()) } });
     const worker_registration before = session.registration();
     const bool crashed = registration.bootTime > before.bootTime && !before.draining;
-    const auto exposed = crashed ? exposedRuns(session) : std::vector<exposed_run>();
+    std::vector<exposed_run> exposed;
+    if (crashed) {
+        const bool notedBefore = session.refusedAt || session.failedPolls >= failedPollsOfLoss;
+        if (!session.runs().empty() && !notedBefore)
+            noteFall(session, now, now);
+        for (const auto& [key, current] : session.runs())
+            exposed.push_back(exposedRun(session, key, current, now));
+    }
     worker_session next(std::move(registration), now);
     next.pollInFlight = session.pollInFlight;
     next.pollNumber = session.pollNumber;
@@ -59,7 +68,7 @@
     session = std::move(next);
     for (const auto& [key, current] : ended)
         handleLostRun(session, key, current, run_end_proof::worker_restarted, now);
-    reportCrashes(suspicion.noteRestart(before.id, before.bootTime, exposed, now), now);
+    reportLosses(suspicion.noteRestart(before.id, before.bootTime, std::move(exposed), now), now);
 }
 
 void cell_owner::data::removeWorker(const worker_id& id)
@@ -82,7 +91,7 @@
         if (current.startableUntil > startableAtMost)
             continue;
         dropped.push_back(key);
-        exposed.push_back({ key, current.confirmedAt.has_value(), session.isEstablished(current) });
+        exposed.push_back(exposedRun(session, key, current, now));
     }
     noteSilence(session, exposed, now);
     for (const auto& key : dropped)
@@ -115,7 +124,7 @@
             entry = sessions.erase(entry);
             continue;
         }
-        if (session.failedPolls > 1 && !session.runs().empty() && runsEnded)
+        if (session.failedPolls >= failedPollsOfLoss && !session.runs().empty() && runsEnded)
             dropRuns(session, beforeGrace, run_end_proof::leases_ended, now);
         pollIfDue(session, now);
         ++entry;
@@ -126,7 +135,7 @@
 {
     session.toleratedLosses = calls.toleratedLosses();
     const bool needed = !session.listed || !session.runs().empty() || session.durableEnd > session.acknowledgedEnd
-        || session.lastEnd > session.durableEnd;
+        || session.lastEnd > session.durableEnd || session.failedPolls > 0 || isWitness(session);
     if (session.awaitsProof(now))
         pollAtOnce(session, now);
     else if (needed && !session.pollInFlight && now >= session.nextPoll)
@@ -231,6 +240,8 @@
     }
     if (++session.failedPolls == 1)
         logOrder("worker poll failed", {}, 0, session.registration().id, nameOf(failure));
+    if (session.failedPolls == failedPollsOfLoss && !session.refusedAt)
+        noteFall(session, now, now);
     const bool ownLag = mayBeOwnLag(failure, now);
     if (failure != order_failure::no_answer && !ownLag)
         session.pauseStartsUntil(now + refusalPause);
@@ -246,11 +257,7 @@
     session.listed = true;
     noteEndList(session, answer.endsComplete);
     session.noteClock(answer.clock, now);
-    if (const auto cleared = suspicion.noteAnswer(session.registration().id, session.registration().bootTime); cleared > 0) {
-        ++counters.lostWorkersHeardAgain;
-        writeLog(log_level::info, "cell", "lost worker answers again",
-            { { "worker", session.registration().id.value }, { "runs", fmt::to_string(cleared) } });
-    }
+    noteAlive(session.registration());
     session.acknowledgedEnd = std::max(session.acknowledgedEnd, session.acknowledging);
     const std::uint64_t before = session.lastEnd;
     for (const auto& ended : answer.ended) {
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -47,6 +47,8 @@
 inline constexpr std::chrono::milliseconds lossyPollMargin { 15 };
 /// Share of lost calls from which polls wait for shorter times.
 inline constexpr double lossyShare = 0.01;
+/// Number of consecutive failed polls from which on a worker counts as lost.
+inline constexpr int failedPollsOfLoss = 2;
 /// Number of failed polls up to which the pause before the next one grows.
 inline constexpr int maxPollBackoff = 5;
 /// Silence of a worker after which its lease is not extended any more, so that its runs can be requeued after the lease ends.
--- a/cells/crash_suspicion.cpp
+++ b/cells/crash_suspicion.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "cells/cell_settings.h"
 
@@ -9,23 +10,66 @@
 
 namespace {
 
-    /// Number of crashes under a task, with the task alone at the last one, after which it is to blame.
+    /// Number of crashes attributed to a task, with the task alone at the last one, after which it is to blame.
     constexpr std::uint32_t confirmedCrashesToBlame = 2;
     /// The same for crashes of workers of which some may not have started the task.
     constexpr std::uint32_t possibleCrashesToBlame = 3;
-    /// Number of crashes after which a task is to blame even if it was never alone. Keeps the number of starts within the
-    /// limit of the platform, which is six.
+    /// Number of attributed crashes after which a task is to blame even if it was never alone. Keeps the number of starts within
+    /// the limit of the platform, which is six.
     constexpr std::uint32_t crashesToGiveUp = 4;
-    /// Number of crashes from which on a task stays alone, however long its run goes on.
+    /// Number of attributed crashes from which on a task stays alone, however long its run goes on.
     constexpr std::uint32_t crashesUntilAlwaysAlone = 3;
+    /// Number of losses of any cause from which on a task is suspected, and from which on it waits after each further one.
+    constexpr std::uint32_t lossesUntilSuspected = 4;
+    constexpr std::uint32_t lossesUntilHeldBack = 5;
+    /// Number of unexplained losses from which on a task is suspected.
+    constexpr std::uint32_t unexplainedUntilSuspected = 2;
+    /// Number of workers lost at the same moment that have a cause in common whatever they executed.
+    constexpr std::size_t workersOfCommonLoss = 3;
+    /// Number of other lost workers that are kept for one loss.
+    constexpr std::size_t mostOthersKept = 16;
+    /// Largest distance of two losses at the same moment, beyond the uncertainty of their times.
+    constexpr std::chrono::milliseconds commonLossMargin { 50 };
+    /// How long the loss of a worker is compared with later reports of others.
+    constexpr std::chrono::milliseconds fallRetention { 30000 };
+    /// Pauses after `lossesUntilHeldBack` losses of any cause and after each further one.
+    constexpr std::array<std::chrono::milliseconds, 4> lossPauses { std::chrono::seconds(10), std::chrono::seconds(30),
+        std::chrono::seconds(160), std::chrono::seconds(600) };
+    /// Pauses after `unexplainedUntilSuspected` workers that have not returned and after each further one.
+    constexpr std::array<std::chrono::milliseconds, 4> vanishedPauses { std::chrono::seconds(10), std::chrono::seconds(50),
+        std::chrono::seconds(160), std::chrono::seconds(600) };
 
     std::uint32_t total(const jobs::crash_counts& counts) { return counts.confirmed + counts.possible; }
 
+    /// Returns the pause after a number of losses; there is none below `threshold`.
+    template <std::size_t Size>
+    std::chrono::milliseconds pauseAfter(
+        std::uint32_t losses, std::uint32_t threshold, const std::array<std::chrono::milliseconds, Size>& pauses)
+    {
+        if (losses < threshold)
+            return std::chrono::milliseconds(0);
+        return pauses[std::min<std::size_t>(losses - threshold, Size - 1)];
+    }
+
+    bool runsJob(const std::set<task_key>& tasks, const std::string& jobId)
+    {
+        const auto first = tasks.lower_bound({ jobId, 0, 0, 0 });
+        return first != tasks.end() && first->jobId == jobId;
+    }
+
+    std::set<task_key> tasksOf(const std::vector<exposed_run>& runs)
+    {
+        std::set<task_key> tasks;
+        for (const auto& run : runs)
+            tasks.insert(run.task);
+        return tasks;
+    }
+
 } // namespace
 
 std::string_view nameOf(crash_observation value)
 {
-    constexpr std::array<std::string_view, crashObservationCount> names { "restarted", "replaced", "silent" };
+    constexpr std::array<std::string_view, crashObservationCount> names { "restarted", "replaced", "refused", "silent" };
     return names[static_cast<std::size_t>(value)];
 }
 
@@ -38,99 +82,172 @@
     return found == job->second.tasks.end() ? nullptr : &found->second;
 }
 
-void crash_suspicion::noteSilence(const worker_registration& worker, const std::vector<exposed_run>& runs, time_point now)
+void crash_suspicion::compare(task_loss& loss, const std::string& jobId, const boot_key& boot, const fall& other)
+{
+    const bool together = other.from <= loss.to + commonLossMargin && loss.from <= other.to + commonLossMargin;
+    const bool isOther = boot.first != loss.worker.first && !runsJob(*other.tasks, jobId);
+    if (together && isOther && loss.others.size() < mostOthersKept)
+        loss.others.insert_or_assign(boot, other.tasks);
+}
+
+void crash_suspicion::noteFall(
+    const worker_id& worker, std::int64_t bootTime, std::set<task_key> tasks, time_point from, time_point to)
+{
+    const boot_key boot { worker, bootTime };
+    const fall added { std::make_shared<const std::set<task_key>>(std::move(tasks)), from, to };
+    for (auto& [jobId, job] : m_jobs) {
+        for (auto& [key, task] : job.tasks) {
+            for (auto& loss : task.losses)
+                compare(loss, jobId, boot, added);
+        }
+    }
+    m_falls.insert_or_assign(boot, added);
+}
+
+std::vector<judged_loss> crash_suspicion::addLosses(
+    const boot_key& worker, std::vector<exposed_run> runs, loss_verdict verdict, crash_observation observation, time_point now)
 {
+    const auto isUnlikely = [this](const exposed_run& run) { return run.established && !find(run.task); };
+    if (!std::all_of(runs.begin(), runs.end(), isUnlikely))
+        std::erase_if(runs, isUnlikely);
     if (runs.empty())
-        return;
-    silent_worker& silent = m_silent[{ worker.id, worker.bootTime }];
-    silent.address = worker.address;
-    silent.since = now;
+        return {};
+    // The younger runs are the likely causes.
+    const auto firstYoung = std::find_if(runs.begin(), runs.end(), [](const exposed_run& run) { return !run.established; });
+    const auto& likely = firstYoung == runs.end() ? runs.front() : *firstYoung;
+    const bool oneJob = std::all_of(runs.begin(), runs.end(), [&likely](const exposed_run& run) {
+        return run.task.jobId == likely.task.jobId || run.established != likely.established;
+    });
+    auto own = m_falls.find(worker);
+    if (own == m_falls.end()) {
+        noteFall(worker.first, worker.second, tasksOf(runs), now, now);
+        own = m_falls.find(worker);
+    }
+    std::vector<judged_loss> judged;
     for (const auto& run : runs) {
-        silent.runs.push_back(run);
         suspected_job& job = m_jobs[run.task.jobId];
-        job.lastLoss = now;
         suspect& task = job.tasks[run.task];
-        ++task.pending;
+        job.lastLoss = now;
+        task.lastLoss = now;
         task.established = false;
+        task_loss loss { worker, own->second.from, own->second.to, run.confirmed, run.timing, verdict, observation, oneJob, {} };
+        for (const auto& [boot, other] : m_falls)
+            compare(loss, run.task.jobId, boot, other);
+        task.losses.push_back(std::move(loss));
+        if (verdict == loss_verdict::pending)
+            continue;
+        judged.push_back({ run.task, observation, worker.first, now });
     }
+    return judged;
 }
 
-std::vector<exposed_run> crash_suspicion::takePending(std::map<boot_key, silent_worker>::iterator silent)
+std::vector<judged_loss> crash_suspicion::judge(
+    const boot_key& worker, const silent_worker& silent, loss_verdict verdict, crash_observation observation, time_point now)
 {
-    std::vector<exposed_run> runs = std::move(silent->second.runs);
-    m_silent.erase(silent);
-    for (const auto& run : runs) {
-        const auto job = m_jobs.find(run.task.jobId);
-        if (job == m_jobs.end())
+    std::vector<judged_loss> judged;
+    for (const auto& key : silent.tasks) {
+        const auto job = m_jobs.find(key.jobId);
+        if (job == m_jobs.end() || !job->second.tasks.contains(key))
             continue;
-        const auto task = job->second.tasks.find(run.task);
-        if (task != job->second.tasks.end() && task->second.pending > 0)
-            --task->second.pending;
+        for (auto& loss : job->second.tasks[key].losses) {
+            if (loss.worker != worker || loss.verdict == verdict)
+                continue;
+            loss.verdict = verdict;
+            loss.observation = observation;
+            job->second.lastLoss = now;
+            judged.push_back({ key, observation, worker.first, silent.since });
+        }
     }
-    return runs;
+    return judged;
 }
 
-std::vector<counted_crash> crash_suspicion::noteRestart(
+crash_suspicion::silent_worker& crash_suspicion::addSilent(const worker_registration& worker, time_point now)
+{
+    silent_worker& silent = m_silent[{ worker.id, worker.bootTime }];
+    silent.address = worker.address;
+    silent.since = now;
+    return silent;
+}
+
+void crash_suspicion::noteSilence(const worker_registration& worker, std::vector<exposed_run> runs, time_point now)
+{
+    if (runs.empty())
+        return;
+    silent_worker& silent = addSilent(worker, now);
+    silent.judged = false;
+    silent.tasks.merge(tasksOf(runs));
+    addLosses({ worker.id, worker.bootTime }, std::move(runs), loss_verdict::pending, crash_observation::silent, now);
+}
+
+std::vector<judged_loss> crash_suspicion::noteRefusal(
+    const worker_registration& worker, std::vector<exposed_run> runs, time_point now)
+{
+    if (runs.empty())
+        return {};
+    silent_worker& silent = addSilent(worker, now);
+    silent.judged = true;
+    silent.tasks.merge(tasksOf(runs));
+    return addLosses({ worker.id, worker.bootTime }, std::move(runs), loss_verdict::crashed, crash_observation::refused, now);
+}
+
+std::vector<judged_loss> crash_suspicion::noteRestart(
     const worker_id& worker, std::int64_t bootTime, std::vector<exposed_run> runs, time_point now)
 {
-    counted_crash crash { {}, crash_observation::restarted, worker, now };
-    if (const auto silent = m_silent.find({ worker, bootTime }); silent != m_silent.end()) {
-        crash.lostAt = silent->second.since;
-        const auto pending = takePending(silent);
-        runs.insert(runs.end(), pending.begin(), pending.end());
+    const boot_key boot { worker, bootTime };
+    auto judged = addLosses(boot, std::move(runs), loss_verdict::crashed, crash_observation::restarted, now);
+    if (const auto silent = m_silent.find(boot); silent != m_silent.end()) {
+        const auto pending = judge(boot, silent->second, loss_verdict::crashed, crash_observation::restarted, now);
+        judged.insert(judged.end(), pending.begin(), pending.end());
+        m_silent.erase(silent);
     }
-    return countCrash(std::move(runs), crash, now);
+    return judged;
 }
 
-std::vector<counted_crash> crash_suspicion::noteBoot(const worker_registration& worker, time_point now)
+std::vector<judged_loss> crash_suspicion::noteBoot(const worker_registration& worker, time_point now)
 {
-    std::vector<counted_crash> changed;
+    std::vector<judged_loss> judged;
     for (auto silent = m_silent.begin(); silent != m_silent.end();) {
         const auto next = std::next(silent);
         const bool sameId = silent->first.first == worker.id;
         if ((sameId || silent->second.address == worker.address) && silent->first.second < worker.bootTime) {
-            const counted_crash crash { {}, sameId ? crash_observation::restarted : crash_observation::replaced,
-                silent->first.first, silent->second.since };
-            const auto counted = countCrash(takePending(silent), crash, now);
-            changed.insert(changed.end(), counted.begin(), counted.end());
+            const auto observation = sameId ? crash_observation::restarted : crash_observation::replaced;
+            const auto ended = judge(silent->first, silent->second, loss_verdict::crashed, observation, now);
+            judged.insert(judged.end(), ended.begin(), ended.end());
+            m_silent.erase(silent);
         }
         silent = next;
     }
-    return changed;
+    return judged;
 }
 
-std::size_t crash_suspicion::noteAnswer(const worker_id& worker, std::int64_t bootTime)
+std::size_t crash_suspicion::noteAlive(const worker_id& worker, std::int64_t bootTime)
 {
-    if (m_silent.empty())
+    if (m_silent.empty() && m_falls.empty())
         return 0;
-    const auto silent = m_silent.find({ worker, bootTime });
+    const boot_key boot { worker, bootTime };
+    std::size_t cleared = 0;
+    if (m_falls.erase(boot) > 0) {
+        for (auto& [jobId, job] : m_jobs) {
+            for (auto& [key, task] : job.tasks) {
+                for (auto& loss : task.losses)
+                    loss.others.erase(boot);
+            }
+        }
+    }
+    const auto silent = m_silent.find(boot);
     if (silent == m_silent.end())
         return 0;
-    const auto runs = takePending(silent);
-    for (const auto& run : runs)
-        eraseIfClear(run.task);
-    return runs.size();
-}
-
-std::vector<counted_crash> crash_suspicion::countCrash(std::vector<exposed_run> runs, const counted_crash& crash, time_point now)
-{
-    const auto isUnlikely = [this](const exposed_run& run) { return run.established && !find(run.task); };
-    if (!std::all_of(runs.begin(), runs.end(), isUnlikely))
-        std::erase_if(runs, isUnlikely);
-    const bool oneJob = std::all_of(
-        runs.begin(), runs.end(), [&runs](const exposed_run& run) { return run.task.jobId == runs.front().task.jobId; });
-    std::vector<counted_crash> changed;
-    for (const auto& run : runs) {
-        suspected_job& job = m_jobs[run.task.jobId];
-        job.lastLoss = now;
-        suspect& task = job.tasks[run.task];
-        task.established = false;
-        ++(run.confirmed ? task.counts.confirmed : task.counts.possible);
-        task.counts.alone = oneJob;
-        changed.push_back(crash);
-        changed.back().task = run.task;
+    for (const auto& key : silent->second.tasks) {
+        const auto job = m_jobs.find(key.jobId);
+        if (job == m_jobs.end() || !job->second.tasks.contains(key))
+            continue;
+        suspect& task = job->second.tasks[key];
+        cleared += std::erase_if(task.losses, [&boot](const task_loss& loss) { return loss.worker == boot; });
+        if (task.losses.empty() && task.earlier == jobs::crash_counts {})
+            noteDone(key);
     }
-    return changed;
+    m_silent.erase(silent);
+    return cleared;
 }
 
 void crash_suspicion::noteEstablished(const task_key& task)
@@ -149,95 +266,162 @@
         m_jobs.erase(job);
 }
 
-void crash_suspicion::eraseIfClear(const task_key& task)
-{
-    const suspect* found = find(task);
-    if (found && found->pending == 0 && total(found->counts) == 0)
-        noteDone(task);
-}
-
 void crash_suspicion::restore(const task_key& task, const jobs::crash_counts& counts, time_point now)
 {
-    if (total(counts) == 0)
+    if (counts == jobs::crash_counts {})
         return;
     suspected_job& job = m_jobs[task.jobId];
     job.lastLoss = now;
-    job.tasks[task].counts = counts;
+    job.tasks[task].earlier = counts;
+    job.tasks[task].lastLoss = now;
 }
 
-jobs::crash_counts crash_suspicion::storedCounts(const task_key& task) const
+bool crash_suspicion::isOftenLost(const task_key& task) const
+{
+    const suspect* found = find(task);
+    return found && found->losses.size() + total(found->earlier) + found->earlier.unattributed >= unexplainedUntilSuspected;
+}
+
+bool crash_suspicion::hasCommonCause(const task_loss& loss) const
 {
+    if (loss.others.size() >= workersOfCommonLoss)
+        return true;
+    return std::any_of(loss.others.begin(), loss.others.end(), [this](const auto& other) {
+        const auto& tasks = *other.second;
+        return std::none_of(tasks.begin(), tasks.end(), [this](const task_key& key) { return isOftenLost(key); });
+    });
+}
+
+crash_suspicion::tally crash_suspicion::tallyOf(const task_key& task) const
+{
+    tally counted;
     const suspect* found = find(task);
     if (!found)
-        return {};
-    jobs::crash_counts counts = found->counts;
-    counts.possible += found->pending;
+        return counted;
+    counted.attributed = found->earlier;
+    counted.unrelated = std::exchange(counted.attributed.unattributed, 0);
+    for (const auto& loss : found->losses) {
+        const bool attributable = loss.verdict == loss_verdict::crashed && loss.timing != loss_timing::unknown;
+        if (hasCommonCause(loss)) {
+            ++counted.unrelated;
+        } else if (attributable) {
+            // Another worker at the address may have taken the place of one that had left.
+            const bool certain = loss.timing == loss_timing::at_start && loss.observation != crash_observation::replaced;
+            ++(loss.confirmed && certain ? counted.attributed.confirmed : counted.attributed.possible);
+            counted.attributed.alone = loss.alone;
+        } else {
+            ++(loss.verdict == loss_verdict::pending        ? counted.pending
+                    : loss.verdict == loss_verdict::crashed ? counted.crashed
+                                                            : counted.vanished);
+        }
+    }
+    return counted;
+}
+
+jobs::crash_counts crash_suspicion::storedCounts(const task_key& task) const
+{
+    const tally counted = tallyOf(task);
+    jobs::crash_counts counts = counted.attributed;
+    counts.unattributed = counted.unrelated + counted.unexplained();
     return counts;
 }
 
 std::uint32_t crash_suspicion::crashesUnder(const task_key& task) const
 {
     const suspect* found = find(task);
-    return found ? total(found->counts) : 0;
+    if (!found)
+        return 0;
+    const auto judged = std::count_if(
+        found->losses.begin(), found->losses.end(), [](const task_loss& loss) { return loss.verdict != loss_verdict::pending; });
+    return total(found->earlier) + found->earlier.unattributed + static_cast<std::uint32_t>(judged);
 }
 
+std::uint32_t crash_suspicion::crashesAttributedTo(const task_key& task) const { return total(tallyOf(task).attributed); }
+
 bool crash_suspicion::isRestricted(const std::string& jobId) const
 {
     const auto job = m_jobs.find(jobId);
-    return job != m_jobs.end() && std::any_of(job->second.tasks.begin(), job->second.tasks.end(), [](const auto& entry) {
-        return !entry.second.established || total(entry.second.counts) >= crashesUntilAlwaysAlone;
+    return job != m_jobs.end() && std::any_of(job->second.tasks.begin(), job->second.tasks.end(), [this](const auto& entry) {
+        return !entry.second.established || crashesAttributedTo(entry.first) >= crashesUntilAlwaysAlone;
     });
 }
 
 bool crash_suspicion::isUnproven(const std::string& jobId) const
 {
     const auto job = m_jobs.find(jobId);
-    return job == m_jobs.end() || std::all_of(job->second.tasks.begin(), job->second.tasks.end(), [](const auto& entry) {
-        return total(entry.second.counts) == 0 && entry.second.pending <= 1;
+    return job == m_jobs.end() || std::all_of(job->second.tasks.begin(), job->second.tasks.end(), [this](const auto& entry) {
+        const tally counted = tallyOf(entry.first);
+        return total(counted.attributed) == 0 && counted.unexplained() < unexplainedUntilSuspected
+            && counted.total() < lossesUntilSuspected;
     });
 }
 
 bool crash_suspicion::awaitsVerdict(const task_key& task) const
 {
-    const suspect* found = find(task);
-    return found && found->pending > 0 && total(found->counts) + found->pending >= confirmedCrashesToBlame;
+    const tally counted = tallyOf(task);
+    return counted.pending > 0 && total(counted.attributed) + counted.unexplained() >= confirmedCrashesToBlame;
 }
 
-bool crash_suspicion::isToBlame(const task_key& task) const
+time_point crash_suspicion::heldBackUntil(const task_key& task) const
 {
     const suspect* found = find(task);
     if (!found)
-        return false;
-    const auto& counts = found->counts;
+        return time_point::min();
+    const tally counted = tallyOf(task);
+    return found->lastLoss
+        + std::max(pauseAfter(counted.total(), lossesUntilHeldBack, lossPauses),
+            pauseAfter(counted.vanished, unexplainedUntilSuspected, vanishedPauses));
+}
+
+bool crash_suspicion::isToBlame(const task_key& task) const
+{
+    const jobs::crash_counts counts = tallyOf(task).attributed;
     const bool often = counts.confirmed >= confirmedCrashesToBlame || total(counts) >= possibleCrashesToBlame;
     return (counts.alone && often) || total(counts) >= crashesToGiveUp;
 }
 
-void crash_suspicion::forget(const std::string& jobId) { m_jobs.erase(jobId); }
-
-std::vector<counted_crash> crash_suspicion::expire(time_point now)
+void crash_suspicion::forget(const std::string& jobId)
 {
-    std::vector<counted_crash> changed;
-    for (auto silent = m_silent.begin(); silent != m_silent.end();) {
-        const auto next = std::next(silent);
-        if (now > silent->second.since + crashVerdictLimit) {
-            const counted_crash crash { {}, crash_observation::silent, silent->first.first, silent->second.since };
-            auto runs = takePending(silent);
-            for (auto& run : runs)
-                run.confirmed = false;
-            const auto counted = countCrash(std::move(runs), crash, now);
-            changed.insert(changed.end(), counted.begin(), counted.end());
+    const auto found = m_jobs.find(jobId);
+    if (found == m_jobs.end())
+        return;
+    const bool toBlame = std::any_of(
+        found->second.tasks.begin(), found->second.tasks.end(), [this](const auto& entry) { return isToBlame(entry.first); });
+    m_jobs.erase(found);
+    if (!toBlame)
+        return;
+    // The losses of its workers are explained, and say nothing about the losses of others.
+    std::erase_if(m_falls, [&jobId](const auto& entry) { return runsJob(*entry.second.tasks, jobId); });
+    for (auto& [id, job] : m_jobs) {
+        for (auto& [key, task] : job.tasks) {
+            for (auto& loss : task.losses)
+                std::erase_if(loss.others, [&jobId](const auto& other) { return runsJob(*other.second, jobId); });
         }
-        silent = next;
     }
-    std::erase_if(m_jobs, [now](const auto& entry) { return now > entry.second.lastLoss + suspicionRetention; });
-    return changed;
+}
+
+std::vector<judged_loss> crash_suspicion::expire(time_point now)
+{
+    std::vector<judged_loss> judged;
+    for (auto& [boot, silent] : m_silent) {
+        if (silent.judged || now <= silent.since + crashVerdictLimit)
+            continue;
+        silent.judged = true;
+        const auto vanished = judge(boot, silent, loss_verdict::vanished, crash_observation::silent, now);
+        judged.insert(judged.end(), vanished.begin(), vanished.end());
+    }
+    std::erase_if(m_silent, [now](const auto& entry) { return now > entry.second.since + suspicionRetention; });
+    std::erase_if(m_falls, [now](const auto& entry) { return now > entry.second.to + fallRetention; });
+    std::erase_if(
+        m_jobs, [now](const auto& entry) { return now > entry.second.lastLoss + vanishedPauses.back() + suspicionRetention; });
+    return judged;
 }
 
 void crash_suspicion::clear()
 {
     m_jobs.clear();
     m_silent.clear();
+    m_falls.clear();
 }
 
 } // namespace coriandermount::cells
--- a/cells/crash_suspicion.h
+++ b/cells/crash_suspicion.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -16,6 +17,16 @@
 
 namespace coriandermount::cells {
 
+/// When a worker was lost, relative to one of its runs.
+enum class loss_timing {
+    /// Just after the start of the run, or it was not heard any more from then on.
+    at_start,
+    /// Later, by a crash that came before the lease of the run can have ended.
+    in_lease,
+    /// Later, and the run may have ended with its lease before the worker crashed.
+    unknown,
+};
+
 /// A run that a worker may have been executing when it stopped answering.
 struct exposed_run {
     task_key task;
@@ -23,6 +34,7 @@
     bool confirmed = false;
     /// Whether the run had gone on for so long that it is an unlikely cause of a crash.
     bool established = false;
+    loss_timing timing = loss_timing::at_start;
 };
 
 /// What shows that a worker may have crashed.
@@ -31,6 +43,8 @@
     restarted,
     /// A later boot of another worker at the same address.
     replaced,
+    /// The worker's address refused connections.
+    refused,
     /// No answer for `crashVerdictLimit`.
     silent,
 };
@@ -41,8 +55,8 @@
 /// Returns the name of a value, as used in logs and metrics.
 std::string_view nameOf(crash_observation value);
 
-/// A crash that was counted under a task.
-struct counted_crash {
+/// A loss of a worker that was judged for one of its tasks.
+struct judged_loss {
     task_key task;
     crash_observation observation = crash_observation::restarted;
     worker_id worker;
@@ -50,21 +64,33 @@
     time_point lostAt;
 };
 
-/// Counts, for each task, the crashes of workers that had started it. A worker that stops answering has crashed if a later boot
-/// is registered under its id or at its address, and has not if it answers in the same boot; until then its runs are pending.
+/// Attributes crashes of workers to the tasks that they had started.
+///
+/// A worker that stops answering has crashed if its address refuses connections, or if a later boot is registered under its id or
+/// at its address; it has not if it answers in the same boot. Until then the loss is pending. A crash is attributed to a task if
+/// the worker is known to have crashed while it ran the task, unless other workers, which didn't run the job, were lost at the
+/// same moment: then the cause is common to them. Only attributed crashes make a task to blame; all losses together hold back
+/// further starts.
+///
 /// Not thread-safe.
 class crash_suspicion {
 public:
+    /// Records that a worker was first found not to answer, as a possible sign of a cause that several workers have in common.
+    /// It was lost between `from` and `to`, while it may have executed `tasks`.
+    void noteFall(const worker_id& worker, std::int64_t bootTime, std::set<task_key> tasks, time_point from, time_point to);
     /// Records the runs of a worker whose leases have ended in silence.
-    void noteSilence(const worker_registration& worker, const std::vector<exposed_run>& runs, time_point now);
+    void noteSilence(const worker_registration& worker, std::vector<exposed_run> runs, time_point now);
+    /// Records the runs of a worker whose leases have ended after its address had refused connections. Returns the judged losses.
+    std::vector<judged_loss> noteRefusal(const worker_registration& worker, std::vector<exposed_run> runs, time_point now);
     /// Records that a worker has left the boot `bootTime` behind, with the runs that it had then, and counts a crash for its
-    /// pending runs as well. Returns the counted crashes.
-    std::vector<counted_crash> noteRestart(
+    /// pending runs as well. Returns the judged losses.
+    std::vector<judged_loss> noteRestart(
         const worker_id& worker, std::int64_t bootTime, std::vector<exposed_run> runs, time_point now);
-    /// Counts a crash for the pending runs of workers that `worker` has replaced. Returns the counted crashes.
-    std::vector<counted_crash> noteBoot(const worker_registration& worker, time_point now);
-    /// Records that a worker has answered, so that it had not crashed in this boot. Returns the number of its pending runs.
-    std::size_t noteAnswer(const worker_id& worker, std::int64_t bootTime);
+    /// Counts a crash for the pending runs of workers that `worker` has replaced. Returns the judged losses.
+    std::vector<judged_loss> noteBoot(const worker_registration& worker, time_point now);
+    /// Records that a worker has answered or announced its departure, so that it had not crashed in this boot. Returns the number
+    /// of its runs that were counted or pending.
+    std::size_t noteAlive(const worker_id& worker, std::int64_t bootTime);
     /// Records that a run of the task has gone on for long enough to be an unlikely cause of crashes.
     void noteEstablished(const task_key& task);
     /// Records that the task is done.
@@ -72,37 +98,63 @@
 
     /// Sets the counts of a task to those that an earlier owner has stored.
     void restore(const task_key& task, const jobs::crash_counts& counts, time_point now);
-    /// Returns the counts of a task as they are stored: pending runs count as possible crashes.
+    /// Returns the counts of a task as they are stored.
     jobs::crash_counts storedCounts(const task_key& task) const;
-    /// Returns the number of crashes that are known under a task.
+    /// Returns the number of workers that have crashed or disappeared under a task, whatever the cause.
     std::uint32_t crashesUnder(const task_key& task) const;
+    /// Returns the number of crashes that are attributed to a task.
+    std::uint32_t crashesAttributedTo(const task_key& task) const;
 
     /// Returns whether no job is suspected, which saves the caller all other queries.
     bool empty() const { return m_jobs.empty(); }
     /// Returns whether tasks of the job may only be started on a worker that runs no other young runs.
     bool isRestricted(const std::string& jobId) const;
-    /// Returns whether no crash under the job is known and each of its tasks was lost once at most, so that its workers may be
-    /// cut off.
+    /// Returns whether the losses under each task of the job are so few, or so likely to have a common cause, that its tasks
+    /// start like those of other jobs.
     bool isUnproven(const std::string& jobId) const;
     /// Returns whether another start of the task should wait until it is known whether its last workers have crashed.
     bool awaitsVerdict(const task_key& task) const;
+    /// Returns when the task may be started again. The pause grows with the number of its losses.
+    time_point heldBackUntil(const task_key& task) const;
     /// Returns whether the task has crashed so many workers that it is not started any more.
     bool isToBlame(const task_key& task) const;
 
     /// Forgets a job.
     void forget(const std::string& jobId);
-    /// Counts possible crashes for pending runs whose worker has not returned in time, and forgets jobs without crashes for a
-    /// while.
-    /// Returns the counted crashes.
-    std::vector<counted_crash> expire(time_point now);
+    /// Judges losses whose worker has not returned in time, and forgets jobs without losses for a while.
+    /// Returns the judged losses.
+    std::vector<judged_loss> expire(time_point now);
     void clear();
 
 private:
+    using boot_key = std::pair<worker_id, std::int64_t>;
+    enum class loss_verdict { pending, crashed, vanished };
+    /// Time within which a worker was lost, and the tasks that it may have executed then.
+    struct fall {
+        std::shared_ptr<const std::set<task_key>> tasks;
+        time_point from;
+        time_point to;
+    };
+    struct task_loss {
+        boot_key worker;
+        time_point from;
+        time_point to;
+        bool confirmed = false;
+        loss_timing timing = loss_timing::at_start;
+        loss_verdict verdict = loss_verdict::pending;
+        /// What the verdict is based on; unused while it is pending.
+        crash_observation observation = crash_observation::silent;
+        /// Whether the worker ran no task of another job that was as likely a cause.
+        bool alone = false;
+        /// Other workers that were lost at that time without running the job, with their tasks.
+        std::map<boot_key, std::shared_ptr<const std::set<task_key>>> others;
+    };
     struct suspect {
-        jobs::crash_counts counts;
-        /// Number of silent workers that may have crashed under the task.
-        std::uint32_t pending = 0;
+        /// Counts that an earlier owner has stored.
+        jobs::crash_counts earlier;
+        std::vector<task_loss> losses;
         bool established = false;
+        time_point lastLoss;
     };
     struct suspected_job {
         std::map<task_key, suspect> tasks;
@@ -110,20 +162,44 @@
     };
     struct silent_worker {
         std::string address;
-        std::vector<exposed_run> runs;
+        std::set<task_key> tasks;
         time_point since;
+        /// Whether its losses were judged, which an answer of the worker revokes.
+        bool judged = false;
+    };
+    /// Losses under a task by what they say about it.
+    struct tally {
+        jobs::crash_counts attributed;
+        /// Losses that coincided with those of other workers, and those that an earlier owner has not attributed.
+        std::uint32_t unrelated = 0;
+        /// Other losses, by their verdicts.
+        std::uint32_t pending = 0;
+        std::uint32_t vanished = 0;
+        std::uint32_t crashed = 0;
+
+        std::uint32_t unexplained() const { return pending + vanished + crashed; }
+        std::uint32_t total() const { return attributed.confirmed + attributed.possible + unrelated + unexplained(); }
     };
-    using boot_key = std::pair<worker_id, std::int64_t>;
 
     const suspect* find(const task_key& task) const;
-    /// Counts a crash for `runs`; each counted crash is a copy of `crash` with its task.
-    std::vector<counted_crash> countCrash(std::vector<exposed_run> runs, const counted_crash& crash, time_point now);
-    /// Removes the pending runs of a boot and returns them.
-    std::vector<exposed_run> takePending(std::map<boot_key, silent_worker>::iterator silent);
-    void eraseIfClear(const task_key& task);
+    tally tallyOf(const task_key& task) const;
+    /// Adds `other` to the losses at the time of `loss` if it is one of them.
+    static void compare(task_loss& loss, const std::string& jobId, const boot_key& boot, const fall& other);
+    /// Returns whether the loss coincided with losses of other workers that their own tasks don't explain.
+    bool hasCommonCause(const task_loss& loss) const;
+    bool isOftenLost(const task_key& task) const;
+    /// Adds losses with the given verdict, and returns them unless they are pending.
+    std::vector<judged_loss> addLosses(const boot_key& worker, std::vector<exposed_run> runs, loss_verdict verdict,
+        crash_observation observation, time_point now);
+    /// Sets the verdict on the losses of a worker, and returns those whose verdict has changed.
+    std::vector<judged_loss> judge(
+        const boot_key& worker, const silent_worker& silent, loss_verdict verdict, crash_observation observation, time_point now);
+    silent_worker& addSilent(const worker_registration& worker, time_point now);
 
     std::map<std::string, suspected_job> m_jobs;
     std::map<boot_key, silent_worker> m_silent;
+    /// Workers that were lost recently.
+    std::map<boot_key, fall> m_falls;
 };
 
 } // namespace coriandermount::cells
--- a/cells/worker_link.cpp
+++ b/cells/worker_link.cpp
@@ -7,7 +7,7 @@
 std::string_view nameOf(order_failure value)
 {
     constexpr std::array<std::string_view, orderFailureCount> names { "fenced", "attempt_too_old", "too_late", "no_room",
-        "needs_ticket", "other_instance", "refused", "malformed", "not_sent", "no_answer" };
+        "needs_ticket", "other_instance", "refused", "malformed", "not_sent", "connection_refused", "no_answer" };
     return names[static_cast<std::size_t>(value)];
 }
 
--- a/cells/worker_link.h
+++ b/cells/worker_link.h
@@ -109,6 +109,8 @@
     malformed,
     /// The order was not sent.
     not_sent,
+    /// The order was not sent because no process listens at the worker's address. A poll may have been received before.
+    connection_refused,
     /// No answer arrived: the order may have been executed, or may still be.
     no_answer,
 };
@@ -119,6 +121,12 @@
 /// Returns the name of a value, as used in logs and metrics.
 std::string_view nameOf(order_failure value);
 
+/// Returns whether the failure shows that the order did not reach the worker.
+constexpr bool isUnsent(order_failure value)
+{
+    return value == order_failure::not_sent || value == order_failure::connection_refused;
+}
+
 /// Answer to a start or stop order that was carried out.
 struct order_answer {
     /// Time on the worker's clock when it answered.
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -206,6 +206,7 @@
 {
     lostCalls = 0;
     lastAnswerAt = now;
+    refusedAt.reset();
 }
 
 std::chrono::milliseconds worker_session::timeToNextEnd(time_point now) const
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -190,6 +190,8 @@
     int toleratedLosses = 0;
     /// When the worker last answered a call; when the session began if it has answered none.
     time_point lastAnswerAt;
+    /// When the worker's address first refused a connection since the last answer.
+    std::optional<time_point> refusedAt;
     /// Number of the last end that the owner has applied.
     std::uint64_t lastEnd = 0;
     /// Number of the last end that is durable or needs no record, and so may be acknowledged.
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -172,7 +172,8 @@
     for (const auto& current : outcomes) {
         list.push_back(json::array({ current.step, current.index, current.done, current.failedAttempts }));
         if (current.crashes != crash_counts {})
-            list.back().push_back(json::array({ current.crashes.confirmed, current.crashes.possible, current.crashes.alone }));
+            list.back().push_back(json::array(
+                { current.crashes.confirmed, current.crashes.possible, current.crashes.alone, current.crashes.unattributed }));
     }
     return pack(list);
 }
@@ -185,9 +186,13 @@
             outcomes.push_back({ numberIn<std::uint32_t>(current.at(0)), numberIn<std::uint32_t>(current.at(1)), current.at(2),
                 numbersIn<std::uint64_t>(current.at(3)) });
             // Records of earlier versions hold no crashes.
-            if (current.size() > 4)
-                outcomes.back().crashes = { numberIn<std::uint32_t>(current.at(4).at(0)),
-                    numberIn<std::uint32_t>(current.at(4).at(1)), current.at(4).at(2) };
+            if (current.size() <= 4)
+                continue;
+            const json& crashes = current.at(4);
+            outcomes.back().crashes
+                = { numberIn<std::uint32_t>(crashes.at(0)), numberIn<std::uint32_t>(crashes.at(1)), crashes.at(2) };
+            if (crashes.size() > 3)
+                outcomes.back().crashes.unattributed = numberIn<std::uint32_t>(crashes.at(3));
         }
         return outcomes;
     });
--- a/jobs/record_codec.h
+++ b/jobs/record_codec.h
@@ -29,6 +29,8 @@
     std::uint32_t possible = 0;
     /// Whether the last of these workers ran no task of another job that was as likely a cause.
     bool alone = false;
+    /// Losses of workers under the task that are not put down to it.
+    std::uint32_t unattributed = 0;
 
     friend auto operator<=>(const crash_counts&, const crash_counts&) = default;
 };
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -394,6 +394,9 @@
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     countTraffic(handle);
     const transport_progress progress = progressOf(*current);
+    long systemError = 0;
+    curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &systemError);
+    const bool connectionRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
     curl_multi_remove_handle(multi, handle);
     curl_easy_reset(handle);
     idleHandles.push_back(handle);
@@ -404,7 +407,7 @@
             return;
         }
         current->done(tl::unexpected<transport_error>(
-            transport_error { progress, code == CURLE_OPERATION_TIMEDOUT, curl_easy_strerror(code) }));
+            transport_error { progress, code == CURLE_OPERATION_TIMEDOUT, connectionRefused, curl_easy_strerror(code) }));
     });
 }
 
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -24,6 +24,8 @@
 struct transport_error {
     transport_progress progress = transport_progress::may_have_arrived;
     bool timedOut = false;
+    /// Whether the last connection was refused, so that no process listens at the address.
+    bool connectionRefused = false;
     /// Error text of libcurl.
     std::string message;
 };
--- a/peers/http_peers.cpp
+++ b/peers/http_peers.cpp
@@ -39,7 +39,7 @@
             done(std::move(frame.message));
         else
             done(tl::unexpected<net::transport_error>(
-                net::transport_error { net::transport_progress::may_have_arrived, false, frame.problem }));
+                net::transport_error { net::transport_progress::may_have_arrived, false, false, frame.problem }));
     });
 }
 
--- a/standins/network_faults.cpp
+++ b/standins/network_faults.cpp
@@ -48,7 +48,7 @@
 {
     if (m_faults.isLinkBlocked(m_vm, address)) {
         done(tl::unexpected<net::transport_error>(
-            net::transport_error { net::transport_progress::may_have_arrived, true, "link is blocked by the test" }));
+            net::transport_error { net::transport_progress::may_have_arrived, true, false, "link is blocked by the test" }));
         return;
     }
     m_real.call(address, method, std::move(message), timeout, std::move(done));
--- a/tests/cells/crash_suspicion_test.cpp
+++ b/tests/cells/crash_suspicion_test.cpp
@@ -17,6 +17,8 @@
     static exposed_run confirmed(const task_key& task) { return { task, true, false }; }
     static exposed_run unconfirmed(const task_key& task) { return { task, false, false }; }
     static exposed_run established(const task_key& task) { return { task, true, true }; }
+    static exposed_run heardLater(const task_key& task) { return { task, true, false, loss_timing::unknown }; }
+    static exposed_run lostInLease(const task_key& task) { return { task, true, false, loss_timing::in_lease }; }
 
     static worker_registration registration(const worker_id& id, const std::string& address, std::int64_t bootTime)
     {
@@ -94,9 +96,9 @@
     suspicion.noteSilence(firstOfB, { confirmed(first) }, now);
     BOOST_TEST(suspicion.isRestricted("first"));
     BOOST_TEST(suspicion.awaitsVerdict(first));
-    suspicion.noteAnswer(workerA, firstBoot);
+    suspicion.noteAlive(workerA, firstBoot);
     BOOST_TEST(!suspicion.awaitsVerdict(first));
-    suspicion.noteAnswer(workerB, firstBoot);
+    suspicion.noteAlive(workerB, firstBoot);
     BOOST_TEST(suspicion.empty());
 }
 
@@ -164,6 +166,108 @@
     BOOST_TEST(next.crashesUnder(first) == 2U);
 }
 
+BOOST_AUTO_TEST_SUITE(blame_no_task)
+
+// Guards against a job that fails because the cause of its losses took other workers as well.
+BOOST_AUTO_TEST_CASE(whose_workers_were_lost_together_with_others)
+{
+    for (std::int64_t boot = 0; boot < 3; ++boot) {
+        suspicion.noteFall(workerA, boot, { first }, now, now + 300ms);
+        suspicion.noteFall(workerB, boot, { { "beside" + std::to_string(boot), 0, 0, 0 } }, now + 200ms, now + 500ms);
+        suspicion.noteRestart(workerA, boot, { confirmed(first) }, now + 1s);
+        now += 10s;
+    }
+    BOOST_TEST(suspicion.crashesUnder(first) == 3U);
+    BOOST_TEST(suspicion.crashesAttributedTo(first) == 0U);
+    BOOST_TEST(suspicion.isUnproven("first"));
+}
+
+// Guards against a loss that is judged before the other workers that fell with it are found.
+BOOST_AUTO_TEST_CASE(when_an_idle_worker_is_found_lost_at_the_same_moment_later)
+{
+    for (std::int64_t boot = 0; boot < 2; ++boot) {
+        suspicion.noteFall(workerA, boot, { first }, now, now + 300ms);
+        suspicion.noteRestart(workerA, boot, { confirmed(first) }, now + 1s);
+        now += 10s;
+    }
+    BOOST_TEST(suspicion.isToBlame(first));
+    suspicion.noteFall(workerB, firstBoot, {}, now - 11s, now - 9s);
+    BOOST_TEST(!suspicion.isToBlame(first));
+}
+
+// Guards against crashes that are counted for runs that had ended with their leases.
+BOOST_AUTO_TEST_CASE(whose_workers_may_have_crashed_after_its_runs)
+{
+    for (std::int64_t boot = 0; boot < 8; ++boot)
+        suspicion.noteRestart(workerA, boot, { heardLater(first) }, now);
+    BOOST_TEST(!suspicion.isToBlame(first));
+    BOOST_TEST((suspicion.heldBackUntil(first) > now + 1min));
+}
+
+// Guards against two crashes by chance, at any time of the run, that end a job.
+BOOST_AUTO_TEST_CASE(whose_workers_crashed_twice_after_its_start)
+{
+    suspicion.noteRestart(workerA, firstBoot, { lostInLease(first) }, now);
+    suspicion.noteRestart(workerB, firstBoot, { lostInLease(first) }, now);
+    BOOST_TEST(suspicion.crashesAttributedTo(first) == 2U);
+    BOOST_TEST(!suspicion.isToBlame(first));
+    suspicion.noteRestart(workerB, secondBoot, { lostInLease(first) }, now);
+    BOOST_TEST(suspicion.isToBlame(first));
+}
+
+// Guards against workers that leave unseen and whose addresses are used again.
+BOOST_AUTO_TEST_CASE(whose_workers_were_replaced_at_their_addresses_twice)
+{
+    for (const auto& [worker, address] : { std::pair("worker-a", "address-a"), std::pair("worker-b", "address-b") }) {
+        suspicion.noteSilence(registration({ worker }, address, firstBoot), { confirmed(first) }, now);
+        suspicion.noteBoot(registration({ "next" }, address, secondBoot), now);
+    }
+    BOOST_TEST(suspicion.crashesAttributedTo(first) == 2U);
+    BOOST_TEST(!suspicion.isToBlame(first));
+}
+
+// Guards against a verdict that stands although the worker turns out to live.
+BOOST_AUTO_TEST_CASE(whose_workers_answer_after_the_verdict)
+{
+    suspicion.noteSilence(firstOfA, { confirmed(first) }, now);
+    suspicion.noteRefusal(firstOfB, { confirmed(first) }, now);
+    BOOST_TEST(suspicion.expire(now + crashVerdictLimit + 1s).size() == 1U);
+    BOOST_TEST(suspicion.crashesUnder(first) == 2U);
+    BOOST_TEST(suspicion.noteAlive(workerA, firstBoot) == 1U);
+    BOOST_TEST(suspicion.noteAlive(workerB, firstBoot) == 1U);
+    BOOST_TEST(suspicion.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(blame_both_of_two_tasks_that_crash_their_workers_at_the_same_moments)
+{
+    // Guards against tasks that excuse each other.
+    for (std::int64_t boot = 0; boot < 2; ++boot) {
+        suspicion.noteFall(workerA, boot, { first }, now, now + 300ms);
+        suspicion.noteFall(workerB, boot, { second }, now, now + 300ms);
+        suspicion.noteRestart(workerA, boot, { confirmed(first) }, now + 1s);
+        suspicion.noteRestart(workerB, boot, { confirmed(second) }, now + 1s);
+        now += 10s;
+    }
+    BOOST_TEST(suspicion.isToBlame(first));
+    BOOST_TEST(suspicion.isToBlame(second));
+}
+
+BOOST_AUTO_TEST_CASE(hold_a_task_back_for_longer_after_each_worker_that_does_not_return)
+{
+    auto pause = 0ms;
+    for (int number = 0; number < 4; ++number) {
+        suspicion.noteSilence(registration({ "worker-" + std::to_string(number) }, "", number), { confirmed(first) }, now);
+        suspicion.expire(now + crashVerdictLimit + 1s);
+        const auto next = std::chrono::duration_cast<std::chrono::milliseconds>(suspicion.heldBackUntil(first) - now);
+        BOOST_TEST((number == 0 ? next == 0ms : next > pause));
+        pause = next;
+        now += 20s;
+    }
+    BOOST_TEST(!suspicion.isToBlame(first));
+}
+
 BOOST_AUTO_TEST_CASE(are_absent_from_progress_that_an_earlier_version_has_stored)
 {
     const auto stored = jobs::decodeProgress("[[0,3,false,[7]]]").value();
--- a/tests/cells/crashing_tasks_test.cpp
+++ b/tests/cells/crashing_tasks_test.cpp
@@ -15,6 +15,8 @@
 
 /// Number of crashes under a task after which the platform allows no more than two further starts.
 constexpr std::size_t maxCrashes = 3;
+/// Number of starts of a task that crashes its workers at which the platform breaks off.
+constexpr std::size_t maxStartsOfPlatform = 6;
 /// Time within which an owner has recorded the crash of a worker.
 constexpr auto crashIsRecorded = virtual_workers::crashDowntime + 300ms;
 
@@ -82,6 +84,19 @@
     expectNoViolation(fleet);
 }
 
+BOOST_AUTO_TEST_CASE(is_given_up_when_the_addresses_of_its_workers_refuse_connections)
+{
+    cell_fleet fleet(1, 2, 4);
+    fleet.runFor(2s);
+    fleet.workers.refuseConnectionsAfterCrash();
+    makeJobDeadly(fleet, "deadly", 1);
+    fleet.store(fleet.owner(0), "deadly", 1, 300ms);
+    fleet.runFor(20s);
+    BOOST_TEST((fleet.state(0, "deadly") == jobs::job_state::failed));
+    BOOST_TEST(fleet.workers.crashesUnder(taskOf("deadly")) == 2U);
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(is_given_up_when_its_worker_leaves_the_list_after_each_crash)
 {
     // Guards against a crash that is not counted because the worker is deregistered before it returns.
@@ -111,13 +126,14 @@
     expectNoViolation(fleet);
 }
 
-BOOST_AUTO_TEST_CASE(is_given_up_when_its_workers_never_return)
+BOOST_AUTO_TEST_CASE(is_given_up_when_its_workers_end_and_never_return)
 {
     // Guards against crashes that are forgotten because the workers do not come back.
     cell_fleet fleet(1, 2, 6);
     fleet.runFor(2s);
     fleet.workers.unregisterAfterCrash(1500ms);
     fleet.workers.neverRestartAfterCrash();
+    fleet.workers.refuseConnectionsAfterCrash();
     makeJobDeadly(fleet, "deadly", 1);
     fleet.store(fleet.owner(0), "deadly", 1, 300ms);
     fleet.runFor(60s);
@@ -126,6 +142,23 @@
     expectNoViolation(fleet);
 }
 
+BOOST_AUTO_TEST_CASE(is_held_back_when_its_workers_fall_silent_and_never_return)
+{
+    // Guards against a task that takes one machine after another away. Nothing shows that they have crashed.
+    cell_fleet fleet(1, 2, 6);
+    fleet.runFor(2s);
+    fleet.workers.unregisterAfterCrash(1500ms);
+    fleet.workers.neverRestartAfterCrash();
+    makeJobDeadly(fleet, "deadly", 1);
+    fleet.store(fleet.owner(0), "deadly", 1, 300ms);
+    fleet.runFor(60s);
+    BOOST_TEST((fleet.state(0, "deadly") == jobs::job_state::running));
+    expectFewCrashes(fleet, "deadly", 1);
+    fleet.runFor(10min);
+    BOOST_TEST(fleet.workers.crashesUnder(taskOf("deadly")) < maxStartsOfPlatform);
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(is_given_up_when_it_crashes_workers_before_their_answer)
 {
     // Guards against a crash that is not counted because the start order was not answered.
--- a/tests/cells/lost_workers_test.cpp
+++ b/tests/cells/lost_workers_test.cpp
@@ -12,11 +12,11 @@
 
 /// A fleet that runs a stored job with one task, which does no harm.
 struct fleet_with_a_sound_job : cell_fleet {
-    explicit fleet_with_a_sound_job(unsigned vms = 2)
+    explicit fleet_with_a_sound_job(unsigned vms = 2, std::chrono::milliseconds duration = 3s)
         : cell_fleet(1, vms, workerCount)
     {
         runFor(2s);
-        store(owner(0), "sound", 1, 3s);
+        store(owner(0), "sound", 1, duration);
     }
 
     /// Runs the fleet until the task has started once more and has run for a while. Returns its worker.
@@ -30,6 +30,19 @@
         return workers.runs().back().worker.value;
     }
 
+    /// Crashes a worker and three others.
+    void crashRackOf(const std::string& worker)
+    {
+        constexpr unsigned othersOfRack = 3;
+        workers.crash(worker);
+        for (unsigned other = 0, crashed = 0; crashed < othersOfRack; ++other) {
+            if (workerName(0, other) == worker)
+                continue;
+            workers.crash(workerName(0, other));
+            ++crashed;
+        }
+    }
+
     void setCutOff(const std::string& worker, bool cutOff) { workers.faults(worker).partitioned = cutOff; }
 
     void expectCompletedWithin(std::chrono::milliseconds limit)
@@ -43,9 +56,10 @@
     std::size_t seenRuns = 0;
 };
 
+/// The task runs for longer than a change of the owner takes.
 struct fleet_of_three_vms_with_a_sound_job : fleet_with_a_sound_job {
     fleet_of_three_vms_with_a_sound_job()
-        : fleet_with_a_sound_job(3)
+        : fleet_with_a_sound_job(3, 8s)
     {
     }
 };
@@ -78,29 +92,31 @@
 // Guards against a crash of many workers at the same moment that is put down to each of their tasks.
 BOOST_FIXTURE_TEST_CASE(after_the_racks_of_its_workers_crash, fleet_with_a_sound_job)
 {
-    constexpr unsigned othersOfRack = 3;
-    for (int number = 0; number < losses; ++number) {
-        const std::string worker = awaitNextRun();
-        workers.crash(worker);
-        for (unsigned other = 0, crashed = 0; crashed < othersOfRack; ++other) {
-            if (workerName(0, other) == worker)
-                continue;
-            workers.crash(workerName(0, other));
-            ++crashed;
-        }
-    }
+    for (int number = 0; number < losses; ++number)
+        crashRackOf(awaitNextRun());
+    expectCompletedWithin(60s);
+}
+
+// Guards against the same when each crash is observed at once, since the addresses refuse connections.
+BOOST_FIXTURE_TEST_CASE(after_racks_whose_addresses_refuse_connections_crash, fleet_with_a_sound_job)
+{
+    workers.refuseConnectionsAfterCrash();
+    for (int number = 0; number < losses; ++number)
+        crashRackOf(awaitNextRun());
     expectCompletedWithin(60s);
 }
 
 // Guards against silence that ends a job like a crash that was observed.
 BOOST_FIXTURE_TEST_CASE(after_its_workers_are_silent_for_longer_than_a_verdict_takes, fleet_with_a_sound_job)
 {
+    std::vector<std::string> silent;
     for (int number = 0; number < losses; ++number) {
-        const std::string worker = awaitNextRun();
-        setCutOff(worker, true);
-        runFor(cells::crashVerdictLimit + 3s);
-        setCutOff(worker, false);
+        silent.push_back(awaitNextRun());
+        setCutOff(silent.back(), true);
     }
+    runFor(cells::crashVerdictLimit + 3s);
+    for (const auto& worker : silent)
+        setCutOff(worker, false);
     expectCompletedWithin(60s);
 }
 
@@ -112,6 +128,8 @@
         const std::string worker = awaitNextRun();
         setCutOff(worker, true);
         runFor(leaseHasEnded);
+        if (state(0, "sound") == jobs::job_state::failed)
+            break;
         const std::string vm = owner(0);
         kill(vm);
         runFor(2s);
--- a/tests/fakes/virtual_workers.cpp
+++ b/tests/fakes/virtual_workers.cpp
@@ -307,6 +307,8 @@
 {
     if (current.faults.partitioned)
         return order_transport::requestLost();
+    if (refusesConnections(current))
+        return order_transport::refused(order_failure::connection_refused);
     if (current.down)
         return order_transport::notSent();
     if (current.faults.orderDelay.count() > 0)
@@ -332,6 +334,10 @@
         [this, id, transport, timeout, answered, execute = std::move(execute), done = std::move(done),
             boot = m_workers.at(id.value).boot] {
             worker& current = m_workers.at(id.value);
+            if (transport.refusal == order_failure::connection_refused) {
+                done(tl::unexpected(order_failure::connection_refused));
+                return;
+            }
             if (current.boot != boot) {
                 if (answered)
                     failWithoutAnswer<order_answer>(m_loop, timeout, done);
@@ -396,6 +402,10 @@
     const worker_id& id, poll_order order, std::uint64_t boot, const worker_link::completion<poll_answer>& done)
 {
     worker& current = m_workers.at(id.value);
+    if (refusesConnections(current)) {
+        m_loop.after(oneWayLatency, [done] { done(tl::unexpected(order_failure::connection_refused)); });
+        return;
+    }
     if (current.faults.partitioned || current.down) {
         failWithoutAnswer<poll_answer>(m_loop, timeoutOf(order.answerLimit), done);
         return;
--- a/tests/fakes/virtual_workers.h
+++ b/tests/fakes/virtual_workers.h
@@ -71,6 +71,9 @@
     void renameAfterCrash() { m_renamesAfterCrash = true; }
     /// Sets that workers that crash never return; not by default.
     void neverRestartAfterCrash() { m_restartsAfterCrash = false; }
+    /// Sets that the addresses of workers that have crashed refuse connections, as when only the process has ended; by default
+    /// they don't answer.
+    void refuseConnectionsAfterCrash() { m_refusesAfterCrash = true; }
     /// Returns the workers of a failure domain that are not registered because they have crashed.
     std::vector<worker_id> unregistered(const std::string& domain) const;
     /// Makes a task crash every worker that starts it, `delay` after its start. Without a delay the worker does not answer.
@@ -148,6 +151,11 @@
     void executePoll(const worker_id& id, cells::poll_order order, std::uint64_t boot,
         const cells::worker_link::completion<cells::poll_answer>& done);
     bool isRegistered(const worker& current) const;
+    /// Returns whether the worker's address refuses connections.
+    bool refusesConnections(const worker& current) const
+    {
+        return m_refusesAfterCrash && current.down && !current.faults.partitioned;
+    }
     int percentOf(const recorded_run& run, bool hangs) const;
     cells::worker_time workerTimeOf(const worker& current) const;
     tl::expected<cells::order_answer, cells::order_failure> executeOrder(worker& current, const cells::start_order& order);
@@ -174,6 +182,7 @@
     std::optional<std::chrono::milliseconds> m_silenceUntilUnregistered;
     bool m_renamesAfterCrash = false;
     bool m_restartsAfterCrash = true;
+    bool m_refusesAfterCrash = false;
     std::vector<recorded_run> m_runs;
     std::vector<std::string> m_violations;
 };
