cells: Starts tasks of a suspected job only on workers with their label

Cause: while a task of a job that lost workers runs on the worker that is reserved for the job, the tasks of its other steps were started there as well, whatever label and capacity their step requires. Change: a reserved worker is used only for steps that may run on it; the tasks of other steps wait for the end of the runs there. The limit of tasks on a worker and the free capacity were checked before.

--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -233,8 +233,7 @@
             ++reservations;
             continue;
         }
-        if (!session.isHealthy(now) || !session.leaseAllowsStart(now) || !stepDefinition.need.fitsInto(registration.capacity)
-            || (!stepDefinition.requiredLabel.empty() && !session.hasLabel(stepDefinition.requiredLabel)))
+        if (!session.isHealthy(now) || !session.leaseAllowsStart(now) || !session.isLargeEnough(stepDefinition))
             continue;
         if (!isVerified(session)) {
             workersAwaitVerification = true;
@@ -244,8 +243,11 @@
             best = &session;
     }
     // While a suspected task runs on the reserved worker, the other tasks of the job run nowhere else.
-    if (reserved && reserved->runsOfJob(id) > 0)
-        return reserved->isHealthy(now) && reserved->leaseAllowsStart(now) && isVerified(*reserved) ? reserved : nullptr;
+    if (reserved && reserved->runsOfJob(id) > 0) {
+        const bool usable = reserved->isLargeEnough(stepDefinition) && reserved->isHealthy(now) && reserved->leaseAllowsStart(now)
+            && isVerified(*reserved);
+        return usable ? reserved : nullptr;
+    }
     if (!best || reservations >= std::max<std::size_t>(workers / workersPerReservation, 1))
         return nullptr;
     if (reserved)
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -525,7 +525,7 @@
     bool isRestricted(const open_job& job) const;
     /// Starts waiting tasks of a suspected job on the worker that is reserved for it; returns whether all of them were started.
     bool scheduleRestricted(open_job& job, std::uint32_t step, time_point now);
-    /// Reserves the best worker for a suspected job; returns null if there is none.
+    /// Reserves the best worker for a step of a suspected job; returns null if there is none.
     worker_session* reserveWorker(const open_job& job, std::uint32_t step, time_point now);
     /// Ends reservations that are not needed any more, and forgets suspicions that have expired.
     void checkSuspicions(time_point now);
