cells: Starts lost long-running tasks again beside each other

Cause: a job that lost workers starts its tasks on one reserved worker only. A long-running task never leaves it, so that a second one that has no place there was not started again while the suspicion lasted; without a limit of tasks on a worker, all came to one worker. Change: a long-running task that has no place of its own on a reserved worker starts like those of other jobs. Outside the reserved worker it is held back after its losses like other suspected tasks; on it, it starts again at once, as before. Result: two new tests failed before, with 3 of 4 tasks running 9 s after two crashes, and with two lost tasks on the same worker.

--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -196,16 +196,29 @@
         }
         return false;
     }
+    const jobs::step& stepDefinition = job.accepted.work.steps[step];
     worker_session* session = reserveWorker(job, step, now);
-    if (!session || !session->onlyEstablishedBeside(id))
+    if (session ? !session->onlyEstablishedBeside(id) : !stepDefinition.longRunning)
         return false;
-    const jobs::step& stepDefinition = job.accepted.work.steps[step];
     for (auto index = startable.rbegin(); index != startable.rend(); ++index) {
-        const bool tooMany = stepDefinition.maxPerWorker > 0 && session->runsOfStep(id, step) >= stepDefinition.maxPerWorker;
-        if (tooMany || !stepDefinition.need.fitsInto(session->free()))
+        const task_key key { id, 0, step, *index };
+        const std::uint32_t beside = session ? session->runsOfStep(id, step) : 0;
+        const bool tooMany = stepDefinition.maxPerWorker > 0 && beside >= stepDefinition.maxPerWorker;
+        worker_session* chosen = session && !tooMany && stepDefinition.need.fitsInto(session->free()) ? session : nullptr;
+        const bool mayStartElsewhere = stepDefinition.longRunning && now >= suspicion.heldBackUntil(key);
+        // Long-running tasks would wait for each other without end, and stay on one worker.
+        if (mayStartElsewhere && (!chosen || beside > 0)) {
+            if (worker_session* other = chooseWorker(job, step, job.task(key), {}, now))
+                chosen = other;
+        }
+        if (!chosen) {
+            // The next task may not be held back.
+            if (stepDefinition.longRunning && !mayStartElsewhere)
+                continue;
             break;
+        }
         std::erase(waiting, *index);
-        start(job, { id, 0, step, *index }, *session, now);
+        start(job, key, *chosen, now);
     }
     return waiting.empty();
 }
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -521,9 +521,10 @@
     bool isWitness(const worker_session& session) const;
     void giveUpBlamed(time_point now);
     void giveUp(open_job& job, const task_key& key);
-    /// Returns whether tasks of the job start only on a worker that is reserved for it.
+    /// Returns whether tasks of the job start only on a worker that is reserved for it. Long-running ones may start elsewhere.
     bool isRestricted(const open_job& job) const;
-    /// Starts waiting tasks of a suspected job on the worker that is reserved for it; returns whether all of them were started.
+    /// Starts waiting tasks of a suspected job on the worker that is reserved for it. Long-running tasks that have no place of
+    /// their own there start like those of other jobs, unless they are held back. Returns whether all tasks were started.
     bool scheduleRestricted(open_job& job, std::uint32_t step, time_point now);
     /// Reserves the best worker for a step of a suspected job; returns null if there is none.
     worker_session* reserveWorker(const open_job& job, std::uint32_t step, time_point now);
--- a/tests/cells/job_kinds_test.cpp
+++ b/tests/cells/job_kinds_test.cpp
@@ -201,6 +201,62 @@
     expectNoViolation(fleet);
 }
 
+// Guards against a task that is never started again (issue 2, review/8): it waited for the end of another task of its job, which
+// lasts as well, on the only worker that was reserved for the two.
+BOOST_AUTO_TEST_CASE(is_restarted_in_time_beside_another_one_whose_worker_crashed)
+{
+    cell_fleet fleet(1, 2, 8);
+    fleet.workers.refuseConnectionsAfterCrash();
+    fleet.runFor(2s);
+    jobs::step definition = longRunningStep(4);
+    definition.maxPerWorker = 1;
+    fleet.store(cell_fleet::vmName(0, 0), "a", definition, 300s);
+    fleet.runFor(5s);
+    BOOST_REQUIRE(runningTasks(fleet, "a") == 4U);
+    fleet.workers.crash(fleet.workers.runs()[0].worker.value);
+    fleet.workers.crash(fleet.workers.runs()[1].worker.value);
+    fleet.runFor(restartLimit);
+    BOOST_TEST(runningTasks(fleet, "a") == 4U);
+    expectNoViolation(fleet);
+}
+
+// Guards against a reservation that puts tasks of one job, which ran on several workers, on one.
+BOOST_AUTO_TEST_CASE(is_not_restarted_on_the_same_worker_as_another_one)
+{
+    cell_fleet fleet(1, 2, 8);
+    fleet.workers.refuseConnectionsAfterCrash();
+    fleet.runFor(2s);
+    fleet.store(cell_fleet::vmName(0, 0), "a", longRunningStep(2), 300s);
+    fleet.runFor(5s);
+    BOOST_REQUIRE(runningTasks(fleet, "a") == 2U);
+    fleet.workers.crash(fleet.workers.runs()[0].worker.value);
+    fleet.workers.crash(fleet.workers.runs()[1].worker.value);
+    fleet.runFor(restartLimit);
+    const auto& runs = fleet.workers.runs();
+    BOOST_REQUIRE(runs.size() == 4U);
+    BOOST_TEST(runs[2].worker.value != runs[3].worker.value);
+}
+
+// Guards against tasks that all crash workers at a time, again and again, because they last.
+BOOST_AUTO_TEST_CASE(is_held_back_if_it_crashes_workers_beside_another_one_that_does)
+{
+    constexpr std::uint32_t tasks = 3;
+    cell_fleet fleet(1, 2, 8);
+    fleet.workers.refuseConnectionsAfterCrash();
+    fleet.runFor(2s);
+    for (std::uint32_t index = 0; index < tasks; ++index)
+        fleet.workers.makeDeadly({ "a", 0, 0, index });
+    fleet.store(cell_fleet::vmName(0, 0), "a", longRunningStep(tasks), 300s);
+    fleet.runFor(30s);
+    const auto first = fleet.workers.runs().size();
+    fleet.runFor(30s);
+    const auto& runs = fleet.workers.runs();
+    BOOST_REQUIRE(runs.size() > first + 1);
+    for (auto number = first + 1; number < runs.size(); ++number)
+        BOOST_TEST((runs[number].worker == runs[number - 1].worker || runs[number].start > *runs[number - 1].end));
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(is_restarted_by_the_next_owner_after_crashes_of_its_workers)
 {
     cell_fleet fleet(1, 2, 4);
