cells: Starts the other tasks of a job beside its long-running ones

Cause: while a long-running task of a job that lost workers runs on the reserved worker, tasks of other steps that have no place there waited for its end, which comes with the cancellation of the job. Change: a run that is not awaited does not hold the reservation for steps whose tasks end. Result: the new test failed before: one of three tasks of the other step was completed 9 s after two of its workers had crashed.

--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -255,8 +255,11 @@
         if (!best || readiness(session) > readiness(*best))
             best = &session;
     }
-    // While a suspected task runs on the reserved worker, the other tasks of the job run nowhere else.
-    if (reserved && reserved->runsOfJob(id) > 0) {
+    // While a suspected task runs on the reserved worker, the other tasks of the job run nowhere else, unless it would outlast
+    // them.
+    const auto holdsJob
+        = [&](const auto& entry) { return entry.first.jobId == id && (stepDefinition.longRunning || !entry.second.longRunning); };
+    if (reserved && std::any_of(reserved->runs().begin(), reserved->runs().end(), holdsJob)) {
         const bool usable = reserved->isLargeEnough(stepDefinition) && reserved->isHealthy(now) && reserved->leaseAllowsStart(now)
             && isVerified(*reserved);
         return usable ? reserved : nullptr;
--- a/tests/cells/suspected_jobs_test.cpp
+++ b/tests/cells/suspected_jobs_test.cpp
@@ -1,4 +1,5 @@
 // Checks on which workers the tasks of a job start after its workers have crashed.
+#include <algorithm>
 #include <set>
 
 #include <boost/test/unit_test.hpp>
@@ -34,13 +35,14 @@
     }
 
     /// Submits the job, of which a worker runs at most one task of a step, and awaits the start of its tasks.
-    void submit()
+    void submit(bool firstIsLongRunning = false)
     {
         auto job = request(epoch, "job", 3, taskTime);
         jobs::step& first = job.accepted.work.steps.front();
         first.maxPerWorker = 1;
         first.requiredLabel = "a";
         job.accepted.work.steps.emplace_back(first).requiredLabel = "b";
+        job.accepted.work.steps.front().longRunning = firstIsLongRunning;
         run(job);
         runFor(300ms);
         BOOST_REQUIRE(workers.runs().size() == 6);
@@ -79,4 +81,19 @@
     BOOST_TEST((answers.front() == jobs::job_state::completed));
 }
 
+// Guards against tasks that wait for the end of a long-running one of their job on the reserved worker.
+BOOST_FIXTURE_TEST_CASE(completes_its_other_tasks_while_long_running_ones_go_on, job_on_two_kinds_of_workers)
+{
+    for (const auto& worker : workers.registrations("0"))
+        workers.faults(worker.id.value).hangs = kindOf(worker.id) == "a";
+    submit(true);
+    crashWorkersOfBothKinds();
+    runFor(9s);
+    const auto& runs = workers.runs();
+    const auto isDone = [](const recorded_run& run) { return run.task.step == 1 && run.done; };
+    const auto goesOn = [](const recorded_run& run) { return run.task.step == 0 && !run.end; };
+    BOOST_TEST(std::count_if(runs.begin(), runs.end(), isDone) == 3);
+    BOOST_TEST(std::count_if(runs.begin(), runs.end(), goesOn) == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
