cells: Reserves no worker that may not run another task of the step

Cause: the worker with the most free capacity was reserved for a suspected job even if it ran as many tasks of the step as a worker may; the lost task waited for the end of one of them although other workers had room. Change: such a worker is not reserved. Result: the new test failed before: 4 s after the crash the lost task had not started again.

--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -246,7 +246,8 @@
             ++reservations;
             continue;
         }
-        if (!session.isHealthy(now) || !session.leaseAllowsStart(now) || !session.isLargeEnough(stepDefinition))
+        const bool tooMany = stepDefinition.maxPerWorker > 0 && session.runsOfStep(id, step) >= stepDefinition.maxPerWorker;
+        if (tooMany || !session.isHealthy(now) || !session.leaseAllowsStart(now) || !session.isLargeEnough(stepDefinition))
             continue;
         if (!isVerified(session)) {
             workersAwaitVerification = true;
--- a/tests/cells/suspected_jobs_test.cpp
+++ b/tests/cells/suspected_jobs_test.cpp
@@ -96,4 +96,28 @@
     BOOST_TEST(std::count_if(runs.begin(), runs.end(), goesOn) == 3);
 }
 
+// Guards against a task that waits on a worker with another task of its step, of which a worker runs only one.
+BOOST_AUTO_TEST_CASE(does_not_wait_for_a_worker_that_runs_as_many_tasks_of_the_step_as_it_may)
+{
+    single_owner cell;
+    cell.workers.neverRestartAfterCrash();
+    cell.workers.refuseConnectionsAfterCrash();
+    cell.workers.add("first", "0", workerCpu);
+    cell.workers.add("second", "0", workerCpu);
+    cell.owner.takeOver({ epoch, false });
+    cell.owner.setWorkers(cell.workers.registrations("0"));
+    cell.runFor(4s);
+    auto job = cell.request(epoch, "job", 2, 9s);
+    job.accepted.work.steps.front().maxPerWorker = 1;
+    cell.run(job);
+    cell.workers.add("smaller", "0", workerCpu / 2);
+    cell.owner.setWorkers(cell.workers.registrations("0"));
+    cell.runFor(2s);
+    BOOST_REQUIRE(cell.workers.runs().size() == 2);
+    cell.workers.crash("first");
+    cell.runFor(4s);
+    BOOST_REQUIRE(cell.workers.runs().size() == 3);
+    BOOST_TEST(cell.workers.runs().back().worker.value == "smaller");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
