cells: Asks all workers at once when one is lost, and stores only settled crashes

Idle workers are now asked as soon as a worker with runs is lost. A crash is stored as attributed 1 s after it, and again whenever what is known of it changes. Losses of several workers that run tasks of one job only suspect the job. Tasks explain the loss of a worker only where they were its only likely cause. Workers that answer again stay evidence of a common cause. Runs that were taken over have no known start. A later boot after a verdict of silence, refused start orders, done tasks and runs that go well count for nothing.

--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -12,12 +12,11 @@
     constexpr std::size_t workersPerReservation = 4;
     /// Workers that were last heard within this time of each other may have been lost together.
     constexpr std::chrono::milliseconds commonLossWindow { 1000 };
-    /// Time within which workers that were lost together are found: a few polls without an answer.
-    constexpr std::chrono::milliseconds commonLossReportLimit { 2000 };
     /// Time within which a broken call is reported.
     constexpr std::chrono::milliseconds brokenCallMargin { 50 };
-    /// Longest time for which the loss of a worker that is not polled counts as unnoticed.
-    constexpr std::chrono::milliseconds longestUnnoticedLoss { 2000 };
+    /// Longest times for which a crash and a silence of a worker that is not polled count as unnoticed.
+    constexpr std::chrono::milliseconds longestUnnoticedCrash { 500 };
+    constexpr std::chrono::milliseconds longestUnnoticedSilence { 2000 };
     /// Time after an answer within which the leases of a worker have certainly not ended.
     constexpr std::chrono::milliseconds certainLease = maxPollWait;
     /// Time after its start within which a run is a likely cause when its worker is lost.
@@ -33,28 +32,44 @@
 exposed_run cell_owner::data::exposedRun(
     const worker_session& session, const task_key& key, const worker_run& current, time_point now)
 {
-    const time_point startedAt = current.confirmedAt.value_or(current.sentAt);
     exposed_run exposed { key, current.confirmedAt.has_value(), session.isEstablished(current), loss_timing::unknown };
+    // When a run that an earlier owner or an earlier boot has left was started is not known.
+    const bool startKnown = current.tries > 0 && current.startableUntil != noStartLimit;
     // Refused connections tell when the worker had crashed at the latest; its silence only tells when it was last heard.
     const time_point lostAtMost = session.refusedAt.value_or(now);
-    if ((session.refusedAt ? lostAtMost : session.lastAnswerAt) - startedAt <= startWindow)
+    if (startKnown && (session.refusedAt ? lostAtMost : session.lastAnswerAt) - current.sentAt <= startWindow)
         exposed.timing = loss_timing::at_start;
     else if (lostAtMost - session.lastAnswerAt <= certainLease && !current.leaseLimit)
         exposed.timing = loss_timing::in_lease;
     return exposed;
 }
 
+bool cell_owner::data::isOpen(const task_key& key)
+{
+    open_job* job = jobTable.find(key.jobId);
+    return job && !job->ended && job->contains(key) && job->task(key).phase != task_phase::done;
+}
+
 void cell_owner::data::noteFall(const worker_session& session, time_point sentAt, time_point now)
 {
     const worker_registration& worker = session.registration();
     if (worker.draining)
         return;
+    // What a worker did before it has answered this owner, and when it was lost, is not known.
+    if (!session.listed)
+        return;
     std::set<task_key> tasks;
-    for (const auto& [key, current] : session.runs())
-        tasks.insert(key);
+    for (const auto& [key, current] : session.runs()) {
+        // An order that was refused together with the connection has not started its task.
+        if (current.confirmedAt || current.uncertain)
+            tasks.insert(key);
+    }
+    if (!tasks.empty())
+        lastFallAt = now;
     // A call that was open for a while broke when the worker crashed.
     const time_point from = now - sentAt > brokenCallMargin ? now - brokenCallMargin : session.lastAnswerAt;
-    suspicion.noteFall(worker.id, worker.bootTime, std::move(tasks), std::max(from, now - longestUnnoticedLoss), now);
+    const auto longest = session.refusedAt ? longestUnnoticedCrash : longestUnnoticedSilence;
+    suspicion.noteFall(worker.id, worker.bootTime, std::move(tasks), std::max(from, now - longest), now);
 }
 
 void cell_owner::data::noteSilence(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now)
@@ -124,13 +139,12 @@
 
 void cell_owner::data::giveUpLater(const task_key& key, time_point now)
 {
-    if (toGiveUp.try_emplace(key, now + commonLossReportLimit).second)
-        lastBlamedAt = now;
+    toGiveUp.try_emplace(key, now + commonLossReportLimit);
 }
 
-bool cell_owner::data::isWitness(const worker_session& session) const
+bool cell_owner::data::isWitness(const worker_session& session, time_point now) const
 {
-    return !toGiveUp.empty() && !session.deregistered && session.lastAnswerAt < lastBlamedAt;
+    return session.lastAnswerAt < lastFallAt && now < lastFallAt + commonLossReportLimit && !session.deregistered;
 }
 
 void cell_owner::data::giveUpBlamed(time_point now)
@@ -275,10 +289,14 @@
 
 void cell_owner::data::checkSuspicions(time_point now)
 {
+    giveUpBlamed(now);
     if (suspicion.empty())
         return;
     reportLosses(suspicion.expire(now), now);
-    giveUpBlamed(now);
+    for (const auto& jobId : suspicion.takeChanges()) {
+        if (open_job* job = jobTable.find(jobId))
+            job->dirty = true;
+    }
     for (auto& [worker, session] : sessions) {
         if (session.reservedFor.empty())
             continue;
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -214,8 +214,8 @@
     crash_suspicion suspicion;
     /// Tasks whose jobs are to be given up, and when.
     std::map<task_key, time_point> toGiveUp;
-    /// When the last one was added.
-    time_point lastBlamedAt;
+    /// When a worker with runs was last found lost.
+    time_point lastFallAt;
     cell_counters counters;
 
     data(jobs::record_store& target, worker_link& orders, const clock_source& time, jobs::record_stream source,
@@ -502,6 +502,8 @@
     // Jobs that crash workers: cell_owner_crashes.cpp.
     /// Returns what is known of a run of a worker that was lost.
     static exposed_run exposedRun(const worker_session& session, const task_key& key, const worker_run& current, time_point now);
+    /// Returns whether the task belongs to a job that has not ended, and is not done.
+    bool isOpen(const task_key& key);
     /// Records that a worker was first found not to answer, with the runs that it may have been executing. `sentAt` is the time
     /// of the call that was refused.
     void noteFall(const worker_session& session, time_point sentAt, time_point now);
@@ -517,8 +519,8 @@
     void reportLosses(const std::vector<judged_loss>& losses, time_point now);
     /// Gives up the job of a task that is to blame, unless other workers turn out to have been lost together with its own.
     void giveUpLater(const task_key& key, time_point now);
-    /// Returns whether a call to the worker would show whether it was lost together with those of a job that is to be given up.
-    bool isWitness(const worker_session& session) const;
+    /// Returns whether a call to the worker would show whether it was lost together with another one.
+    bool isWitness(const worker_session& session, time_point now) const;
     void giveUpBlamed(time_point now);
     void giveUp(open_job& job, const task_key& key);
     /// Returns whether tasks of the job start only on a worker that is reserved for it. Long-running ones may start elsewhere.
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -58,8 +58,10 @@
         const bool notedBefore = session.refusedAt || session.failedPolls >= failedPollsOfLoss;
         if (!session.runs().empty() && !notedBefore)
             noteFall(session, now, now);
-        for (const auto& [key, current] : session.runs())
-            exposed.push_back(exposedRun(session, key, current, now));
+        for (const auto& [key, current] : session.runs()) {
+            if (isOpen(key))
+                exposed.push_back(exposedRun(session, key, current, now));
+        }
     }
     worker_session next(std::move(registration), now);
     next.pollInFlight = session.pollInFlight;
@@ -91,7 +93,8 @@
         if (current.startableUntil > startableAtMost)
             continue;
         dropped.push_back(key);
-        exposed.push_back(exposedRun(session, key, current, now));
+        if (isOpen(key))
+            exposed.push_back(exposedRun(session, key, current, now));
     }
     noteSilence(session, exposed, now);
     for (const auto& key : dropped)
@@ -135,7 +138,7 @@
 {
     session.toleratedLosses = calls.toleratedLosses();
     const bool needed = !session.listed || !session.runs().empty() || session.durableEnd > session.acknowledgedEnd
-        || session.lastEnd > session.durableEnd || session.failedPolls > 0 || isWitness(session);
+        || session.lastEnd > session.durableEnd || session.failedPolls > 0 || isWitness(session, now);
     if (session.awaitsProof(now))
         pollAtOnce(session, now);
     else if (needed && !session.pollInFlight && now >= session.nextPoll)
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -148,6 +148,8 @@
 inline constexpr std::chrono::milliseconds establishedTime { 1000 };
 /// How long a worker that has stopped answering may take to return and so to show whether it has crashed.
 inline constexpr std::chrono::milliseconds crashVerdictLimit { 10000 };
+/// Time within which the workers that were lost at the same moment as another one are found: a few polls without an answer.
+inline constexpr std::chrono::milliseconds commonLossReportLimit { 1000 };
 /// How long the crashes under the tasks of a job are remembered after the last one.
 inline constexpr std::chrono::milliseconds suspicionRetention { 180000 };
 /// A run is stalled when it has made no progress for `stallTime` and has run for longer than `stallEstimates` times its
--- a/cells/crash_suspicion.cpp
+++ b/cells/crash_suspicion.cpp
@@ -32,7 +32,7 @@
     constexpr std::chrono::milliseconds commonLossMargin { 50 };
     /// How long the loss of a worker is compared with later reports of others.
     constexpr std::chrono::milliseconds fallRetention { 30000 };
-    /// Pauses after `lossesUntilHeldBack` losses of any cause and after each further one.
+    /// Pauses after `lossesUntilHeldBack` losses without a common cause and after each further one.
     constexpr std::array<std::chrono::milliseconds, 4> lossPauses { std::chrono::seconds(10), std::chrono::seconds(30),
         std::chrono::seconds(160), std::chrono::seconds(600) };
     /// Pauses after `unexplainedUntilSuspected` workers that have not returned and after each further one.
@@ -57,6 +57,11 @@
         return first != tasks.end() && first->jobId == jobId;
     }
 
+    bool intersect(const std::set<task_key>& first, const std::set<task_key>& second)
+    {
+        return std::any_of(first.begin(), first.end(), [&second](const task_key& task) { return second.contains(task); });
+    }
+
     std::set<task_key> tasksOf(const std::vector<exposed_run>& runs)
     {
         std::set<task_key> tasks;
@@ -82,12 +87,19 @@
     return found == job->second.tasks.end() ? nullptr : &found->second;
 }
 
-void crash_suspicion::compare(task_loss& loss, const std::string& jobId, const boot_key& boot, const fall& other)
+bool crash_suspicion::compare(task_loss& loss, const task_key& task, const boot_key& boot, const fall& other)
 {
     const bool together = other.from <= loss.to + commonLossMargin && loss.from <= other.to + commonLossMargin;
-    const bool isOther = boot.first != loss.worker.first && !runsJob(*other.tasks, jobId);
-    if (together && isOther && loss.others.size() < mostOthersKept)
+    if (!together || boot.first == loss.worker.first || intersect(*other.tasks, *loss.tasks))
+        return false;
+    if (runsJob(*other.tasks, task.jobId)) {
+        loss.withOthersOfJob = true;
+        return true;
+    }
+    const bool added = loss.others.size() < mostOthersKept;
+    if (added)
         loss.others.insert_or_assign(boot, other.tasks);
+    return added;
 }
 
 void crash_suspicion::noteFall(
@@ -97,8 +109,10 @@
     const fall added { std::make_shared<const std::set<task_key>>(std::move(tasks)), from, to };
     for (auto& [jobId, job] : m_jobs) {
         for (auto& [key, task] : job.tasks) {
-            for (auto& loss : task.losses)
-                compare(loss, jobId, boot, added);
+            for (auto& loss : task.losses) {
+                if (compare(loss, key, boot, added))
+                    m_changed.insert(jobId);
+            }
         }
     }
     m_falls.insert_or_assign(boot, added);
@@ -130,9 +144,12 @@
         job.lastLoss = now;
         task.lastLoss = now;
         task.established = false;
-        task_loss loss { worker, own->second.from, own->second.to, run.confirmed, run.timing, verdict, observation, oneJob, {} };
+        task_loss loss { worker, own->second.from, own->second.to, run.confirmed, run.timing, verdict, observation };
+        loss.tasks = own->second.tasks;
+        loss.likely = run.established == likely.established;
+        loss.alone = oneJob && loss.likely;
         for (const auto& [boot, other] : m_falls)
-            compare(loss, run.task.jobId, boot, other);
+            compare(loss, run.task, boot, other);
         task.losses.push_back(std::move(loss));
         if (verdict == loss_verdict::pending)
             continue;
@@ -152,6 +169,9 @@
         for (auto& loss : job->second.tasks[key].losses) {
             if (loss.worker != worker || loss.verdict == verdict)
                 continue;
+            // After so long a silence, a later boot says nothing about the run.
+            if (loss.verdict == loss_verdict::vanished)
+                loss.timing = loss_timing::unknown;
             loss.verdict = verdict;
             loss.observation = observation;
             job->second.lastLoss = now;
@@ -185,9 +205,13 @@
     if (runs.empty())
         return {};
     silent_worker& silent = addSilent(worker, now);
+    auto judged = judge({ worker.id, worker.bootTime }, silent, loss_verdict::crashed, crash_observation::refused, now);
     silent.judged = true;
     silent.tasks.merge(tasksOf(runs));
-    return addLosses({ worker.id, worker.bootTime }, std::move(runs), loss_verdict::crashed, crash_observation::refused, now);
+    const auto added
+        = addLosses({ worker.id, worker.bootTime }, std::move(runs), loss_verdict::crashed, crash_observation::refused, now);
+    judged.insert(judged.end(), added.begin(), added.end());
+    return judged;
 }
 
 std::vector<judged_loss> crash_suspicion::noteRestart(
@@ -222,18 +246,10 @@
 
 std::size_t crash_suspicion::noteAlive(const worker_id& worker, std::int64_t bootTime)
 {
-    if (m_silent.empty() && m_falls.empty())
+    if (m_silent.empty())
         return 0;
     const boot_key boot { worker, bootTime };
     std::size_t cleared = 0;
-    if (m_falls.erase(boot) > 0) {
-        for (auto& [jobId, job] : m_jobs) {
-            for (auto& [key, task] : job.tasks) {
-                for (auto& loss : task.losses)
-                    loss.others.erase(boot);
-            }
-        }
-    }
     const auto silent = m_silent.find(boot);
     if (silent == m_silent.end())
         return 0;
@@ -243,6 +259,7 @@
             continue;
         suspect& task = job->second.tasks[key];
         cleared += std::erase_if(task.losses, [&boot](const task_loss& loss) { return loss.worker == boot; });
+        m_changed.insert(key.jobId);
         if (task.losses.empty() && task.earlier == jobs::crash_counts {})
             noteDone(key);
     }
@@ -279,7 +296,11 @@
 bool crash_suspicion::isOftenLost(const task_key& task) const
 {
     const suspect* found = find(task);
-    return found && found->losses.size() + total(found->earlier) + found->earlier.unattributed >= unexplainedUntilSuspected;
+    if (!found)
+        return false;
+    const auto alone
+        = std::count_if(found->losses.begin(), found->losses.end(), [](const task_loss& loss) { return loss.alone; });
+    return static_cast<std::uint32_t>(alone) + total(found->earlier) >= unexplainedUntilSuspected;
 }
 
 bool crash_suspicion::hasCommonCause(const task_loss& loss) const
@@ -292,7 +313,7 @@
     });
 }
 
-crash_suspicion::tally crash_suspicion::tallyOf(const task_key& task) const
+crash_suspicion::tally crash_suspicion::tallyOf(const task_key& task, bool settledOnly) const
 {
     tally counted;
     const suspect* found = find(task);
@@ -301,8 +322,10 @@
     counted.attributed = found->earlier;
     counted.unrelated = std::exchange(counted.attributed.unattributed, 0);
     for (const auto& loss : found->losses) {
-        const bool attributable = loss.verdict == loss_verdict::crashed && loss.timing != loss_timing::unknown;
-        if (hasCommonCause(loss)) {
+        const bool attributable
+            = loss.verdict == loss_verdict::crashed && loss.timing != loss_timing::unknown && (loss.settled || !settledOnly);
+        counted.ofSeveralTasks = counted.ofSeveralTasks || loss.withOthersOfJob;
+        if (!loss.likely || loss.withOthersOfJob || hasCommonCause(loss)) {
             ++counted.unrelated;
         } else if (attributable) {
             // Another worker at the address may have taken the place of one that had left.
@@ -320,7 +343,7 @@
 
 jobs::crash_counts crash_suspicion::storedCounts(const task_key& task) const
 {
-    const tally counted = tallyOf(task);
+    const tally counted = tallyOf(task, true);
     jobs::crash_counts counts = counted.attributed;
     counts.unattributed = counted.unrelated + counted.unexplained();
     return counts;
@@ -351,7 +374,7 @@
     const auto job = m_jobs.find(jobId);
     return job == m_jobs.end() || std::all_of(job->second.tasks.begin(), job->second.tasks.end(), [this](const auto& entry) {
         const tally counted = tallyOf(entry.first);
-        return total(counted.attributed) == 0 && counted.unexplained() < unexplainedUntilSuspected
+        return total(counted.attributed) == 0 && !counted.ofSeveralTasks && counted.unexplained() < unexplainedUntilSuspected
             && counted.total() < lossesUntilSuspected;
     });
 }
@@ -369,12 +392,15 @@
         return time_point::min();
     const tally counted = tallyOf(task);
     return found->lastLoss
-        + std::max(pauseAfter(counted.total(), lossesUntilHeldBack, lossPauses),
+        + std::max(pauseAfter(total(counted.attributed) + counted.unexplained(), lossesUntilHeldBack, lossPauses),
             pauseAfter(counted.vanished, unexplainedUntilSuspected, vanishedPauses));
 }
 
 bool crash_suspicion::isToBlame(const task_key& task) const
 {
+    // A task that runs well again is not the cause, whatever is learned of its earlier workers.
+    if (const suspect* found = find(task); !found || found->established)
+        return false;
     const jobs::crash_counts counts = tallyOf(task).attributed;
     const bool often = counts.confirmed >= confirmedCrashesToBlame || total(counts) >= possibleCrashesToBlame;
     return (counts.alone && often) || total(counts) >= crashesToGiveUp;
@@ -410,6 +436,16 @@
         const auto vanished = judge(boot, silent, loss_verdict::vanished, crash_observation::silent, now);
         judged.insert(judged.end(), vanished.begin(), vanished.end());
     }
+    for (auto& [jobId, job] : m_jobs) {
+        for (auto& [key, task] : job.tasks) {
+            for (auto& loss : task.losses) {
+                if (!loss.settled && now > loss.to + commonLossReportLimit) {
+                    loss.settled = true;
+                    m_changed.insert(jobId);
+                }
+            }
+        }
+    }
     std::erase_if(m_silent, [now](const auto& entry) { return now > entry.second.since + suspicionRetention; });
     std::erase_if(m_falls, [now](const auto& entry) { return now > entry.second.to + fallRetention; });
     std::erase_if(
@@ -422,6 +458,7 @@
     m_jobs.clear();
     m_silent.clear();
     m_falls.clear();
+    m_changed.clear();
 }
 
 } // namespace coriandermount::cells
--- a/cells/crash_suspicion.h
+++ b/cells/crash_suspicion.h
@@ -98,7 +98,7 @@
 
     /// Sets the counts of a task to those that an earlier owner has stored.
     void restore(const task_key& task, const jobs::crash_counts& counts, time_point now);
-    /// Returns the counts of a task as they are stored.
+    /// Returns the counts of a task as they are stored: a crash is attributed once it is settled.
     jobs::crash_counts storedCounts(const task_key& task) const;
     /// Returns the number of workers that have crashed or disappeared under a task, whatever the cause.
     std::uint32_t crashesUnder(const task_key& task) const;
@@ -119,6 +119,9 @@
     /// Returns whether the task has crashed so many workers that it is not started any more.
     bool isToBlame(const task_key& task) const;
 
+    /// Returns the jobs whose stored counts may have changed since the last call.
+    std::set<std::string> takeChanges() { return std::exchange(m_changed, {}); }
+
     /// Forgets a job.
     void forget(const std::string& jobId);
     /// Judges losses whose worker has not returned in time, and forgets jobs without losses for a while.
@@ -144,8 +147,16 @@
         loss_verdict verdict = loss_verdict::pending;
         /// What the verdict is based on; unused while it is pending.
         crash_observation observation = crash_observation::silent;
+        /// Whether the worker ran no task that was a likelier cause.
+        bool likely = true;
         /// Whether the worker ran no task of another job that was as likely a cause.
         bool alone = false;
+        /// Whether it is known which other workers were lost at that time.
+        bool settled = false;
+        /// Tasks that the worker may have executed.
+        std::shared_ptr<const std::set<task_key>> tasks;
+        /// Whether other workers were lost at that time while they ran other tasks of the job.
+        bool withOthersOfJob = false;
         /// Other workers that were lost at that time without running the job, with their tasks.
         std::map<boot_key, std::shared_ptr<const std::set<task_key>>> others;
     };
@@ -177,16 +188,21 @@
         std::uint32_t vanished = 0;
         std::uint32_t crashed = 0;
 
+        /// Whether several tasks of the job lost their workers together, so that the job may be the cause.
+        bool ofSeveralTasks = false;
+
         std::uint32_t unexplained() const { return pending + vanished + crashed; }
         std::uint32_t total() const { return attributed.confirmed + attributed.possible + unrelated + unexplained(); }
     };
 
     const suspect* find(const task_key& task) const;
-    tally tallyOf(const task_key& task) const;
-    /// Adds `other` to the losses at the time of `loss` if it is one of them.
-    static void compare(task_loss& loss, const std::string& jobId, const boot_key& boot, const fall& other);
+    /// Returns the losses under a task, or only those that are settled.
+    tally tallyOf(const task_key& task, bool settledOnly = false) const;
+    /// Adds `other` to the losses at the time of `loss` if it is one of them; returns whether it is.
+    static bool compare(task_loss& loss, const task_key& task, const boot_key& boot, const fall& other);
     /// Returns whether the loss coincided with losses of other workers that their own tasks don't explain.
     bool hasCommonCause(const task_loss& loss) const;
+    /// Returns whether the task was repeatedly the only likely cause of the loss of a worker.
     bool isOftenLost(const task_key& task) const;
     /// Adds losses with the given verdict, and returns them unless they are pending.
     std::vector<judged_loss> addLosses(const boot_key& worker, std::vector<exposed_run> runs, loss_verdict verdict,
@@ -198,6 +214,7 @@
 
     std::map<std::string, suspected_job> m_jobs;
     std::map<boot_key, silent_worker> m_silent;
+    std::set<std::string> m_changed;
     /// Workers that were lost recently.
     std::map<boot_key, fall> m_falls;
 };
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -189,10 +189,13 @@
             if (current.size() <= 4)
                 continue;
             const json& crashes = current.at(4);
-            outcomes.back().crashes
-                = { numberIn<std::uint32_t>(crashes.at(0)), numberIn<std::uint32_t>(crashes.at(1)), crashes.at(2) };
+            crash_counts& counts = outcomes.back().crashes;
+            counts = { numberIn<std::uint32_t>(crashes.at(0)), numberIn<std::uint32_t>(crashes.at(1)), crashes.at(2) };
+            // Earlier versions counted losses of any kind as crashes.
             if (crashes.size() > 3)
-                outcomes.back().crashes.unattributed = numberIn<std::uint32_t>(crashes.at(3));
+                counts.unattributed = numberIn<std::uint32_t>(crashes.at(3));
+            else
+                counts = { 0, 0, false, counts.confirmed + counts.possible };
         }
         return outcomes;
     });
--- a/tests/cells/lost_workers_test.cpp
+++ b/tests/cells/lost_workers_test.cpp
@@ -62,6 +62,21 @@
         : fleet_with_a_sound_job(3, 8s)
     {
     }
+
+    /// Crashes the racks of three workers of the job one after another, and kills the owner `delay` after each crash.
+    void crashRacksAndOwners(std::chrono::milliseconds delay)
+    {
+        constexpr int takeovers = 3;
+        workers.refuseConnectionsAfterCrash();
+        for (int number = 0; number < takeovers; ++number) {
+            crashRackOf(awaitNextRun());
+            runFor(delay);
+            const std::string vm = owner(0);
+            kill(vm);
+            runFor(2s);
+            start(vm);
+        }
+    }
 };
 
 /// Number of times that a worker is lost under the task.
@@ -139,6 +154,22 @@
     expectCompletedWithin(60s);
 }
 
+// Guards against a crash that is put down to a task before it is known what else was lost, and stored for the next owner.
+BOOST_FIXTURE_TEST_CASE(after_its_racks_crash_and_owners_die_as_they_notice, fleet_of_three_vms_with_a_sound_job)
+{
+    constexpr auto noticed = 1500ms;
+    crashRacksAndOwners(noticed);
+    expectCompletedWithin(60s);
+}
+
+// Guards against the same when the owner has learnt what else was lost, but not stored it.
+BOOST_FIXTURE_TEST_CASE(after_its_racks_crash_and_owners_die_later, fleet_of_three_vms_with_a_sound_job)
+{
+    constexpr auto othersAreKnown = 2500ms;
+    crashRacksAndOwners(othersAreKnown);
+    expectCompletedWithin(60s);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
