soak: Plays losses of workers under stored jobs

The soak lost few workers, and did not ask for the state of stored jobs.

Callers ask for the state of stored jobs. New rules: FAILED, UNENDED, DEADLY. The store's stand-in removes registrations of workers that are silent for three heartbeats.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -56,6 +56,26 @@
 KINDS = {"roll": 2, "freeze": 2, "term_frozen": 1, "kill": 2, "starve": 2, "pause_workers": 3, "late": 3, "store_down": 1,
          "store_loses": 3, "hup": 1, "config": 1, "crash_workers": 3, "mute_workers": 3,
          "cut_workers": 3, "cut_vms": 1, "evacuate": 1}
+# Losses of workers, drawn in two series of their own. Plays with one of them have racks of workers, mostly stored jobs, and longer tasks.
+LOSSES = {"crash_racks": 4, "crash_cut_off": 3, "vanish": 1}
+LOSS_LENGTHS_MS = (500, 1500, 3000, 5000, 8000, 8000)
+LOSS_STORED_SHARE = 0.6
+LOSS_RATE = 0.3
+# Constants of the stand-ins, drawn for each play with losses: the longest lease and the longest wait of a poll.
+HOLDS_MS, WAITS_MS = (700, 1000, 1500), (300, 1000, 2000)
+ABSENT_S = (1, 4)
+RENAMED_SHARE = 0.3
+# Longest time from a loss to the next of its series, which may come before its end.
+LONGEST_PAUSE_S = 3
+# Workers that stay in each failure domain, however many vanish.
+LEAST_WORKERS = 5
+# Seconds after the disruptions by which accepted jobs are completed: the verdict on a silent worker (10), the longest pause of a task that
+# a play of up to 25 s can bring about (40), the recovery of an owner (12), and the longest tasks, one after another.
+END_LIMIT_S = 90
+ASKED_TOGETHER = 20
+# Starts of a task that crashes its workers at which the platform breaks off.
+DEADLY_STARTS = 6
+DEADLY_SHARE = 0.3
 # They are drawn in a series of their own each, so that the draws of the others stay the same for a seed.
 APART = {"apart": ("crash_workers", "mute_workers", "cut_workers"), "vms": ("cut_vms",), "evacuations": ("evacuate",)}
 LIBC = ctypes.CDLL(None)
@@ -176,7 +196,7 @@
 loss_slack_ms = 200
 config_apply_ms = 2000
 recovery_s = 12
-max_hold_ms = 1000
+max_hold_ms = {play.hold_ms}
 kill_grace_ms = {int(KILL_GRACE_S * 1000)}
 evacuate_ms = {EVACUATION_BOUND_S * 1000}
 cancel_ms = 3000
@@ -258,7 +278,8 @@
 class Play:
     def __init__(self, program, seed, seconds, folder, kinds, large):
         self.program, self.seed, self.seconds, self.folder = os.path.abspath(program), seed, seconds, folder
-        self.kinds = {kind: KINDS[kind] for kind in kinds}
+        self.kinds = {kind: {**KINDS, **LOSSES}[kind] for kind in kinds}
+        self.has_losses = any(kind in LOSSES for kind in kinds)
         self.dice = random.Random(seed)
         self.began = time.monotonic()
         self.is_closing = False
@@ -268,15 +289,23 @@
         self.pairs = {}
         self.jobs = {}
         self.stored = set()
+        # Stored jobs that no answer has shown as ended, with the last answer; those that were accepted; and one that crashes its workers.
+        self.open_jobs, self.accepted, self.deadly = {}, set(), None
+        self.racks, self.vanished, self.lost_until = [], set(), 0.0
+        constants = random.Random(f"{seed} constants")
+        self.hold_ms, self.wait_ms = (constants.choice(HOLDS_MS), constants.choice(WAITS_MS)) if self.has_losses else (1000, 2000)
         # Tasks of stored jobs whose end as done was acknowledged.
         self.noted_stored_tasks = 0
         self.lags, self.stalls, self.late_answers = [], [], []
         self.killed_after_grace = 0
-        # Seconds until the last disruption and the last caller had ended, and until all VMs were ready.
-        self.quiet_after, self.ready_after = 0.0, 0.0
+        # Seconds until the last disruption and the last caller had ended, until all VMs were ready, and until stored jobs had ended.
+        self.quiet_after, self.ready_after, self.ended_after = 0.0, 0.0, 0.0
         # Times between which no task may start in a domain, and times in which VMs could not reach the store.
         self.evacuated, self.store_outages = [], []
         self.starts_in_evacuations = 0
+        self.deadly_starts = 0
+        # Number of tasks of stored jobs by the number of their runs that were lost.
+        self.lost_runs = {}
         self.cut_connections = 0
         # Whether VMs reach each other through a relay, which can cut them off. A relay accepts connections to VMs that are gone, so
         # every second seed does without.
@@ -289,12 +318,15 @@
         self.processes = []
         if large:
             self.vms_each, self.workers_each, self.together = [10] * 4, [25] * 4, 5
+        elif self.has_losses:
+            self.vms_each, self.workers_each = [[self.dice.randint(*span) for _ in range(2)] for span in ((2, 3), (8, 12))]
+            self.together = 4
         else:
             count = self.dice.randint(2, 4)
             self.vms_each = [self.dice.randint(2, 4) for _ in range(count)]
             self.workers_each, self.together = [self.dice.randint(3, 6) for _ in range(count)], 1
         self.domains = [f"domain-{chr(ord('a') + number)}" for number in range(len(self.vms_each))]
-        self.rate = (1.0 if large else 1.6) * sum(self.workers_each)
+        self.rate = (LOSS_RATE if self.has_losses else 1.0 if large else 1.6) * sum(self.workers_each)
         self.vms, self.workers = {}, {}
 
     def note(self, text):
@@ -351,12 +383,17 @@
             await self.until_served(self.relay, "serving")
         await self.configure({})
         for number, domain in enumerate(self.domains):
-            listed = [f"w-{domain[-1]}-{index}={network}.{number + 101}.{index + 1}:{FRONT}"
-                      for index in range(self.workers_each[number])]
+            count = self.workers_each[number]
+            # Racks of 3 to 6.
+            racks = self.dice.randint(-(-count // 6), count // 3) if self.has_losses else 1
+            names = [f"w-{domain[-1]}-{index}" for index in range(count)]
+            self.racks += [[name for index, name in enumerate(names) if index * racks // count == rack] for rack in range(racks)]
+            listed = [f"{name}={network}.{number + 101}.{index + 1}:{FRONT}={index * racks // count + 1}"
+                      for index, name in enumerate(names)]
             for first in range(0, len(listed), self.together):
                 group = listed[first:first + self.together]
                 process = Process(f"workers-{domain[-1]}-{first}", python + [
-                    os.path.join(HERE, "workers.py"), self.store_address, domain, SERVICE, *group],
+                    os.path.join(HERE, "workers.py"), self.store_address, domain, SERVICE, str(self.hold_ms), str(self.wait_ms), *group],
                     os.path.join(self.folder, f"workers-{domain[-1]}-{first}.log"))
                 self.processes.append(process)
                 for item in group:
@@ -485,7 +522,7 @@
         """Returns the id, the body and the caller's time of the next job. They depend on the seed and its number only."""
         dice = random.Random(f"{self.seed} job {len(self.jobs)}")
         job = f"{dice.getrandbits(64):016x}"
-        ms, count = dice.choice(LENGTHS_MS), dice.choice(COUNTS)
+        ms, count = dice.choice(LOSS_LENGTHS_MS if self.has_losses else LENGTHS_MS), dice.choice(COUNTS)
         phase = {"count": count, "cpu": 2000, "mem_mb": 64, "estimate_ms": ms}
         phases = [phase]
         if ms <= 500 and dice.random() < 0.2:
@@ -503,7 +540,7 @@
         wait = max(wait, dice.choices(list(PATIENCE_S), list(PATIENCE_S.values()))[0])
         leaving = [dice.uniform(0.02, min(wait, LATEST_LEAVING_S)) if dice.random() < LEAVING_SHARE else None
                    for _ in range(SUBMISSIONS)]
-        is_stored = dice.random() < STORED_SHARE
+        is_stored = dice.random() < (LOSS_STORED_SHARE if self.has_losses else STORED_SHARE)
         repeated_after = dice.uniform(*REPEATED_S) if dice.random() < REPEATED_SHARE else None
         return wait, leaving, is_stored, repeated_after
 
@@ -513,16 +550,75 @@
         submissions = self.jobs.setdefault(job, [])
         if is_stored:
             self.stored.add(job)
+            self.open_jobs[job] = "not asked"
             body = json.dumps({key: value for key, value in json.loads(body).items() if key != "best_effort"}).encode()
         for leaves_after in leaving:
             status = await self.submit(job, body, wait, submissions, leaves_after)
             if status not in (None, 502, 504):
+                if is_stored and status == 200:
+                    self.accepted.add(job)
+                elif is_stored and len(submissions) == 1:
+                    self.open_jobs.pop(job)
                 if is_stored and status == 200 and repeated_after is not None:
                     await asyncio.sleep(repeated_after)
                     await self.submit(job, body, wait, submissions)
                 return
             await asyncio.sleep(RETRANSMIT_S)
 
+    async def submit_deadly(self):
+        """Stores a job whose task crashes its worker each time it starts."""
+        dice = random.Random(f"{self.seed} deadly")
+        self.deadly = f"{dice.getrandbits(64):016x}"
+        self.stored.add(self.deadly)
+        spec = json.dumps({"ms": 5000, "cpu": 2000, "crash_after_ms": dice.choice([0, 50, 600])})
+        body = json.dumps({"spec": spec, "phases": [{"count": 1, "cpu": 2000, "mem_mb": 64, "estimate_ms": 5000}]}).encode()
+        await asyncio.sleep(dice.uniform(0, self.seconds / 2))
+        self.note(f"job {self.deadly} crashes its workers: {spec}")
+        for _ in range(SUBMISSIONS):
+            if await self.submit(self.deadly, body, 3, self.jobs.setdefault(self.deadly, [])) not in (None, 502, 504):
+                return
+            await asyncio.sleep(RETRANSMIT_S)
+
+    async def ask(self, job):
+        """Asks any VM for the state of a stored job that does no harm."""
+        vm, connection = await self.connect()
+        if connection is None:
+            return
+        process = vm.process
+        try:
+            status, _, raw = await asyncio.wait_for(connection.call("GET", f"/main/{job}", headers=[("Host", HOST)]), 2)
+        except (OSError, EOFError, ValueError, asyncio.TimeoutError):
+            connection.close()
+            return
+        if connection.is_open() and vm.process is process:
+            vm.idle.append(connection)
+        else:
+            connection.close()
+        if job not in self.open_jobs or status not in (200, 410):
+            return
+        self.open_jobs[job] = json.loads(raw).get("state") if status == 200 else "unknown"
+        if self.open_jobs[job] in ("failed", "cancelled"):
+            self.violation("FAILED", f"job {job} is shown as {self.open_jobs[job]} by {vm.name}; submissions {self.jobs[job]}")
+        if self.open_jobs[job] in ("failed", "cancelled", "completed"):
+            del self.open_jobs[job]
+
+    async def ask_again_and_again(self):
+        while True:
+            await asyncio.sleep(1)
+            jobs = list(self.open_jobs)
+            for first in range(0, len(jobs), ASKED_TOGETHER):
+                await asyncio.gather(*(self.ask(job) for job in jobs[first:first + ASKED_TOGETHER]))
+
+    async def until_ended(self):
+        """Waits until all accepted jobs are shown as ended."""
+        while waiting := self.accepted & self.open_jobs.keys():
+            if time.monotonic() - self.began > self.quiet_after + END_LIMIT_S:
+                for job in waiting:
+                    self.violation("UNENDED", f"job {job} is {self.open_jobs[job]} {END_LIMIT_S} s after the last disruption; "
+                                              f"submissions {self.jobs[job]}")
+                return
+            await asyncio.sleep(0.5)
+
     async def quiet_caller(self):
         """Submits a job after the disruptions until it is served, as a caller with patience does."""
         job, body, wait = self.new_job()
@@ -604,6 +700,41 @@
                                for name, seconds in zip(chosen, absent)))
         await asyncio.sleep(max(absent))
 
+    async def lose(self, dice, names, cut, crash=None, absent=None, renamed=False):
+        reaches_store = dice.randint(0, 1)
+        query = f"cut={cut}&store={reaches_store}"
+        if crash is not None:
+            query += f"&crash={crash}&absent={absent}&renamed={int(renamed)}"
+        self.note(f"{', '.join(names)} lost: {query}")
+        answers = await asyncio.gather(*(wire.call_once(self.workers[name][1], "POST", f"/standin/lose?{query}") for name in names))
+        if missed := [name for name, (status, _) in zip(names, answers) if status != 200]:
+            self.note(f"{', '.join(missed)} had been lost before")
+        lasts = max([seconds for seconds in (cut, (crash or 0) + (absent or 0)) if seconds < float("inf")], default=0)
+        self.lost_until = max(self.lost_until, time.monotonic() + lasts)
+        await asyncio.sleep(min(lasts, LONGEST_PAUSE_S))
+
+    async def crash_racks(self, dice):
+        for_all = dice.random() < 0.5
+        seconds = dice.uniform(*ABSENT_S)
+        racks = [[name for name in rack if name not in self.vanished] for rack in dice.sample(self.racks, dice.choice([1, 1, 2]))]
+        await asyncio.gather(*(self.lose(dice, rack, 0, 0, seconds if for_all else dice.uniform(*ABSENT_S),
+                                         dice.random() < RENAMED_SHARE) for rack in racks if rack))
+
+    async def crash_cut_off(self, dice):
+        left = [name for name in self.workers if name not in self.vanished]
+        cut = dice.choice([dice.uniform(0.5, 3), dice.uniform(2, 6), dice.uniform(10, 13)])
+        crash = dice.uniform(0, cut) if dice.random() < 0.8 else None
+        await self.lose(dice, dice.sample(left, dice.randint(1, 4)), cut, crash, dice.uniform(*ABSENT_S), dice.random() < RENAMED_SHARE)
+
+    async def vanish(self, dice):
+        domain = dice.choice(self.domains)
+        left = [name for name in self.workers if name.split("-")[1] == domain[-1] and name not in self.vanished]
+        if len(left) > LEAST_WORKERS:
+            name = dice.choice(left)
+            self.vanished.add(name)
+            # Its address refuses connections, or nothing is heard from it.
+            await self.lose(dice, [name], dice.choice([0, float("inf")]), 0, float("inf"))
+
     async def mute_workers(self, dice):
         chosen = dice.sample(list(self.workers), dice.randint(1, len(self.workers)))
         share, seconds = dice.choice([0.1, 0.2, 0.3]), dice.uniform(2, 5)
@@ -753,6 +884,7 @@
                 noted[event["task"]] = min(noted.get(event["task"], event["t"]), event["t"])
             else:
                 stops.setdefault(key, event["t"])
+        oldest_start = OLDEST_START_S * self.hold_ms / 1000
         self.noted_stored_tasks = sum(task.split(".")[0] in self.stored for task in noted)
         by_task = {}
         for key, run in runs.items():
@@ -764,8 +896,16 @@
             if statuses and all(status in (429, 503) for status in statuses):
                 self.violation("REFUSED", f"task {task} has started, but its job was refused: {self.jobs[job]}")
             same.sort(key=lambda run: run["from"])
+            if job == self.deadly:
+                self.deadly_starts = len(same)
+            if job == self.deadly and len(same) >= DEADLY_STARTS:
+                self.violation("DEADLY", f"task {task}, which crashes its workers, started {len(same)} times: "
+                                         f"{[(round(run['from'] - self.began, 3), run['worker'], run['how']) for run in same]}")
+            if job in self.stored and job != self.deadly:
+                lost = sum(run["how"] in ("crashed", "lapsed") for run in same)
+                self.lost_runs[lost] = self.lost_runs.get(lost, 0) + 1
             for run in same:
-                if job in self.stored and run["from"] > noted.get(task, float("inf")) + OLDEST_START_S:
+                if job in self.stored and run["from"] > noted.get(task, float("inf")) + oldest_start:
                     self.violation("AGAIN", f"task {task} of a stored job: attempt {run['attempt']} started on {run['worker']} at "
                                             f"{run['from'] - self.began:.3f}, token {run['token']}; an owner had noted its end as done at "
                                             f"{noted[task] - self.began:.3f}; attempts "
@@ -773,7 +913,7 @@
                                             f"submissions {self.jobs[job]}")
             for index, first in enumerate(same):
                 for second in same[index + 1:]:
-                    spans = [span for run in (first, second) for span in self.workers[run["worker"]][0].spans]
+                    spans = [span for run in (first, second) for span in self.workers[run["worker"].split(".")[0]][0].spans]
                     together = overlap(second["from"], min(first["to"], second["to"]), spans)
                     if together > KILL_GRACE_S:
                         cause = self.cause(job, second)
@@ -793,7 +933,7 @@
                     continue
                 self.starts_in_evacuations += 1
                 # A worker may carry out an order late, until the lease in it has ended.
-                sent = run["from"] - OLDEST_START_S
+                sent = run["from"] - OLDEST_START_S * self.hold_ms / 1000
                 spans = self.store_outages + [(start, end) for vm in self.vms.values() if vm.domain == domain
                                               for start, end, _ in vm.disturbed]
                 calm = not any(start < run["from"] and end > sent - STABLE_WINDOW_S for start, end in spans)
@@ -834,7 +974,10 @@
         return {"seed": self.seed, "vms": self.vms_each, "workers": self.workers_each, "disruptions": self.done_kinds,
                 "jobs": len(self.jobs), "answers": {str(key): value for key, value in sorted(self.answers.items(), key=str)},
                 "runs": len(runs), "stored_runs": sum(key[0].split(".")[0] in self.stored for key in runs), "ends": ends,
-                "noted_stored_tasks": self.noted_stored_tasks, "abandoned": abandoned, "killed_after_grace": self.killed_after_grace,
+                "noted_stored_tasks": self.noted_stored_tasks, "accepted": len(self.accepted),
+                "lost_runs": {str(lost): count for lost, count in sorted(self.lost_runs.items())}, "hold_ms": self.hold_ms,
+                "wait_ms": self.wait_ms, "deadly_starts": self.deadly_starts if self.deadly else None,
+                "ended_after_s": round(self.ended_after, 1), "abandoned": abandoned, "killed_after_grace": self.killed_after_grace,
                 "cut_connections": self.cut_connections, "cut_peer_connections": self.cut_peer_connections,
                 "lost_datagrams": self.lost_datagrams, "starts_in_evacuations": self.starts_in_evacuations,
                 "quiet_after_s": round(self.quiet_after, 1), "ready_after_s": round(self.ready_after, 1),
@@ -850,7 +993,10 @@
         end = self.began + self.seconds
         dice = random.Random(self.seed * 1000003)
         apart = {name: {kind: often for kind, often in self.kinds.items() if kind in kinds} for name, kinds in APART.items()}
-        others = {kind: often for kind, often in self.kinds.items() if not any(kind in kinds for kinds in APART.values())}
+        others = {kind: often for kind, often in self.kinds.items()
+                  if kind not in LOSSES and not any(kind in kinds for kinds in APART.values())}
+        for number in range(2):
+            apart[f"losses {number}"] = {kind: often for kind, often in self.kinds.items() if kind in LOSSES}
         if not self.has_relay:
             del apart["vms"]
         drawn = [{"roll": 1} if "roll" in others else others] + [others] * dice.randint(0, 2)
@@ -858,11 +1004,16 @@
                   for number, kinds in enumerate(drawn) if kinds]
         series += [asyncio.ensure_future(self.series(random.Random(f"{self.seed} {name}"), end, kinds))
                    for name, kinds in apart.items() if kinds]
-        callers = []
+        callers, asking = [], None
+        if self.has_losses:
+            asking = asyncio.ensure_future(self.ask_again_and_again())
+            if random.Random(f"{self.seed} has deadly").random() < DEADLY_SHARE:
+                callers.append(asyncio.ensure_future(self.submit_deadly()))
         while time.monotonic() < end:
             callers.append(asyncio.ensure_future(self.caller()))
             await asyncio.sleep(self.dice.expovariate(self.rate))
         await asyncio.gather(*series)
+        await asyncio.sleep(self.lost_until - time.monotonic())
         await asyncio.gather(*callers)
         for process in self.processes:
             process.signal(signal.SIGCONT)
@@ -878,6 +1029,10 @@
             callers.append(asyncio.ensure_future(self.quiet_caller()))
             await asyncio.sleep(0.2)
         await asyncio.gather(*callers)
+        if asking:
+            await self.until_ended()
+            self.ended_after = time.monotonic() - self.began
+            asking.cancel()
         lag.cancel()
 
     async def close(self):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Plays seeded disruptions against real entry daemons and looks for broken promises; docs/design/soak.md says what it checks.
 
-    soak.py --program PATH --seeds 1-50 --seconds 30 --parallel 3 [--large]
+    soak.py --program PATH --seeds 1-50 --seconds 30 --parallel 3 [--large] [--kinds losses]
 
 Exit status: 0 without violations, 1 with some, 2 if a play could not run."""
 
@@ -15,7 +15,7 @@
 import tempfile
 
 sys.dont_write_bytecode = True
-from play import KINDS, die_with_parent  # noqa: E402
+from play import END_LIMIT_S, KINDS, LOSSES, die_with_parent  # noqa: E402
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 # Time for starts, for the disruptions that are under way at the end, and for the quiet seconds.
@@ -30,15 +30,23 @@
     return seeds
 
 
-def known_red(program_path, seeds):
-    """Returns the seeds that KNOWN-RED.txt lists for the program, as `skip: PROGRAM soak/seed-N`; .ci/test passes them on."""
+def parse_kinds(text):
+    return [*KINDS, *LOSSES] if text == "losses" else text.split(",")
+
+
+def known_red(program_path, seeds, has_losses):
+    """Returns the seeds that KNOWN-RED.txt lists for the program, as `skip: PROGRAM soak/seed-N`, or `soak/losses-N` for plays with losses
+    of workers; .ci/test passes them on."""
     listed = set()
     for line in os.environ.get("CORIANDERMOUNT_KNOWN_RED", "").splitlines():
         program, _, path = line.strip().partition(" ")
         if program == os.path.basename(program_path):
-            if not path.startswith("soak/seed-") or int(path[len("soak/seed-"):]) not in seeds:
+            kind, _, seed = path.partition("-")
+            is_own = kind == ("soak/losses" if has_losses else "soak/seed")
+            if kind not in ("soak/seed", "soak/losses") or is_own and int(seed) not in seeds:
                 raise ValueError(f"KNOWN-RED.txt lists a test that does not exist: {path}")
-            listed.add(int(path[len("soak/seed-"):]))
+            if is_own:
+                listed.add(int(seed))
     return listed
 
 
@@ -51,7 +59,7 @@
             *command, *(["--large"] if options.large else []), stdout=asyncio.subprocess.PIPE,
             preexec_fn=die_with_parent)
         try:
-            output, _ = await asyncio.wait_for(process.communicate(), options.seconds + MARGIN_S)
+            output, _ = await asyncio.wait_for(process.communicate(), options.seconds + MARGIN_S + END_LIMIT_S)
         except asyncio.TimeoutError:
             # Its processes end with it.
             process.kill()
@@ -80,12 +88,12 @@
     places, results = asyncio.Semaphore(options.parallel), {}
     seeds = parse_seeds(options.seeds)
     try:
-        skipped = known_red(options.program, seeds)
+        skipped = known_red(options.program, seeds, bool(set(options.kinds) & set(LOSSES)))
     except ValueError as problem:
         print(problem)
         return 2
     for seed in sorted(skipped):
-        print(f"skipped, listed in KNOWN-RED.txt: soak/seed-{seed}")
+        print(f"skipped, listed in KNOWN-RED.txt: seed {seed}")
     plays = asyncio.gather(*(play(options, seed, places, results) for seed in seeds if seed not in skipped))
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, plays.cancel)
@@ -115,11 +123,12 @@
     parser.add_argument("--seeds", default="1-3", help="for example 1-50 or 3,7,20-25")
     parser.add_argument("--seconds", type=float, default=30, help="time with disruptions in each play")
     parser.add_argument("--parallel", type=int, default=3, help="plays at the same time")
-    parser.add_argument("--kinds", type=lambda text: text.split(","), default=list(KINDS), help="disruptions to draw from")
+    parser.add_argument("--kinds", type=parse_kinds, default=list(KINDS),
+                        help="disruptions to draw from; losses stands for all of them and the losses of workers under stored jobs")
     parser.add_argument("--large", action="store_true", help="4 failure domains of 10 VMs and 25 workers")
     options = parser.parse_args()
-    if unknown := set(options.kinds) - set(KINDS):
-        print(f"unknown disruptions {sorted(unknown)}, expected some of {list(KINDS)}")
+    if unknown := set(options.kinds) - set(KINDS) - set(LOSSES):
+        print(f"unknown disruptions {sorted(unknown)}, expected some of {[*KINDS, *LOSSES]}")
         return 2
     if not os.access(options.program, os.X_OK):
         print(f"{options.program} is not a program")
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -62,6 +62,8 @@
         self.is_silent = False
         self.losing_until = 0.0
         self.loss = 0.0
+        # Timers that remove the registrations of workers that fall silent.
+        self.expiries = {}
 
     def partition(self, query):
         return self.topics.setdefault((query["topic"], int(query.get("part", 0))), Partition())
@@ -105,6 +107,11 @@
         if path == "/standin/put":
             key = query["key"].encode()
             self.partition(query).add(query["topic"], [bytes([len(key)]) + key + body])
+            if key in self.expiries:
+                self.expiries.pop(key).cancel()
+            if "keep_s" in query:
+                self.expiries[key] = asyncio.get_running_loop().call_later(
+                    float(query["keep_s"]), self.partition(query).add, query["topic"], [bytes([len(key)]) + key])
         elif path == "/standin/down":
             self.down_until = time.monotonic() + float(query["seconds"])
             self.is_silent = query["silent"] == "1"
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -1,11 +1,13 @@
 """Stand-in for workers of the platform. One process carries the workers of one failure domain that pause together.
 
-    workers.py STORE DOMAIN SERVICE ID=ADDRESS...
+    workers.py STORE DOMAIN SERVICE MAX_HOLD_MS MAX_WAIT_MS ID=ADDRESS=RACK...
 
 Each worker has a clock, leases, fencing tokens and a list of ends of its own. Starts, ends and stops go to standard output, one JSON
-object a line, with the time of the steady clock. A worker that crashes is followed by another with the same id, which knows nothing."""
+object a line, with the time of the steady clock. A worker that crashes is followed by another with the same id, or with one that ends with
+".N", which knows nothing; or by none."""
 
 import asyncio
+import itertools
 import json
 import os
 import random
@@ -16,7 +18,12 @@
 import wire
 
 HEARTBEAT_S = 1.5
-MAX_HOLD_MS = 1000
+# Heartbeats without which a registration is removed.
+SILENT_HEARTBEATS = 3
+# Time until an order from the soak to be lost takes effect, so that it can be answered.
+LOSS_DELAY_S = 0.02
+# Seconds for which a worker stays away after a task has crashed it.
+ABSENT_S = (1, 4)
 MOST_ENDS = 500
 CAPACITY = {"cpu": 16000, "mem_mb": 32000, "gpu": 0}
 LONGEST_STOP_S = 0.04
@@ -67,8 +74,9 @@
 
 
 class Worker:
-    def __init__(self, name, address):
-        self.name, self.address = name, address
+    def __init__(self, name, address, rack, max_hold_ms, max_wait_ms):
+        self.name, self.address, self.rack = name, address, rack
+        self.max_hold_ms, self.max_wait_ms = max_hold_ms, max_wait_ms
         self.born = int(time.time() * 1000)
         self.started = time.monotonic()
         self.rate = random.uniform(0.98, 1.0)
@@ -97,6 +105,16 @@
         self.connections = set()
         self.registration = None
         self.crashed = None
+        # No VM reaches the worker until this time, and the worker may not reach the store.
+        self.dark_until = 0.0
+        self.reaches_store = True
+
+    def successor(self, number):
+        """Returns the worker that starts in place of this one; `number` is None if it has the same id."""
+        name = self.name if number is None else f"{self.name.split('.')[0]}.{number}"
+        worker = Worker(name, self.address, self.rack, self.max_hold_ms, self.max_wait_ms)
+        worker.dark_until, worker.reaches_store = self.dark_until, self.reaches_store
+        return worker
 
     def note(self, **fields):
         note(worker=self.name, born=self.born, **fields)
@@ -132,7 +150,7 @@
 
     def hold(self, fields):
         if "deadline_ms" in fields:
-            self.lease = max(self.lease, min(int(fields["deadline_ms"]), self.clock() + MAX_HOLD_MS))
+            self.lease = max(self.lease, min(int(fields["deadline_ms"]), self.clock() + self.max_hold_ms))
 
     def refuse(self, reason):
         return 409, {"clock_ms": self.clock(), "reason": reason, "born": self.born}
@@ -156,6 +174,8 @@
         self.runs[task, attempt] = {"began": time.monotonic(), "until": time.monotonic() + work["ms"] / 1000, "how": "done",
                                     "ms": work["ms"], "cpu": work["cpu"], "token": fields["fencing_token"]}
         self.note(event="start", task=task, attempt=attempt, token=fields["fencing_token"])
+        if "crash_after_ms" in work:
+            asyncio.get_running_loop().call_later(work["crash_after_ms"] / 1000, self.crash_under, (task, attempt))
         self.advance()
         return 200, {"clock_ms": self.clock(), "born": self.born}
 
@@ -180,7 +200,7 @@
             if how == "done" and number <= min(acknowledged, self.last_listed):
                 self.note(event="noted", task=task, attempt=attempt, token=self.token)
         self.ends = [row for row in self.ends if row[0] > acknowledged]
-        until = time.monotonic() + min(int(fields.get("wait_ms", 0)), 2000) / 1000
+        until = time.monotonic() + min(int(fields.get("wait_ms", 0)), self.max_wait_ms) / 1000
         while not any(row[0] > acknowledged for row in self.ends) and (left := until - time.monotonic()) > 0:
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
@@ -208,18 +228,43 @@
             return self.stop(fields)
         return await self.poll(fields)
 
-    def crash(self, seconds):
-        """Ends without notice: runs end without a report, connections and orders under way are gone. It is back after `seconds`."""
+    def crash(self, seconds, renamed=False):
+        """Ends without notice: runs end without a report, connections and orders under way are gone. It is back after `seconds`. In a cut,
+        nobody sees its connections end."""
+        if self.crashed.done():
+            return
         for (task, attempt), run in self.runs.items():
             self.note(event="end", task=task, attempt=attempt, how="crashed", token=run["token"])
         self.runs.clear()
         if self.timer:
             self.timer.cancel()
         self.registration.cancel()
+        if (left := self.dark_until - time.monotonic()) > 0:
+            asyncio.get_running_loop().call_later(left, self.close)
+        else:
+            self.close()
+        self.crashed.set_result((seconds, renamed))
+
+    def crash_under(self, key):
+        if key in self.runs:
+            self.crash(random.uniform(*ABSENT_S))
+
+    def close(self):
         self.server.close()
         for writer in self.connections:
             writer.transport.abort()
-        self.crashed.set_result(seconds)
+
+    def lose(self, query):
+        """Cuts the worker off from all VMs for `cut` seconds, and crashes it after `crash` seconds if this is given."""
+        def begin():
+            self.dark_until = time.monotonic() + float(query["cut"])
+            self.reaches_store = query["store"] == "1"
+            if "crash" in query:
+                asyncio.get_running_loop().call_later(
+                    float(query["crash"]), self.crash, float(query["absent"]), query["renamed"] == "1")
+
+        asyncio.get_running_loop().call_later(LOSS_DELAY_S, begin)
+        return 200, {}
 
     async def look(self):
         """Finds out which connections belong to VMs that can't reach the worker now. All VMs have the same address as peers, so it looks
@@ -245,6 +290,10 @@
 
     async def gate(self, writer):
         """Holds what goes through a connection that is cut until the end of the cut, or resets the connection."""
+        while (left := self.dark_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+        if self.crashed.done():
+            raise ConnectionResetError
         while await self.is_cut(writer):
             if self.cut_resets:
                 writer.transport.abort()
@@ -279,6 +328,8 @@
         if path == "/standin/crash":
             self.crash(float(query["seconds"]))
             raise ConnectionResetError
+        if path == "/standin/lose":
+            return self.lose(query)
         if path == "/standin/cut":
             return await self.cut(query)
         if path == "/standin/late":
@@ -311,14 +362,16 @@
         while True:
             sequence += 1
             entry = {"service": service, "addr": self.address, "zone": domain, "version": "1", "slots": 8, "state": "ready",
-                     "cold_left_ms": 0, "sequence": sequence, "capacity": CAPACITY, "labels": ["common", f"r{domain}-1"],
+                     "cold_left_ms": 0, "sequence": sequence, "capacity": CAPACITY, "labels": ["common", f"r{domain}-{self.rack}"],
                      "born": self.born, "machine": f"m-{self.name}"}
-            await wire.call_once(
-                store, "POST", f"/standin/put?topic=keyed.servers&part=0&key={self.name}", json.dumps(entry).encode())
+            if self.reaches_store or time.monotonic() >= self.dark_until:
+                keep_s = SILENT_HEARTBEATS * HEARTBEAT_S
+                await wire.call_once(store, "POST", f"/standin/put?topic=keyed.servers&part=0&key={self.name}&keep_s={keep_s}",
+                                     json.dumps(entry).encode())
             await asyncio.sleep(HEARTBEAT_S)
 
     async def live(self, store, domain, service):
-        """Serves until the worker crashes. Returns how long it stays away then."""
+        """Serves until the worker crashes. Returns how long it stays away then, and whether it returns under another id."""
         self.crashed = asyncio.get_running_loop().create_future()
         self.server = await wire.serve(self.address, self.handle, self.connections, self.gate)
         self.registration = asyncio.ensure_future(self.register(store, domain, service))
@@ -326,9 +379,11 @@
 
 
 async def live_again_and_again(worker, *place):
-    while True:
-        await asyncio.sleep(await worker.live(*place))
-        worker = Worker(worker.name, worker.address)
+    for number in itertools.count(1):
+        seconds, renamed = await worker.live(*place)
+        await asyncio.sleep(seconds)
+        worker.server.close()
+        worker = worker.successor(number if renamed else None)
 
 
 async def note_stalls():
@@ -341,8 +396,8 @@
 
 
 async def main():
-    store, domain, service, *listed = sys.argv[1:]
-    workers = [Worker(*item.split("=")) for item in listed]
+    store, domain, service, max_hold_ms, max_wait_ms, *listed = sys.argv[1:]
+    workers = [Worker(*item.split("="), int(max_hold_ms), int(max_wait_ms)) for item in listed]
     lives = [asyncio.ensure_future(live_again_and_again(worker, store, domain, service)) for worker in workers]
     while not all(worker.server for worker in workers) and not any(life.done() for life in lives):
         await asyncio.sleep(0.01)
