--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -58,6 +58,8 @@
     }
     /// Removes a worker from the lists that owners read from now on, although the worker keeps running.
     void unlistWorker(const std::string& worker) { m_unlistedWorkers.insert(worker); }
+    /// Lists all workers again.
+    void listAllWorkers() { m_unlistedWorkers.clear(); }
     /// Limits the processor time of a VM, in thousandths of a core, from its next start on. Without a limit all work of a VM
     /// takes no time; with one, each message that it handles and each tick takes `messageCost` of a core, one after the other.
     void limitProcessor(const std::string& vm, std::uint32_t processorMillis) { m_processorMillis[vm] = processorMillis; }
--- a/tests/fakes/virtual_workers.cpp
+++ b/tests/fakes/virtual_workers.cpp
@@ -66,6 +66,9 @@
     worker& current = m_workers.at(id);
     if (current.down)
         return;
+    if (m_timeline)
+        m_timeline->note(id + " crashes");
+    m_crashes.push_back({ current.registration.id, m_loop.now() });
     for (const auto& [task, run] : current.running) {
         m_runs[run.index].end = m_loop.now();
         m_runs[run.index].crashed = true;
@@ -75,7 +78,7 @@
     current.crashedAt = m_loop.now();
     ++current.boot;
     if (m_restartsAfterCrash)
-        m_loop.after(crashDowntime, [this, id] { m_renamesAfterCrash ? replace(id) : (void)restart(id); });
+        m_loop.after(m_downtime, [this, id] { m_renamesAfterCrash ? replace(id) : (void)restart(id); });
 }
 
 void virtual_workers::replace(const std::string& id)
--- a/tests/fakes/virtual_workers.h
+++ b/tests/fakes/virtual_workers.h
@@ -49,6 +49,12 @@
     bool crashed = false;
 };
 
+/// A crash of a worker, whatever it executed.
+struct recorded_crash {
+    worker_id worker;
+    time_point at;
+};
+
 /// Executes orders for any number of workers on a `virtual_loop`, records all runs and checks the guarantees of the platform.
 class virtual_workers {
 public:
@@ -63,8 +69,12 @@
     worker_faults& faults(const std::string& id) { return m_workers.at(id).faults; }
     /// Ends all runs of a worker without reporting them, and starts a new boot with the same id and address. Faults stay.
     cells::worker_registration restart(const std::string& id);
-    /// Crashes a worker: its runs end without reports, and it does not answer until it has restarted after `crashDowntime`.
+    /// Crashes a worker: its runs end without reports, and it does not answer until it has restarted after the downtime.
     void crash(const std::string& id);
+    /// Sets the time from a crash to the restart; `crashDowntime` by default.
+    void restartAfterCrash(std::chrono::milliseconds downtime) { m_downtime = downtime; }
+    /// Returns all crashes in the order of their times.
+    const std::vector<recorded_crash>& crashes() const { return m_crashes; }
     /// Sets the time after a crash from which on a worker is not registered until it has restarted; never by default.
     void unregisterAfterCrash(std::chrono::milliseconds silence) { m_silenceUntilUnregistered = silence; }
     /// Sets whether a worker that has crashed returns under a new id, at the same address; not by default.
@@ -180,10 +190,12 @@
     std::map<std::string, worker> m_workers;
     std::map<cells::task_key, std::chrono::milliseconds> m_deadlyTasks;
     std::optional<std::chrono::milliseconds> m_silenceUntilUnregistered;
+    std::chrono::milliseconds m_downtime = crashDowntime;
     bool m_renamesAfterCrash = false;
     bool m_restartsAfterCrash = true;
     bool m_refusesAfterCrash = false;
     std::vector<recorded_run> m_runs;
+    std::vector<recorded_crash> m_crashes;
     std::vector<std::string> m_violations;
 };
 
