cells: A step that can't be placed holds back no independent step of its job

Cause: the owner went through the steps of a job in order and returned at the first one that it could not place, so that later steps were not looked at, although they don't depend on it.

Change: it goes on with the other steps that are ready, and reports whether all were placed. A suspected job has one reserved worker: if the step that can't be placed fits on that worker, it keeps it, and later steps wait as before.

Result: both new tests failed before: no task of the independent step started, beside a missing label, beside a gang that is too wide, and after a crash.

--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -287,6 +287,13 @@
     return best;
 }
 
+bool cell_owner::data::hasReservedWorker(const open_job& job, std::uint32_t step) const
+{
+    return std::any_of(sessions.begin(), sessions.end(), [&](const auto& entry) {
+        return entry.second.reservedFor == job.accepted.work.id && entry.second.isLargeEnough(job.accepted.work.steps[step]);
+    });
+}
+
 void cell_owner::data::checkSuspicions(time_point now)
 {
     giveUpBlamed(now);
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -483,6 +483,7 @@
     void schedule(time_point now);
     /// Returns whether any worker may still run an attempt of the task.
     bool runsOnAnyWorker(const task_key& key) const;
+    /// Starts the waiting tasks of all steps that are ready; returns whether all of them were placed.
     bool scheduleJob(open_job& job, time_point now);
     /// Starts the waiting tasks of one step; returns whether all of them were placed.
     bool scheduleStep(open_job& job, std::uint32_t step, time_point now);
@@ -530,6 +531,8 @@
     bool scheduleRestricted(open_job& job, std::uint32_t step, time_point now);
     /// Reserves the best worker for a step of a suspected job; returns null if there is none.
     worker_session* reserveWorker(const open_job& job, std::uint32_t step, time_point now);
+    /// Returns whether a worker on which the step fits is reserved for the job.
+    bool hasReservedWorker(const open_job& job, std::uint32_t step) const;
     /// Ends reservations that are not needed any more, and forgets suspicions that have expired.
     void checkSuspicions(time_point now);
 
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -271,17 +271,21 @@
 
 bool cell_owner::data::scheduleJob(open_job& job, time_point now)
 {
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+    bool placedAll = true;
+    for (std::uint32_t step = 0; step < job.steps.size() && !job.ended; ++step) {
         if (job.steps[step].waiting.empty() || !job.stepIsReady(step))
             continue;
         const bool gang = job.accepted.work.steps[step].gang;
         const bool restricted = !gang && isRestricted(job);
-        if (!(gang               ? scheduleGang(job, step, now)
-                    : restricted ? scheduleRestricted(job, step, now)
-                                 : scheduleStep(job, step, now)))
-            return false;
+        const bool placed = gang ? scheduleGang(job, step, now)
+            : restricted         ? scheduleRestricted(job, step, now)
+                                 : scheduleStep(job, step, now);
+        placedAll = placedAll && placed;
+        // A worker that one step waits for is not given up for the next.
+        if (restricted && !placed && hasReservedWorker(job, step))
+            break;
     }
-    return true;
+    return placedAll;
 }
 
 bool cell_owner::data::scheduleStep(open_job& job, std::uint32_t step, time_point now)
--- a/tests/cells/stored_jobs_test.cpp
+++ b/tests/cells/stored_jobs_test.cpp
@@ -1,4 +1,6 @@
 // Checks jobs that are written to the store before they are accepted.
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
@@ -8,6 +10,34 @@
 using namespace coriandermount::fakes;
 using namespace std::chrono_literals;
 
+namespace {
+
+jobs::step stepOf(std::uint32_t tasks)
+{
+    jobs::step definition;
+    definition.taskCount = tasks;
+    definition.need = { 500, 64, 0 };
+    return definition;
+}
+
+/// Returns a step of one task that needs a label that no worker has.
+jobs::step unplaceableStep()
+{
+    jobs::step definition = stepOf(1);
+    definition.requiredLabel = "missing";
+    return definition;
+}
+
+/// Returns the number of tasks of a step whose runs are done.
+std::ptrdiff_t tasksDone(const cell_fleet& fleet, const std::string& jobId, std::uint32_t step)
+{
+    const auto& runs = fleet.workers.runs();
+    return std::count_if(
+        runs.begin(), runs.end(), [&](const auto& run) { return run.task.jobId == jobId && run.task.step == step && run.done; });
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(stored_jobs)
 
 BOOST_AUTO_TEST_CASE(are_run_and_reported_as_completed)
@@ -167,12 +197,8 @@
     constexpr int jobsOfEachKind = 150;
     cell_fleet fleet(1, 2, 3);
     fleet.runFor(2s);
-    jobs::step unplaceable;
-    unplaceable.taskCount = 1;
-    unplaceable.need = { 500, 64, 0 };
-    unplaceable.requiredLabel = "missing";
     for (int number = 0; number < jobsOfEachKind; ++number)
-        fleet.store(cell_fleet::vmName(0, 0), fmt::format("unplaceable-{}", number), unplaceable, 50ms);
+        fleet.store(cell_fleet::vmName(0, 0), fmt::format("unplaceable-{}", number), unplaceableStep(), 50ms);
     fleet.runFor(100ms);
     for (int number = 0; number < jobsOfEachKind; ++number)
         fleet.store(cell_fleet::vmName(0, 0), fmt::format("plain-{}", number), 1, 50ms);
@@ -183,4 +209,40 @@
     expectNoViolation(fleet);
 }
 
+// Guards against lost jobs (issue 2, review/12): a step for which no worker was left kept the steps behind it from starting, with
+// all workers idle.
+BOOST_AUTO_TEST_CASE(start_the_steps_that_depend_on_none_that_cant_be_placed)
+{
+    jobs::step wideGang = stepOf(4);
+    wideGang.gang = true;
+    wideGang.need.cpuMillis = 10000;
+    jobs::step dependent = stepOf(3);
+    dependent.dependsOn = { 0 };
+    cell_fleet fleet(1, 2, 3);
+    fleet.runFor(2s);
+    fleet.store(cell_fleet::vmName(0, 0), "label", { unplaceableStep(), stepOf(3), dependent }, 200ms);
+    fleet.store(cell_fleet::vmName(0, 0), "gang", { wideGang, stepOf(3), dependent }, 200ms);
+    fleet.runFor(2s);
+    for (const std::string job : { "label", "gang" }) {
+        BOOST_TEST(tasksDone(fleet, job, 0) == 0);
+        BOOST_TEST(tasksDone(fleet, job, 1) == 3);
+        BOOST_TEST(tasksDone(fleet, job, 2) == 0);
+        BOOST_TEST((fleet.state(0, job) == jobs::job_state::running));
+    }
+    expectNoViolation(fleet);
+}
+
+BOOST_AUTO_TEST_CASE(start_the_steps_that_depend_on_none_that_cant_be_placed_after_crashes_as_well)
+{
+    cell_fleet fleet(1, 2, 3);
+    fleet.runFor(2s);
+    fleet.store(cell_fleet::vmName(0, 0), "a", { unplaceableStep(), stepOf(1), unplaceableStep() }, 800ms);
+    fleet.runFor(300ms);
+    BOOST_REQUIRE(fleet.workers.runs().size() == 1U);
+    fleet.workers.crash(fleet.workers.runs().front().worker.value);
+    fleet.runFor(15s);
+    BOOST_TEST(tasksDone(fleet, "a", 1) == 1);
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -543,9 +543,16 @@
 void cell_fleet::store(
     const std::string& vm, const std::string& jobId, const jobs::step& singleStep, std::chrono::milliseconds duration)
 {
-    auto accepted = makeJob(jobId, singleStep.taskCount, duration, false);
-    accepted.work.steps = { singleStep };
-    accepted.work.steps[0].estimate = duration;
+    store(vm, jobId, std::vector { singleStep }, duration);
+}
+
+void cell_fleet::store(
+    const std::string& vm, const std::string& jobId, std::vector<jobs::step> steps, std::chrono::milliseconds duration)
+{
+    auto accepted = makeJob(jobId, 0, duration, false);
+    accepted.work.steps = std::move(steps);
+    for (auto& definition : accepted.work.steps)
+        definition.estimate = duration;
     m_vms.at(vm)->intake.store(accepted, [this, jobId](const result<void>& answer) {
         if (answer)
             stored.push_back(jobId);
--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -109,6 +109,9 @@
     void store(const std::string& vm, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration);
     /// Submits a stored job with the given step at a VM.
     void store(const std::string& vm, const std::string& jobId, const jobs::step& singleStep, std::chrono::milliseconds duration);
+    /// Submits a stored job with the given steps, whose tasks run for `duration`, at a VM.
+    void store(
+        const std::string& vm, const std::string& jobId, std::vector<jobs::step> steps, std::chrono::milliseconds duration);
     /// Stores a job for the cell of `domain`, as a VM of another domain does.
     void storeFor(unsigned domain, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration);
     /// Cancels a stored job at a VM.
