cells: A tightly coupled gang that fits into no rack runs on several

Cause: for such a gang the owner tried the racks one by one and nothing else.

Change: a gang waits for one rack as long as the usable workers of any rack have room for all members beside the long-running tasks there; otherwise it is placed on several. A worker that takes no starts for longer than the gang would lose on several racks is not counted. Members on several racks are expected to take remote_factor times as long, so that they don't count as stalled or their workers as slow. An owner that takes over such a run expects the plain estimate. The conditions for a usable worker come from usableCores.

--- a/cells/cell_owner_admission.cpp
+++ b/cells/cell_owner_admission.cpp
@@ -165,20 +165,28 @@
     return std::nullopt;
 }
 
+time_point cell_owner::data::silentFrom(time_point now) const { return now - leaseSilenceLimit - lagAllowance(now); }
+
+bool cell_owner::data::isUsable(
+    const worker_session& session, const service_id& service, const jobs::step& step, time_point heardSince, time_point until)
+{
+    const auto& worker = session.registration();
+    // The owner does not extend the leases of a silent worker, so that what runs there ends.
+    const bool silent = session.failedPolls > 0 && session.lastAnswerAt < heardSince;
+    return worker.service == service && !worker.draining && !session.deregistered && !silent
+        && session.startsPausedUntil() <= until && session.isLargeEnough(step);
+}
+
 double cell_owner::data::usableCores(const service_id& service, const jobs::step& step, time_point until) const
 {
     const auto now = clock.now();
     const double share = evacuation.usableShare(now);
-    const auto silentFrom = now - leaseSilenceLimit - lagAllowance(now);
+    const time_point heardSince = silentFrom(now);
     double cores = 0;
     for (const auto& [id, session] : sessions) {
-        const auto& worker = session.registration();
-        // The owner does not extend the leases of a silent worker, so that what runs there ends.
-        const bool silent = session.failedPolls > 0 && session.lastAnswerAt < silentFrom;
-        if (worker.service != service || worker.draining || session.deregistered || silent || session.startsPausedUntil() > until
-            || !session.isLargeEnough(step))
+        if (!isUsable(session, service, step, heardSince, until))
             continue;
-        cores += static_cast<double>(worker.capacity.cpuMillis) / 1000.0 * usableShare * session.usableShare(now)
+        cores += static_cast<double>(session.registration().capacity.cpuMillis) / 1000.0 * usableShare * session.usableShare(now)
             / session.slowness();
     }
     return cores * share;
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -434,6 +434,12 @@
     bool isFavored(arrival_class jobClass, time_point now) const;
     /// Returns why no worker can run the job while its caller waits; empty if one can, or if that is not known yet.
     std::optional<refusal_reason> findMissingCapacity(const open_job& job) const;
+    /// Returns the time before which a worker that fails polls must last have answered to count as silent.
+    time_point silentFrom(time_point now) const;
+    /// Returns whether a worker of `service` can be expected to take tasks of a step by `until`. One that fails polls must have
+    /// answered after `heardSince`.
+    static bool isUsable(const worker_session& session, const service_id& service, const jobs::step& step, time_point heardSince,
+        time_point until);
     /// Returns the cores of the workers that can be expected to run tasks of a step until `until`.
     double usableCores(const service_id& service, const jobs::step& step, time_point until) const;
     /// Returns the cores for the step of the job that fewest workers can run.
@@ -490,6 +496,9 @@
     /// Starts all tasks of a gang or none; returns whether they were started. Stops members that still run when others have
     /// ended.
     bool scheduleGang(open_job& job, std::uint32_t step, time_point now);
+    /// Returns whether the usable workers of one rack have room for all members of a gang once the tasks there that end by
+    /// themselves have ended.
+    bool fitsIntoOneRack(const open_job& job, std::uint32_t step, time_point now) const;
     std::set<std::string> racks() const;
     /// Returns the best worker with enough free capacity, or null. `rack` limits the choice to one rack; empty for any.
     worker_session* chooseWorker(
@@ -539,7 +548,8 @@
     // Start and stop orders: cell_owner_orders.cpp.
     /// Returns whether the attempt was numbered in this ownership term.
     bool isOfThisTerm(std::uint64_t attempt) const;
-    void start(open_job& job, const task_key& key, worker_session& session, time_point now);
+    /// Starts a task on a worker, where it is expected to take `slowdown` times as long as estimated.
+    void start(open_job& job, const task_key& key, worker_session& session, time_point now, double slowdown = 1);
     void sendStart(open_job& job, const task_key& key, worker_session& session, time_point now);
     bool retryStart(worker_session& session, const task_key& key, const worker_run& current, time_point now);
     /// Returns the session of the boot that an order was sent to, or null if the worker has restarted since or is gone. Answers
--- a/cells/cell_owner_gangs.cpp
+++ b/cells/cell_owner_gangs.cpp
@@ -1,6 +1,7 @@
 #include "cells/cell_owner_data.h"
 
 #include <algorithm>
+#include <map>
 
 namespace coriandermount::cells {
 
@@ -24,6 +25,13 @@
             m_members.emplace_back(key, &session);
         }
 
+        /// Returns whether the members are on more than one rack.
+        bool spansRacks() const
+        {
+            return std::any_of(m_members.begin(), m_members.end(),
+                [this](const auto& member) { return member.second->rack() != m_members.front().second->rack(); });
+        }
+
         void clear()
         {
             for (const auto& [key, session] : m_members)
@@ -53,6 +61,22 @@
     return found;
 }
 
+bool cell_owner::data::fitsIntoOneRack(const open_job& job, std::uint32_t step, time_point now) const
+{
+    const jobs::step& stepDefinition = job.accepted.work.steps[step];
+    const time_point heardSince = silentFrom(now);
+    // A worker that takes no starts for longer than the gang would lose on several racks is not waited for.
+    const time_point awaitedUntil
+        = now + std::chrono::duration_cast<std::chrono::milliseconds>(stepDefinition.estimate * (settings.remoteFactor - 1));
+    std::map<std::string, std::uint64_t> roomByRack;
+    for (const auto& [id, session] : sessions) {
+        if (isUsable(session, job.accepted.service, stepDefinition, heardSince, awaitedUntil))
+            roomByRack[session.rack()] += session.lastingRoomFor(stepDefinition);
+    }
+    return std::any_of(roomByRack.begin(), roomByRack.end(),
+        [&stepDefinition](const auto& entry) { return entry.second >= stepDefinition.taskCount; });
+}
+
 bool cell_owner::data::scheduleGang(open_job& job, std::uint32_t step, time_point now)
 {
     step_state& state = job.steps[step];
@@ -70,9 +94,9 @@
     if (stillRunning || state.waiting.size() < state.tasks.size())
         return false;
 
-    std::set<std::string> rackChoices { std::string() };
-    if (stepDefinition.tightlyCoupled)
-        rackChoices = racks();
+    // On several racks the members are slow, so that a gang waits for a rack that other tasks will leave.
+    const bool oneRackOnly = stepDefinition.tightlyCoupled && fitsIntoOneRack(job, step, now);
+    const std::set<std::string> rackChoices = oneRackOnly ? racks() : std::set { std::string() };
     gang_placement placement;
     for (const auto& rack : rackChoices) {
         placement.clear();
@@ -88,10 +112,11 @@
         std::uint64_t attempt = 0;
         for (const auto& task : state.tasks)
             attempt = std::max(attempt, task.attempt);
+        const double slowdown = stepDefinition.tightlyCoupled && placement.spansRacks() ? settings.remoteFactor : 1;
         state.waiting.clear();
         for (const auto& [key, session] : placement.release()) {
             job.task(key).attempt = attempt;
-            start(job, key, *session, now);
+            start(job, key, *session, now, slowdown);
         }
         return true;
     }
--- a/cells/cell_owner_orders.cpp
+++ b/cells/cell_owner_orders.cpp
@@ -22,7 +22,7 @@
     return attempt > (term.epoch - 1) * attemptsPerEpoch && attempt <= term.epoch * attemptsPerEpoch;
 }
 
-void cell_owner::data::start(open_job& job, const task_key& key, worker_session& session, time_point now)
+void cell_owner::data::start(open_job& job, const task_key& key, worker_session& session, time_point now, double slowdown)
 {
     const jobs::step& step = job.accepted.work.steps[key.step];
     const worker_registration& worker = session.registration();
@@ -39,7 +39,7 @@
     worker_run added;
     added.attempt = task.attempt;
     added.need = step.need;
-    added.estimate = step.estimate;
+    added.estimate = std::chrono::duration_cast<std::chrono::milliseconds>(step.estimate * slowdown);
     added.longRunning = step.longRunning;
     added.sentAt = now;
     added.progressAt = now;
--- a/cells/worker_session.cpp
+++ b/cells/worker_session.cpp
@@ -166,6 +166,20 @@
     return m_used.cpuMillis == 0 || static_cast<double>(m_used.cpuMillis + need.cpuMillis) <= usable;
 }
 
+std::uint32_t worker_session::lastingRoomFor(const jobs::step& step) const
+{
+    jobs::resources left = m_registration.capacity;
+    for (const auto& [key, current] : m_runs) {
+        if (current.longRunning)
+            left -= current.need;
+    }
+    const std::uint32_t most = step.maxPerWorker > 0 ? std::min(step.maxPerWorker, step.taskCount) : step.taskCount;
+    std::uint32_t room = 0;
+    for (; room < most && step.need.fitsInto(left); ++room)
+        left -= step.need;
+    return room;
+}
+
 std::uint32_t worker_session::runsOfStep(const std::string& jobId, std::uint32_t step) const
 {
     return static_cast<std::uint32_t>(std::count_if(
--- a/cells/worker_session.h
+++ b/cells/worker_session.h
@@ -172,6 +172,8 @@
     {
         return step.need.fitsInto(m_registration.capacity) && (step.requiredLabel.empty() || hasLabel(step.requiredLabel));
     }
+    /// Returns how many tasks of the step fit on the worker beside the long-running tasks there, at most all of the step.
+    std::uint32_t lastingRoomFor(const jobs::step& step) const;
     /// Returns the moving average of run time divided by estimate.
     double slowness() const { return m_slowness; }
 
--- a/tests/cells/job_kinds_test.cpp
+++ b/tests/cells/job_kinds_test.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include "tests/fakes/fleet_checks.h"
 
@@ -28,6 +29,13 @@
     return definition;
 }
 
+jobs::step tightlyCoupledStep(std::uint32_t tasks)
+{
+    jobs::step definition = gangStep(tasks);
+    definition.tightlyCoupled = true;
+    return definition;
+}
+
 /// Time after its last run within which the platform requires a long-running task to run again: 6 s and 3 s of grace.
 constexpr auto restartLimit = 9s;
 
@@ -49,6 +57,26 @@
     return found;
 }
 
+/// Puts the workers of a domain into two racks, `r-0` and `r-1`, by turns.
+void useTwoRacks(cell_fleet& fleet, unsigned workers)
+{
+    for (unsigned number = 0; number < workers; ++number)
+        fleet.workers.setLabels(cell_fleet::workerName(0, number), { "a", fmt::format("r-{}", number % 2) });
+}
+
+/// Returns the racks on which the runs of a job were started.
+std::set<std::string> racksOf(const cell_fleet& fleet, const std::string& jobId)
+{
+    std::set<std::string> racks;
+    for (const auto& run : fleet.workers.runs()) {
+        for (const auto& worker : fleet.workers.registrations("0")) {
+            if (run.task.jobId == jobId && worker.id == run.worker)
+                racks.insert(worker.labels.back());
+        }
+    }
+    return racks;
+}
+
 /// Returns the number of tasks of a job that are running.
 std::size_t runningTasks(const cell_fleet& fleet, const std::string& jobId)
 {
@@ -127,6 +155,79 @@
     BOOST_TEST(runsByAttempt(fleet, "a").size() == 3U);
 }
 
+BOOST_AUTO_TEST_SUITE(that_is_tightly_coupled)
+
+BOOST_AUTO_TEST_CASE(waits_for_a_rack_that_is_busy)
+{
+    cell_fleet fleet(1, 2, 4);
+    useTwoRacks(fleet, 4);
+    fleet.runFor(2s);
+    jobs::step spread = plainStep(4);
+    spread.maxPerWorker = 1;
+    fleet.store(cell_fleet::vmName(0, 0), "other", spread, 1s);
+    fleet.runFor(100ms);
+    fleet.store(cell_fleet::vmName(0, 0), "a", tightlyCoupledStep(4), 200ms);
+    fleet.runFor(500ms);
+    BOOST_TEST(runsByAttempt(fleet, "a").empty());
+    fleet.runFor(2s);
+    BOOST_TEST((fleet.state(0, "a") == jobs::job_state::completed));
+    BOOST_TEST(racksOf(fleet, "a").size() == 1U);
+}
+
+// Guards against a lost job (issue 2, review/13): after a loss of workers a gang fitted into no single rack any more and waited
+// beside idle workers, although it may run on several racks.
+BOOST_AUTO_TEST_CASE(takes_several_racks_when_each_has_lost_a_worker)
+{
+    cell_fleet fleet(1, 2, 6);
+    useTwoRacks(fleet, 6);
+    fleet.workers.neverRestartAfterCrash();
+    fleet.workers.unregisterAfterCrash(3s);
+    fleet.runFor(2s);
+    fleet.store(cell_fleet::vmName(0, 0), "before", tightlyCoupledStep(6), 200ms);
+    fleet.runFor(1s);
+    BOOST_TEST(racksOf(fleet, "before").size() == 1U);
+    fleet.workers.crash(cell_fleet::workerName(0, 0));
+    fleet.workers.crash(cell_fleet::workerName(0, 1));
+    fleet.runFor(8s);
+    fleet.store(cell_fleet::vmName(0, 0), "a", tightlyCoupledStep(6), 200ms);
+    fleet.runFor(2s);
+    BOOST_TEST((fleet.state(0, "a") == jobs::job_state::completed));
+    BOOST_TEST(racksOf(fleet, "a").size() == 2U);
+    expectNoViolation(fleet);
+}
+
+BOOST_AUTO_TEST_CASE(takes_several_racks_when_long_running_tasks_leave_no_room_in_one)
+{
+    cell_fleet fleet(1, 2, 4);
+    useTwoRacks(fleet, 4);
+    fleet.runFor(2s);
+    jobs::step spread = longRunningStep(4);
+    spread.maxPerWorker = 1;
+    fleet.store(cell_fleet::vmName(0, 0), "other", spread, 60s);
+    fleet.runFor(1s);
+    fleet.store(cell_fleet::vmName(0, 0), "a", tightlyCoupledStep(4), 200ms);
+    fleet.runFor(2s);
+    BOOST_TEST((fleet.state(0, "a") == jobs::job_state::completed));
+    expectNoViolation(fleet);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_treated_as_stalled_while_several_racks_slow_it_down)
+{
+    cell_fleet fleet(1, 2, 4);
+    useTwoRacks(fleet, 4);
+    fleet.runFor(2s);
+    for (unsigned number = 0; number < 4; ++number)
+        fleet.workers.faults(cell_fleet::workerName(0, number)).hangs = true;
+    fleet.store(cell_fleet::vmName(0, 0), "a", tightlyCoupledStep(6), 400ms);
+    fleet.runFor(3s);
+    BOOST_TEST(runsByAttempt(fleet, "a").size() == 1U);
+    BOOST_TEST(runningTasks(fleet, "a") == 6U);
+    fleet.runFor(1500ms);
+    BOOST_TEST(runningTasks(fleet, "a") == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_long_running_task)
--- a/tests/fakes/virtual_workers.h
+++ b/tests/fakes/virtual_workers.h
@@ -65,6 +65,11 @@
 
     /// Adds a worker and returns its registration. The payload of each task is its run time in milliseconds.
     cells::worker_registration add(const std::string& id, const std::string& domain, std::int64_t cpuMillis);
+    /// Sets the labels of a worker, the last of which names its rack; none by default. To be called before owners read them.
+    void setLabels(const std::string& id, const std::vector<std::string>& labels)
+    {
+        m_workers.at(id).registration.labels = labels;
+    }
     /// Returns the faults of a worker, which a test may change at any time.
     worker_faults& faults(const std::string& id) { return m_workers.at(id).faults; }
     /// Ends all runs of a worker without reporting them, and starts a new boot with the same id and address. Faults stay.
