tests: Crowds that send bodies in chunks of 1 byte and of 64 KB

The crowds of misbehaving clients had chunks of 64 bytes only. In a trial, a process ran out of memory by chunked bodies in very small and in large chunks that stopped short of their end.

Crowd and bounds are those of body_in_chunks: 320 clients, 64 MB, at all three targets. The one of 1 byte stays for 9 s, so that the VM reads what the buffers of the system have taken.

--- a/tests/clients/misbehaving_clients.py
+++ b/tests/clients/misbehaving_clients.py
@@ -39,6 +39,9 @@
 LOG_LINES = 20
 BODY = b'{"spec":"' + b"x" * (MAX_BODY - 9)
 CHUNKS = b"".join(b"40\r\n" + BODY[first:first + 64] + b"\r\n" for first in range(0, MAX_BODY - 64, 64)) + b"3f\r\n" + BODY[-63:] + b"\r\n"
+CHUNKS_OF_ONE_BYTE = b"".join(b"1\r\n" + BODY[first:first + 1] + b"\r\n" for first in range(MAX_BODY - 1))
+CHUNKS_OF_64_KB = b"".join(b"10000\r\n" + BODY[first:first + 65536] + b"\r\n" for first in range(0, MAX_BODY - 65536, 65536)) \
+    + b"ffff\r\n" + BODY[-65535:] + b"\r\n"
 PIECE = 4096
 SMALL_BUFFER = 2048
 PHASE = '{"count":1,"cpu":1,"mem_mb":1,"estimate_ms":1}'
@@ -99,6 +102,18 @@
     await client.send(client.head(["Transfer-Encoding: chunked"]) + CHUNKS)
 
 
+async def body_in_chunks_of_one_byte(client):
+    """Unfinished bodies in the smallest chunks cost more than their bytes, or hold up the other clients."""
+    await client.send(client.head(["Transfer-Encoding: chunked"]) + CHUNKS_OF_ONE_BYTE)
+    # The system's buffers take what the VM has not read yet.
+    await asyncio.sleep(CROWD_LIMIT_S - 1)
+
+
+async def body_in_chunks_of_64_kb(client):
+    """Unfinished bodies in large chunks are kept without a common limit on their memory."""
+    await client.send(client.head(["Transfer-Encoding: chunked"]) + CHUNKS_OF_64_KB)
+
+
 async def half_body_then_close(client):
     """Bodies of connections that close half-way exceed the memory before or after they are closed."""
     await client.send(client.head([f"Content-Length: {MAX_BODY}"]) + BODY[:MAX_BODY // 2])
@@ -153,9 +168,9 @@
 
 
 # Size of the crowd for each kind. On the code that these tests were written for, those of the kinds that keep bodies exceed the memory.
-KINDS = {body_in_one_piece: 320, body_in_small_pieces: 320, body_in_chunks: 320, half_body_then_close: 600, claim_of_8_gb: 320,
-         many_phases: 400, opening_brackets: 500, header_flood: 800, stop_half_way: 800, pipelining_without_reading: 200,
-         slow_sender: 800, slow_reader: 400}
+KINDS = {body_in_one_piece: 320, body_in_small_pieces: 320, body_in_chunks: 320, body_in_chunks_of_one_byte: 320,
+         body_in_chunks_of_64_kb: 320, half_body_then_close: 600, claim_of_8_gb: 320, many_phases: 400, opening_brackets: 500,
+         header_flood: 800, stop_half_way: 800, pipelining_without_reading: 200, slow_sender: 800, slow_reader: 400}
 CLOSING = (half_body_then_close,)
 ENDLESS = (slow_sender, slow_reader)
 UNREAD = (pipelining_without_reading, slow_reader)
