--- a/front/job_codec.cpp
+++ b/front/job_codec.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "core/json_bounds.h"
+
 namespace coriandermount::front {
 
 using nlohmann::json;
@@ -196,6 +198,10 @@
 
 result<job_request> decodeJob(const std::string& text)
 {
+    const json_bounds bounds;
+    if (!isWithin(text, bounds))
+        return fail(error_kind::malformed_request,
+            fmt::format("the job has more than {} values, or they are nested deeper than {}", bounds.maxValues, bounds.maxDepth));
     try {
         return decodeFields(json::parse(text));
     } catch (const field_problem& problem) {
