net: Holds request bodies in a budget over all listeners of a process

Clients ran a process out of memory: many large bodies of legal size at once, whole, in pieces or in chunks, most of which stop short of their end and stay open. Each connection kept up to 256 KB of its own, and nothing limited their sum.

What is beyond it is answered 503 with Retry-After, and has not reached the handler. A body announced as too long is answered by its header, and one that is not complete after 30 s is cut off. The listeners of readiness and metrics take 1 KB. The listener for other VMs has no part in the budget. Counters give the refusals by reason.

--- a/core/error.cpp
+++ b/core/error.cpp
@@ -16,6 +16,8 @@
         { malformed_request, "malformed_request", 400, not_run, party::caller, notRetryable, "the request is malformed" },
         { payload_too_large, "payload_too_large", 413, not_run, party::caller, notRetryable,
             "the request is larger than allowed" },
+        { body_memory_exceeded, "body_memory_exceeded", 503, not_run, party::caller, retryable,
+            "the memory for request bodies is used up" },
         { error_kind::not_found, "not_found", 404, not_run, party::caller, notRetryable, "no resource exists at this path" },
         { method_not_allowed, "method_not_allowed", 405, not_run, party::caller, notRetryable,
             "this path does not support this method" },
--- a/core/error.h
+++ b/core/error.h
@@ -15,6 +15,7 @@
 enum class error_kind {
     malformed_request,
     payload_too_large,
+    body_memory_exceeded,
     not_found,
     method_not_allowed,
     job_conflict,
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -98,6 +98,11 @@
         return tl::unexpected(std::move(decoded));
     }
 
+    /// Largest body of a request.
+    constexpr std::size_t maxBodyBytes = std::size_t { 256 } * 1024;
+    /// Largest body of a request to a listener whose requests need none.
+    constexpr std::size_t maxUnusedBodyBytes = 1024;
+
     net::http_server_options listenerOptions(const std::string& listener)
     {
         net::http_server_options options;
@@ -105,11 +110,21 @@
         options.address = listener.substr(0, colon);
         options.port = static_cast<std::uint16_t>(std::stoi(listener.substr(colon + 1)));
         options.threads = 1;
-        options.maxBodyBytes = std::size_t { 256 } * 1024;
+        options.maxBodyBytes = maxBodyBytes;
         options.dateHeader = false;
         return options;
     }
 
+    /// Returns the options of a listener whose requests are accounted in `budget`.
+    net::http_server_options clientListenerOptions(
+        const std::string& listener, const std::shared_ptr<net::body_budget>& budget, std::size_t longestBody)
+    {
+        auto options = listenerOptions(listener);
+        options.bodyBudget = budget;
+        options.maxBodyBytes = longestBody;
+        return options;
+    }
+
     net::http_client_options clientOptions(const platform::boot_settings& settings)
     {
         net::http_client_options options;
@@ -170,6 +185,8 @@
     peers::http_peer_service peerService;
     cells::job_router router;
     cells::fleet_neighbors neighbors;
+    /// Shared by all listeners but that for other VMs, so that clients do not use up what those need.
+    std::shared_ptr<net::body_budget> bodyBudget;
     net::http_server clientServer;
     net::http_server readinessServer;
     metrics::entry_metrics metrics;
@@ -247,9 +264,12 @@
     , peerService(listenerOptions(fmt::format("{}:{}", values.address, values.firstPeerPort)))
     , router(clock, owner, *this, [this] { return runTarget(); })
     , neighbors(clock, owner, *this, directory, cell, cellCount)
-    , clientServer(platform::clientServerOptions(listenerOptions(values.clientListener)), platform::clientHandler(*this))
-    , readinessServer(listenerOptions(values.readyListener), platform::readinessHandler(*this))
-    , metricsServer(listenerOptions(fmt::format("{}:{}", values.address, metricsPort)),
+    , bodyBudget(std::make_shared<net::body_budget>(net::bodyBudgetLimits(values.memoryBytes, maxBodyBytes)))
+    , clientServer(platform::clientServerOptions(clientListenerOptions(values.clientListener, bodyBudget, maxBodyBytes)),
+          platform::clientHandler(*this))
+    , readinessServer(
+          clientListenerOptions(values.readyListener, bodyBudget, maxUnusedBodyBytes), platform::readinessHandler(*this))
+    , metricsServer(clientListenerOptions(fmt::format("{}:{}", values.address, metricsPort), bodyBudget, maxUnusedBodyBytes),
           [this](const net::http_request&, const std::shared_ptr<net::responder>& responder) { replyWithMetrics(responder); })
 {
     for (cells::cell_number number = 0; number < cellCount; ++number)
@@ -537,6 +557,11 @@
     for (std::size_t proof = 0; proof < cells::runEndProofCount; ++proof)
         samples.push_back(
             { "runs_lost_total", cells::nameOf(static_cast<cells::run_end_proof>(proof)), cellCounters.lostRuns[proof] });
+    const auto refusedBodies = bodyBudget->refusals();
+    for (std::size_t reason = 0; reason < refusedBodies.size(); ++reason)
+        samples.push_back(
+            { "request_bodies_refused_total", net::nameOf(static_cast<net::body_refusal>(reason)), refusedBodies[reason] });
+    samples.push_back({ "request_body_bytes", {}, bodyBudget->claimedBytes() });
     net::http_response response;
     response.contentType = "text/plain; version=0.0.4";
     response.body = metrics.serialize(samples);
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,6 +1,8 @@
 #include "net/http_server.h"
 
+#include <algorithm>
 #include <atomic>
+#include <charconv>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
@@ -13,12 +15,16 @@
 #include <poll.h>
 
 #include "core/guarded_call.h"
+#include "core/log.h"
 
 namespace coriandermount::net {
 
 namespace {
 
     constexpr std::size_t connectionMemoryBytes = 8 * 1024;
+    /// First capacity of the buffer of a body whose length is not announced; it doubles as the body grows.
+    constexpr std::size_t firstBodyCapacity = 1024;
+    constexpr std::chrono::seconds bodyRetryDelay { 1 };
     /// Maximum wait in `http_server::stop` until the responses to pending requests are written.
     constexpr std::chrono::milliseconds finalResponsesTimeout { 500 };
     constexpr std::chrono::milliseconds finalResponsesPollInterval { 1 };
@@ -53,12 +59,46 @@
         return queued;
     }
 
-    http_response payloadTooLargeResponse(std::size_t limit)
+    /// Returns the response to a request whose body is refused. Such a request has not reached the handler.
+    http_response bodyRefusedResponse(body_refusal reason, std::size_t maxBodyBytes)
     {
-        const auto& row = rowOf(error_kind::payload_too_large);
-        return { row.httpStatus, "application/json",
-            fmt::format(R"({{"error":"{}","outcome":"not_run","detail":"the body is longer than {} bytes"}})", row.name, limit),
-            {}, false };
+        const bool isTooLong = reason == body_refusal::too_long;
+        const auto& row = rowOf(isTooLong ? error_kind::payload_too_large : error_kind::body_memory_exceeded);
+        http_response response;
+        response.status = row.httpStatus;
+        response.headers["Connection"] = "close";
+        if (isTooLong) {
+            response.body = fmt::format(R"({{"error":"{}","outcome":"{}","detail":"the body is longer than {} bytes"}})",
+                row.name, nameOf(row.result), maxBodyBytes);
+            return response;
+        }
+        response.headers["Retry-After"] = fmt::to_string(bodyRetryDelay.count());
+        response.body = fmt::format(R"({{"error":"{}","outcome":"{}","detail":"{}","retry_ms":{}}})", row.name,
+            nameOf(row.result), row.message, std::chrono::milliseconds(bodyRetryDelay).count());
+        return response;
+    }
+
+    /// Returns the announced length of the body; nothing if the request has no body or does not announce its length.
+    std::optional<std::uint64_t> announcedLength(MHD_Connection* connection)
+    {
+        if (MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_TRANSFER_ENCODING))
+            return std::nullopt;
+        const char* text = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+        if (!text)
+            return std::nullopt;
+        const std::string_view digits(text);
+        std::uint64_t length = 0;
+        // libmicrohttpd has rejected any other value.
+        std::from_chars(digits.data(), digits.data() + digits.size(), length);
+        return length;
+    }
+
+    body_budget::source sourceOf(MHD_Connection* connection)
+    {
+        const MHD_ConnectionInfo* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+        if (!info || !info->client_addr || info->client_addr->sa_family != AF_INET)
+            return 0;
+        return reinterpret_cast<const sockaddr_in*>(info->client_addr)->sin_addr.s_addr;
     }
 
     /// Returns the response to requests that are pending, or arrive, while the server stops.
@@ -195,8 +235,23 @@
     /// State of one request, owned by its connection.
     struct exchange {
         std::string body;
-        bool oversized = false;
+        /// Length that the header announces; 0 if it announces none.
+        std::size_t announced = 0;
+        /// Holds the memory of the body until the request ends; empty for a listener without a budget.
+        std::optional<body_budget::claim> claim;
+        std::chrono::steady_clock::time_point receivedHeaderAt = std::chrono::steady_clock::now();
+        /// Set when the rest of the body is read without being kept, to be answered at its end.
+        std::optional<body_refusal> refusal;
+        std::size_t discardedBytes = 0;
         std::shared_ptr<pending_request> pending;
+
+        /// Returns the capacity that the buffer needs for `bytes`.
+        std::size_t capacityFor(std::size_t bytes, std::size_t maxBodyBytes) const
+        {
+            if (bytes <= announced)
+                return announced;
+            return std::max(bytes, std::min(std::max(2 * body.capacity(), firstBodyCapacity), maxBodyBytes));
+        }
     };
 
 } // namespace
@@ -215,7 +270,12 @@
         const char* uploadData, std::size_t* uploadSize, void** state);
     static void onCompleted(void* context, MHD_Connection*, void** state, MHD_RequestTerminationCode);
 
-    MHD_Result receive(exchange& current, const char* uploadData, std::size_t* uploadSize) const;
+    /// Decides by the header whether the body is received; answers the request if it is not.
+    MHD_Result admit(exchange& current, MHD_Connection* connection, const char* url);
+    MHD_Result receive(exchange& current, const char* url, const char* uploadData, std::size_t* uploadSize) const;
+    /// Raises the claim of a body; returns the reason when the budget does not allow it.
+    static std::optional<body_refusal> claimMemory(exchange& current, std::size_t bytes);
+    void reportRefusal(body_refusal reason, const char* url) const;
     /// Registers a pending request; returns false if the server is stopping.
     bool addPending(exchange& current);
     /// Waits until all responses are written, or the timeout ends.
@@ -223,23 +283,72 @@
     MHD_Result dispatch(exchange& current, MHD_Connection* connection, const char* url, const char* method);
 };
 
-MHD_Result http_server::data::receive(exchange& current, const char* uploadData, std::size_t* uploadSize) const
+MHD_Result http_server::data::admit(exchange& current, MHD_Connection* connection, const char* url)
 {
-    if (current.body.size() + *uploadSize > options.maxBodyBytes) {
-        current.oversized = true;
-        current.body.clear();
-        current.body.shrink_to_fit();
+    if (options.bodyBudget)
+        current.claim.emplace(*options.bodyBudget, sourceOf(connection));
+    const auto length = announcedLength(connection);
+    if (!length)
+        return MHD_YES;
+    const bool isTooLong = *length > options.maxBodyBytes;
+    const auto refusal = isTooLong ? body_refusal::too_long : claimMemory(current, static_cast<std::size_t>(*length));
+    if (refusal) {
+        reportRefusal(*refusal, url);
+        return queueResponse(connection, bodyRefusedResponse(*refusal, options.maxBodyBytes));
     }
-    if (!current.oversized)
-        current.body.append(uploadData, *uploadSize);
-    *uploadSize = 0;
+    current.announced = static_cast<std::size_t>(*length);
     return MHD_YES;
 }
 
+MHD_Result http_server::data::receive(exchange& current, const char* url, const char* uploadData, std::size_t* uploadSize) const
+{
+    const std::size_t received = std::exchange(*uploadSize, 0);
+    if (std::chrono::steady_clock::now() - current.receivedHeaderAt > options.bodyTimeout) {
+        reportRefusal(body_refusal::too_slow, url);
+        return MHD_NO;
+    }
+    if (!current.refusal) {
+        const std::size_t needed = current.body.size() + received;
+        if (needed > options.maxBodyBytes) {
+            current.refusal = body_refusal::too_long;
+        } else if (needed > current.body.capacity()) {
+            const std::size_t capacity = current.capacityFor(needed, options.maxBodyBytes);
+            current.refusal = claimMemory(current, capacity);
+            if (!current.refusal)
+                current.body.reserve(capacity);
+        }
+        if (!current.refusal) {
+            current.body.append(uploadData, received);
+            return MHD_YES;
+        }
+        reportRefusal(*current.refusal, url);
+        current.body = {};
+        if (current.claim)
+            current.claim->release();
+    }
+    // libmicrohttpd sends no response before the end of a chunked body.
+    current.discardedBytes += received;
+    return current.discardedBytes <= options.maxBodyBytes ? MHD_YES : MHD_NO;
+}
+
+std::optional<body_refusal> http_server::data::claimMemory(exchange& current, std::size_t bytes)
+{
+    return current.claim ? current.claim->raise(bytes) : std::nullopt;
+}
+
+void http_server::data::reportRefusal(body_refusal reason, const char* url) const
+{
+    if (options.bodyBudget)
+        options.bodyBudget->countRefusal(reason);
+    constexpr std::size_t longestPath = 200;
+    writeLog(log_level::info, "http_server", "request body refused",
+        { { "reason", std::string(nameOf(reason)) }, { "path", std::string(url).substr(0, longestPath) } });
+}
+
 MHD_Result http_server::data::dispatch(exchange& current, MHD_Connection* connection, const char* url, const char* method)
 {
-    if (current.oversized)
-        return queueResponse(connection, payloadTooLargeResponse(options.maxBodyBytes));
+    if (current.refusal)
+        return queueResponse(connection, bodyRefusedResponse(*current.refusal, options.maxBodyBytes));
     if (current.pending) {
         const auto response = current.pending->currentResponse();
         return response ? queueResponse(connection, *response) : MHD_YES;
@@ -270,11 +379,11 @@
     auto& self = *static_cast<data*>(context);
     if (!*state) {
         *state = std::make_unique<exchange>().release();
-        return MHD_YES;
+        return self.admit(*static_cast<exchange*>(*state), connection, url);
     }
     auto& current = *static_cast<exchange*>(*state);
     if (*uploadSize > 0)
-        return self.receive(current, uploadData, uploadSize);
+        return self.receive(current, url, uploadData, uploadSize);
     return self.dispatch(current, connection, url, method);
 }
 
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "core/error.h"
+#include "net/body_budget.h"
 
 namespace coriandermount::net {
 
@@ -59,7 +60,14 @@
     std::uint16_t port = 0;
     unsigned threads = 2;
     unsigned maxConnections = 8192;
+    /// Largest request body. A request that announces a longer one is answered at once, and its connection closed.
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    /// Accounts the bodies of requests until these are answered; without one, only `maxBodyBytes` limits them. A request that the
+    /// budget does not allow is answered with `body_memory_exceeded`. Listeners may share a budget.
+    std::shared_ptr<body_budget> bodyBudget;
+    /// Time from the header of a request to the end of its body, after which its connection is closed with the next bytes; one
+    /// that sends nothing is closed after `idleTimeout`.
+    std::chrono::seconds bodyTimeout { 30 };
     /// Time after which an idle connection without a pending request is closed.
     std::chrono::seconds idleTimeout { 30 };
     /// Whether responses carry a Date header.
