main: Bounds the memory for request bodies of coriandermountd as well

Its listener for callers kept bodies of up to listen.max_body_bytes for each connection, as that of coriandermount-entry did. The budget is taken from the new setting listen.memory_mb (512): a quarter of it, or four bodies of the largest size if that is more. Four counters give the refusals by reason.

test-settings and test-front pass; no crowd was run against this program.

--- a/main/node.cpp
+++ b/main/node.cpp
@@ -40,7 +40,15 @@
     constexpr std::size_t bytesPerKilobyte = 1024;
     constexpr std::chrono::milliseconds journalFlushTimeout { 1000 };
 
-    net::http_server_options callerListenerOptions(const settings::values& settings)
+    std::shared_ptr<net::body_budget> callerBodyBudget(const settings::values& settings)
+    {
+        const std::size_t memoryBytes = static_cast<std::size_t>(settings.memoryMegabytes) * bytesPerKilobyte * bytesPerKilobyte;
+        return std::make_shared<net::body_budget>(
+            net::bodyBudgetLimits(memoryBytes, static_cast<std::size_t>(settings.maxBodyBytes)));
+    }
+
+    net::http_server_options callerListenerOptions(
+        const settings::values& settings, const std::shared_ptr<net::body_budget>& budget)
     {
         net::http_server_options options;
         options.address = settings.listenAddress;
@@ -48,6 +56,7 @@
         options.threads = static_cast<unsigned>(settings.httpThreads);
         options.maxConnections = static_cast<unsigned>(settings.maxConnections);
         options.maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
+        options.bodyBudget = budget;
         return options;
     }
 
@@ -104,6 +113,7 @@
     configuration::configuration_controller configuration;
     quota::share_service shares;
     front::api api;
+    std::shared_ptr<net::body_budget> bodyBudget;
     net::http_server server;
     explain::journal_service journalService;
     explain::status_service statusService;
@@ -142,7 +152,8 @@
               dispatcher.post(dispatch::shares_changed { current });
           })
     , api({ clock, board, claims, dispatcher, metrics, journal })
-    , server(callerListenerOptions(initialSettings),
+    , bodyBudget(callerBodyBudget(initialSettings))
+    , server(callerListenerOptions(initialSettings, bodyBudget),
           [this](const net::http_request& request, const std::shared_ptr<net::responder>& responder) {
               api.handle(request, responder);
           })
@@ -158,6 +169,12 @@
         [this] { return static_cast<double>(controlClient->traffic().sentBytes); });
     metrics.addCounterSource("coriandermount_control_received_bytes_total", "Bytes of replies from peers and the platform",
         [this] { return static_cast<double>(controlClient->traffic().receivedBytes); });
+    for (std::size_t reason = 0; reason < net::bodyRefusalCount; ++reason) {
+        metrics.addCounterSource(
+            fmt::format("coriandermount_request_bodies_{}_total", net::nameOf(static_cast<net::body_refusal>(reason))),
+            "Request bodies that were refused for this reason",
+            [budget = bodyBudget, reason] { return static_cast<double>(budget->refusals().at(reason)); });
+    }
     claims.registerMethods(peerService);
     front::addJobIdRoute(api, claims, clock);
     front::addFleetRoutes(api, board, fleet);
--- a/settings/settings.cpp
+++ b/settings/settings.cpp
@@ -24,6 +24,8 @@
         { "listen.max_connections", &values::maxConnections, 16, 65536, "", "connections",
             "Largest number of open connections of callers." },
         { "listen.max_body_bytes", &values::maxBodyBytes, 1024, 64 * 1024 * 1024, "", "bytes", "Largest request body." },
+        { "listen.memory_mb", &values::memoryMegabytes, 64, 1024 * 1024, "", "MB",
+            "Memory of this VM. Request bodies may take a quarter of it, or four bodies of the largest size if that is more." },
         { "peers.address", &values::peerAddress, 0, 0, "", "", "IPv4 address for other entry VMs." },
         { "peers.port", &values::peerPort, 0, maxPort, "", "", "Port for other entry VMs; 0 lets the system choose." },
         { "peers.advertised_address", &values::peerAdvertisedAddress, 0, 0, "", "",
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -28,6 +28,7 @@
     std::int64_t httpThreads = 2;
     std::int64_t maxConnections = 8192;
     std::int64_t maxBodyBytes = 4 * 1024 * 1024;
+    std::int64_t memoryMegabytes = 512;
 
     std::string platformAddress = "127.0.0.1:7500";
     std::chrono::milliseconds platformTimeout { 1000 };
