cells: Tasks that crash workers at the same moments don't excuse each other

A task explains the loss of a worker after two crashes just after its start, whether it was alone or not. From two such crashes on it is suspected, and so runs alone, and from the fourth on it waits for 160 s and more, whatever else was lost then.

--- a/cells/crash_suspicion.cpp
+++ b/cells/crash_suspicion.cpp
@@ -22,6 +22,10 @@
     /// Number of losses of any cause from which on a task is suspected, and from which on it waits after each further one.
     constexpr std::uint32_t lossesUntilSuspected = 4;
     constexpr std::uint32_t lossesUntilHeldBack = 5;
+    /// Number of crashes just after its start from which on a task is suspected, whatever else was lost then, and from which on
+    /// it waits after each further one.
+    constexpr std::uint32_t crashesUntilSuspected = 2;
+    constexpr std::uint32_t crashesUntilHeldBack = 4;
     /// Number of unexplained losses from which on a task is suspected.
     constexpr std::uint32_t unexplainedUntilSuspected = 2;
     /// Number of workers lost at the same moment that have a cause in common whatever they executed.
@@ -35,6 +39,8 @@
     /// Pauses after `lossesUntilHeldBack` losses without a common cause and after each further one.
     constexpr std::array<std::chrono::milliseconds, 4> lossPauses { std::chrono::seconds(10), std::chrono::seconds(30),
         std::chrono::seconds(160), std::chrono::seconds(600) };
+    /// Pauses after `crashesUntilHeldBack` crashes just after the start and after each further one.
+    constexpr std::array<std::chrono::milliseconds, 2> crashPauses { std::chrono::seconds(160), std::chrono::seconds(600) };
     /// Pauses after `unexplainedUntilSuspected` workers that have not returned and after each further one.
     constexpr std::array<std::chrono::milliseconds, 4> vanishedPauses { std::chrono::seconds(10), std::chrono::seconds(50),
         std::chrono::seconds(160), std::chrono::seconds(600) };
@@ -293,14 +299,17 @@
     job.tasks[task].lastLoss = now;
 }
 
-bool crash_suspicion::isOftenLost(const task_key& task) const
+std::uint32_t crash_suspicion::crashesAtStart(const suspect& task)
+{
+    return static_cast<std::uint32_t>(std::count_if(task.losses.begin(), task.losses.end(), [](const task_loss& loss) {
+        return loss.verdict == loss_verdict::crashed && loss.timing == loss_timing::at_start && loss.likely;
+    }));
+}
+
+bool crash_suspicion::crashesOften(const task_key& task) const
 {
     const suspect* found = find(task);
-    if (!found)
-        return false;
-    const auto alone
-        = std::count_if(found->losses.begin(), found->losses.end(), [](const task_loss& loss) { return loss.alone; });
-    return static_cast<std::uint32_t>(alone) + total(found->earlier) >= unexplainedUntilSuspected;
+    return found && crashesAtStart(*found) + total(found->earlier) >= crashesUntilSuspected;
 }
 
 bool crash_suspicion::hasCommonCause(const task_loss& loss) const
@@ -309,7 +318,7 @@
         return true;
     return std::any_of(loss.others.begin(), loss.others.end(), [this](const auto& other) {
         const auto& tasks = *other.second;
-        return std::none_of(tasks.begin(), tasks.end(), [this](const task_key& key) { return isOftenLost(key); });
+        return std::none_of(tasks.begin(), tasks.end(), [this](const task_key& key) { return crashesOften(key); });
     });
 }
 
@@ -374,8 +383,8 @@
     const auto job = m_jobs.find(jobId);
     return job == m_jobs.end() || std::all_of(job->second.tasks.begin(), job->second.tasks.end(), [this](const auto& entry) {
         const tally counted = tallyOf(entry.first);
-        return total(counted.attributed) == 0 && !counted.ofSeveralTasks && counted.unexplained() < unexplainedUntilSuspected
-            && counted.total() < lossesUntilSuspected;
+        return total(counted.attributed) == 0 && !counted.ofSeveralTasks && crashesAtStart(entry.second) < crashesUntilSuspected
+            && counted.unexplained() < unexplainedUntilSuspected && counted.total() < lossesUntilSuspected;
     });
 }
 
@@ -392,8 +401,9 @@
         return time_point::min();
     const tally counted = tallyOf(task);
     return found->lastLoss
-        + std::max(pauseAfter(total(counted.attributed) + counted.unexplained(), lossesUntilHeldBack, lossPauses),
-            pauseAfter(counted.vanished, unexplainedUntilSuspected, vanishedPauses));
+        + std::max({ pauseAfter(total(counted.attributed) + counted.unexplained(), lossesUntilHeldBack, lossPauses),
+            pauseAfter(counted.vanished, unexplainedUntilSuspected, vanishedPauses),
+            pauseAfter(crashesAtStart(*found), crashesUntilHeldBack, crashPauses) });
 }
 
 bool crash_suspicion::isToBlame(const task_key& task) const
--- a/cells/crash_suspicion.h
+++ b/cells/crash_suspicion.h
@@ -202,8 +202,10 @@
     static bool compare(task_loss& loss, const task_key& task, const boot_key& boot, const fall& other);
     /// Returns whether the loss coincided with losses of other workers that their own tasks don't explain.
     bool hasCommonCause(const task_loss& loss) const;
-    /// Returns whether the task was repeatedly the only likely cause of the loss of a worker.
-    bool isOftenLost(const task_key& task) const;
+    /// Returns the number of workers that crashed just after the start of the task, without a likelier cause.
+    static std::uint32_t crashesAtStart(const suspect& task);
+    /// Returns whether workers have repeatedly crashed just after the start of the task.
+    bool crashesOften(const task_key& task) const;
     /// Adds losses with the given verdict, and returns them unless they are pending.
     std::vector<judged_loss> addLosses(const boot_key& worker, std::vector<exposed_run> runs, loss_verdict verdict,
         crash_observation observation, time_point now);
