--- a/cells/crash_suspicion.h
+++ b/cells/crash_suspicion.h
@@ -68,9 +68,8 @@
 ///
 /// A worker that stops answering has crashed if its address refuses connections, or if a later boot is registered under its id or
 /// at its address; it has not if it answers in the same boot. Until then the loss is pending. A crash is attributed to a task if
-/// the worker is known to have crashed while it ran the task, unless other workers, which didn't run the job, were lost at the
-/// same moment: then the cause is common to them. Only attributed crashes make a task to blame; all losses together hold back
-/// further starts.
+/// it came while the task ran and is not likelier due to another task, or to a cause in common with other workers that were lost
+/// at the same moment. Only attributed crashes make a task to blame; the other losses hold back further starts.
 ///
 /// Not thread-safe.
 class crash_suspicion {
