--- a/event_log/attribution.cpp
+++ b/event_log/attribution.cpp
@@ -292,6 +292,7 @@
         switch (fault.problem.value_or(error_kind::internal_error)) {
         case error_kind::malformed_request:
         case error_kind::payload_too_large:
+        case error_kind::body_memory_exceeded:
         case error_kind::not_found:
         case error_kind::method_not_allowed:
         case error_kind::job_kind_unsupported:
