cells: Log what settled losses say about tasks, and passes that take long

Cause: the log could not distinguish why accepted jobs were not run or deadly tasks were started again: a crash is logged before it is known which other workers fell, and a pass of an owner has no duration. Change: a line a second after each loss with its weight, timing, the other losses and the uncertainty of its time; a line and a counter for passes of 50 ms and more; a counter of the jobs and workers that forecasts look at.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -198,9 +198,48 @@
     return pauses.isSettling(now);
 }
 
+/// Logs and counts a pass over the cell that has taken long.
+class cell_owner::data::pass_report {
+public:
+    pass_report(data& owner, time_point now)
+        : m_owner(owner)
+        , m_begin(now)
+    {
+    }
+
+    ~pass_report()
+    {
+        const time_point end = m_owner.clock.now();
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(end - m_begin);
+        if (took < longPass)
+            return;
+        ++m_owner.counters.longPasses;
+        if (end < m_owner.nextPassReport)
+            return;
+        m_owner.nextPassReport = end + passReportInterval;
+        writeLog(log_level::warning, "cell", "pass over the cell took long",
+            { { "duration_ms", fmt::to_string(took.count()) }, { "waiting_jobs", fmt::to_string(m_owner.waitingJobs()) },
+                { "open_jobs", fmt::to_string(m_owner.jobTable.open().size()) },
+                { "workers", fmt::to_string(m_owner.sessions.size()) },
+                { "long_passes", fmt::to_string(m_owner.counters.longPasses) } });
+    }
+
+    pass_report(const pass_report&) = delete;
+    pass_report& operator=(const pass_report&) = delete;
+
+private:
+    /// Duration from which on answers of workers are handled noticeably late.
+    static constexpr std::chrono::milliseconds longPass { 50 };
+    static constexpr std::chrono::milliseconds passReportInterval { 1000 };
+
+    data& m_owner;
+    time_point m_begin;
+};
+
 void cell_owner::data::tick(time_point now)
 {
     const bool settling = isSettling();
+    const pass_report report(*this, now);
     writeOwnerRecord(now);
     if (tail)
         tail->tick(now);
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -193,6 +193,10 @@
     std::uint64_t lostWorkersHeardAgain = 0;
     /// Jobs that failed because a task of theirs crashes the workers that start it.
     std::uint64_t jobsGivenUp = 0;
+    /// Number of passes over the cell that took long enough to delay the handling of answers.
+    std::uint64_t longPasses = 0;
+    /// Number of jobs and workers that were looked at to forecast the starts of waiting jobs.
+    std::uint64_t forecastVisits = 0;
     /// Start orders of which a try had no answer, by the time until it was known what became of the run. The bounds are those of
     /// `resolutionBounds`; the last entry counts the others.
     std::array<std::uint64_t, resolutionBounds.size() + 1> resolvedStarts {};
--- a/cells/cell_owner_admission.cpp
+++ b/cells/cell_owner_admission.cpp
@@ -183,6 +183,7 @@
     const double share = evacuation.usableShare(now);
     const time_point heardSince = silentFrom(now);
     double cores = 0;
+    counters.forecastVisits += sessions.size();
     for (const auto& [id, session] : sessions) {
         if (!isUsable(session, service, step, heardSince, until))
             continue;
@@ -226,6 +227,7 @@
 {
     constexpr std::chrono::hours behindAll { 24 };
     std::vector<std::string> overdue;
+    counters.forecastVisits += readyJobs.size();
     for (const auto& rank : readyJobs) {
         const auto& id = std::get<std::string>(rank);
         const open_job* job = jobTable.find(id);
@@ -255,6 +257,7 @@
         return;
     std::vector<std::pair<std::string, refusal_reason>> refused;
     std::vector<std::string> undecided;
+    counters.forecastVisits += readyJobs.size();
     for (const auto& rank : readyJobs) {
         open_job* job = jobTable.find(std::get<std::string>(rank));
         if (!job || job->ended || job->isLongRunning() || !mayStart(*job, now))
--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -137,6 +137,17 @@
     }
 }
 
+void cell_owner::data::reportSettledLosses()
+{
+    for (const auto& loss : suspicion.takeSettled()) {
+        writeLog(log_level::info, "cell", "loss of a worker settled",
+            { { "job", loss.task.jobId }, { "step", fmt::to_string(loss.task.step) }, { "task", fmt::to_string(loss.task.index) },
+                { "worker", loss.worker.value }, { "weight", std::string(nameOf(loss.weight)) },
+                { "timing", std::string(nameOf(loss.timing)) }, { "others_lost", fmt::to_string(loss.others) },
+                { "uncertainty_ms", fmt::to_string(loss.uncertainty.count()) } });
+    }
+}
+
 void cell_owner::data::giveUpLater(const task_key& key, time_point now)
 {
     toGiveUp.try_emplace(key, now + commonLossReportLimit);
@@ -300,6 +311,7 @@
     if (suspicion.empty())
         return;
     reportLosses(suspicion.expire(now), now);
+    reportSettledLosses();
     for (const auto& jobId : suspicion.takeChanges()) {
         if (open_job* job = jobTable.find(jobId))
             job->dirty = true;
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -214,9 +214,12 @@
     crash_suspicion suspicion;
     /// Tasks whose jobs are to be given up, and when.
     std::map<task_key, time_point> toGiveUp;
+    /// When a pass that took long may be logged again.
+    time_point nextPassReport;
     /// When a worker with runs was last found lost.
     time_point lastFallAt;
-    cell_counters counters;
+    /// Mutable so that forecasts, which change nothing else, can count in `forecastVisits`.
+    mutable cell_counters counters;
 
     data(jobs::record_store& target, worker_link& orders, const clock_source& time, jobs::record_stream source,
         const cell_settings& limits)
@@ -255,6 +258,7 @@
     void writeOwnerRecord(time_point now);
     void onOwnerRecordWritten(const result<std::uint64_t>& answer);
     void endSupersededTerm(std::string_view reason);
+    class pass_report;
     void tick(time_point now);
 
     // Records: cell_owner_records.cpp.
@@ -527,6 +531,8 @@
     void reportLoss(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now) const;
     /// Logs and counts losses of workers under their tasks.
     void reportLosses(const std::vector<judged_loss>& losses, time_point now);
+    /// Logs what losses say about their tasks, once that is settled.
+    void reportSettledLosses();
     /// Gives up the job of a task that is to blame, unless other workers turn out to have been lost together with its own.
     void giveUpLater(const task_key& key, time_point now);
     /// Returns whether a call to the worker would show whether it was lost together with another one.
--- a/cells/crash_suspicion.cpp
+++ b/cells/crash_suspicion.cpp
@@ -84,6 +84,19 @@
     return names[static_cast<std::size_t>(value)];
 }
 
+std::string_view nameOf(loss_timing value)
+{
+    constexpr std::array<std::string_view, 3> names { "at_start", "in_lease", "unknown" };
+    return names[static_cast<std::size_t>(value)];
+}
+
+std::string_view nameOf(loss_weight value)
+{
+    constexpr std::array<std::string_view, 5> names { "attributed", "likelier_task", "others_of_job", "common_cause",
+        "unexplained" };
+    return names[static_cast<std::size_t>(value)];
+}
+
 const crash_suspicion::suspect* crash_suspicion::find(const task_key& task) const
 {
     const auto job = m_jobs.find(task.jobId);
@@ -322,6 +335,18 @@
     });
 }
 
+loss_weight crash_suspicion::weightOf(const task_loss& loss) const
+{
+    if (!loss.likely)
+        return loss_weight::likelier_task;
+    if (loss.withOthersOfJob)
+        return loss_weight::others_of_job;
+    if (hasCommonCause(loss))
+        return loss_weight::common_cause;
+    const bool shown = loss.verdict == loss_verdict::crashed && loss.timing != loss_timing::unknown;
+    return shown ? loss_weight::attributed : loss_weight::unexplained;
+}
+
 crash_suspicion::tally crash_suspicion::tallyOf(const task_key& task, bool settledOnly) const
 {
     tally counted;
@@ -331,12 +356,11 @@
     counted.attributed = found->earlier;
     counted.unrelated = std::exchange(counted.attributed.unattributed, 0);
     for (const auto& loss : found->losses) {
-        const bool attributable
-            = loss.verdict == loss_verdict::crashed && loss.timing != loss_timing::unknown && (loss.settled || !settledOnly);
         counted.ofSeveralTasks = counted.ofSeveralTasks || loss.withOthersOfJob;
-        if (!loss.likely || loss.withOthersOfJob || hasCommonCause(loss)) {
+        const loss_weight weight = weightOf(loss);
+        if (weight != loss_weight::attributed && weight != loss_weight::unexplained) {
             ++counted.unrelated;
-        } else if (attributable) {
+        } else if (weight == loss_weight::attributed && (loss.settled || !settledOnly)) {
             // Another worker at the address may have taken the place of one that had left.
             const bool certain = loss.timing == loss_timing::at_start && loss.observation != crash_observation::replaced;
             ++(loss.confirmed && certain ? counted.attributed.confirmed : counted.attributed.possible);
@@ -452,6 +476,8 @@
                 if (!loss.settled && now > loss.to + commonLossReportLimit) {
                     loss.settled = true;
                     m_changed.insert(jobId);
+                    m_settled.push_back({ key, loss.worker.first, weightOf(loss), loss.timing, loss.others.size(),
+                        std::chrono::duration_cast<std::chrono::milliseconds>(loss.to - loss.from) });
                 }
             }
         }
@@ -469,6 +495,7 @@
     m_silent.clear();
     m_falls.clear();
     m_changed.clear();
+    m_settled.clear();
 }
 
 } // namespace coriandermount::cells
--- a/cells/crash_suspicion.h
+++ b/cells/crash_suspicion.h
@@ -54,6 +54,24 @@
 
 /// Returns the name of a value, as used in logs and metrics.
 std::string_view nameOf(crash_observation value);
+std::string_view nameOf(loss_timing value);
+
+/// What a loss of a worker says about a task, once the losses at the same moment are known.
+enum class loss_weight {
+    /// The task is the likely cause.
+    attributed,
+    /// Another task on the worker is a likelier cause.
+    likelier_task,
+    /// Other tasks of the job lost their workers at that moment.
+    others_of_job,
+    /// Workers were lost at that moment without a task that explains it.
+    common_cause,
+    /// It is not known whether the worker crashed under the run.
+    unexplained,
+};
+
+/// Returns the name of a value, as used in logs.
+std::string_view nameOf(loss_weight value);
 
 /// A loss of a worker that was judged for one of its tasks.
 struct judged_loss {
@@ -64,6 +82,18 @@
     time_point lostAt;
 };
 
+/// A loss of a worker whose cause is judged with all that is known of the losses of other workers.
+struct settled_loss {
+    task_key task;
+    worker_id worker;
+    loss_weight weight = loss_weight::unexplained;
+    loss_timing timing = loss_timing::unknown;
+    /// Number of other workers that were lost at that moment.
+    std::size_t others = 0;
+    /// Length of the time within which the worker was lost.
+    std::chrono::milliseconds uncertainty { 0 };
+};
+
 /// Attributes crashes of workers to the tasks that they had started.
 ///
 /// A worker that stops answering has crashed if its address refuses connections, or if a later boot is registered under its id or
@@ -126,6 +156,8 @@
     /// Judges losses whose worker has not returned in time, and forgets jobs without losses for a while.
     /// Returns the judged losses.
     std::vector<judged_loss> expire(time_point now);
+    /// Returns the losses that were settled since the last call.
+    std::vector<settled_loss> takeSettled() { return std::exchange(m_settled, {}); }
     void clear();
 
 private:
@@ -201,6 +233,7 @@
     static bool compare(task_loss& loss, const task_key& task, const boot_key& boot, const fall& other);
     /// Returns whether the loss coincided with losses of other workers that their own tasks don't explain.
     bool hasCommonCause(const task_loss& loss) const;
+    loss_weight weightOf(const task_loss& loss) const;
     /// Returns the number of workers that crashed just after the start of the task, without a likelier cause.
     static std::uint32_t crashesAtStart(const suspect& task);
     /// Returns whether workers have repeatedly crashed just after the start of the task.
@@ -216,6 +249,7 @@
     std::map<std::string, suspected_job> m_jobs;
     std::map<boot_key, silent_worker> m_silent;
     std::set<std::string> m_changed;
+    std::vector<settled_loss> m_settled;
     /// Workers that were lost recently.
     std::map<boot_key, fall> m_falls;
 };
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -510,6 +510,8 @@
     const auto [evacuationPhase, runsLeft] = owner.evacuation();
     std::vector<metrics::metric_sample> samples { { "task_starts_total", {}, cellCounters.starts },
         { "jobs_given_up_total", {}, cellCounters.jobsGivenUp },
+        { "long_passes_total", {}, cellCounters.longPasses },
+        { "forecast_visits_total", {}, cellCounters.forecastVisits },
         { "lost_workers_heard_again_total", {}, cellCounters.lostWorkersHeardAgain }, { "pauses_total", {}, cellCounters.pauses },
         { "jobs_lent_total", {}, cellCounters.lentJobs }, { "jobs_relocated_total", {}, cellCounters.relocatedJobs },
         { "relocations_refused_total", {}, cellCounters.relocationsRefused },
