main: A request reads the epoch of its owner without the load of the cell

Cause: each request that is passed to the owner on the same VM asked for the whole view of the cell, whose load is a sum over all waiting jobs. Change: cell_member::epoch() returns the epoch alone.

--- a/cells/cell_member.cpp
+++ b/cells/cell_member.cpp
@@ -439,6 +439,12 @@
     return m_data->state.storeReachable(m_data->clock.now());
 }
 
+std::uint64_t cell_member::epoch() const
+{
+    const std::scoped_lock lock(m_data->mutex);
+    return m_data->state.view(m_data->clock.now()).epoch;
+}
+
 cell_view cell_member::view() const
 {
     cell_view current;
--- a/cells/cell_member.h
+++ b/cells/cell_member.h
@@ -62,6 +62,8 @@
     vm_id ownerVm() const;
     /// Returns whether the record store has answered recently.
     bool storeReachable() const;
+    /// Returns the epoch of the newest ownership term that this VM knows.
+    std::uint64_t epoch() const;
     /// Returns the state of the cell as this VM sees it, for the next heartbeat.
     cell_view view() const;
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -366,7 +366,7 @@
 std::optional<cells::run_target> entry_node::data::runTarget() const
 {
     if (member.isOwner())
-        return cells::run_target { true, {}, member.view().epoch };
+        return cells::run_target { true, {}, member.epoch() };
     const auto remoteOwner = directory.owner(cell);
     if (!remoteOwner)
         return std::nullopt;
