cells: A tick looks only at the jobs that it may have to handle

Cause: each tick walked over all open jobs four times (deadlines of callers, contacts with callers, claims of lent jobs, records to write) and over all ended jobs of the last minutes to forget the oldest ones. Stored jobs have neither callers nor deadlines, and their number has no bound. Change: the job table keeps the unstored jobs apart and the ended jobs by time; jobs with changes to store are listed when they change.

--- a/cells/cell_job_table.cpp
+++ b/cells/cell_job_table.cpp
@@ -82,7 +82,10 @@
     added.runTime = jobs::criticalPathLength(accepted.work);
     added.accepted = std::move(accepted);
     added.work = added.waitingWork();
-    return &m_open.emplace(id, std::move(added)).first->second;
+    open_job* job = &m_open.emplace(id, std::move(added)).first->second;
+    if (job->accepted.work.answeredAtEnd)
+        m_unstored.emplace(id, job);
+    return job;
 }
 
 open_job* cell_job_table::find(const std::string& id)
@@ -118,15 +121,27 @@
     if (open != m_open.end()) {
         finished.lentBy = open->second.lentBy;
         finished.stored = !open->second.accepted.work.answeredAtEnd;
-        m_open.erase(open);
+        erase(id);
     }
+    addFinished(id, finished);
+}
+
+void cell_job_table::addFinished(const std::string& id, const finished_entry& finished)
+{
     m_finished.insert_or_assign(id, finished);
+    m_finishedAt.emplace(finished.at, id);
+}
+
+void cell_job_table::erase(const std::string& id)
+{
+    m_unstored.erase(id);
+    m_open.erase(id);
 }
 
 void cell_job_table::finishReplayed(const jobs::finished_job& job, time_point endedAt)
 {
-    m_open.erase(job.id);
-    m_finished.insert_or_assign(job.id, finished_entry { job.state, endedAt, job.home, true });
+    erase(job.id);
+    addFinished(job.id, { job.state, endedAt, job.home, true });
 }
 
 std::vector<jobs::finished_job> cell_job_table::finishedUnstored() const
@@ -151,7 +166,12 @@
 
 void cell_job_table::expire(time_point oldest)
 {
-    std::erase_if(m_finished, [oldest](const auto& entry) { return entry.second.at < oldest; });
+    for (auto entry = m_finishedAt.begin(); entry != m_finishedAt.end() && entry->first < oldest;) {
+        const auto finished = m_finished.find(entry->second);
+        if (finished != m_finished.end() && finished->second.at < oldest)
+            m_finished.erase(finished);
+        entry = m_finishedAt.erase(entry);
+    }
 }
 
 std::map<std::string, std::uint32_t> cell_job_table::pendingByQueue() const
@@ -167,7 +187,9 @@
 void cell_job_table::clear()
 {
     m_open.clear();
+    m_unstored.clear();
     m_finished.clear();
+    m_finishedAt.clear();
 }
 
 } // namespace coriandermount::cells
--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -79,8 +79,6 @@
     /// Whether a task of the job was started or the job was lent.
     bool started = false;
     std::optional<time_point> firstStart;
-    /// Whether task outcomes have changed since the last record of the job's progress.
-    bool dirty = false;
     /// Final state, set when the job ends; the record of the end may not be durable yet.
     std::optional<jobs::job_state> ended;
 
@@ -155,6 +153,8 @@
     open_job* find(const std::string& id);
     const open_job* find(const std::string& id) const;
     std::map<std::string, open_job>& open() { return m_open; }
+    /// Returns the open jobs whose callers are answered at their end. Unlike stored ones, their number has a bound.
+    const std::map<std::string, open_job*>& unstored() const { return m_unstored; }
 
     /// Returns the state of a job as callers see it, or nothing when the job is not known.
     std::optional<jobs::job_state> state(const std::string& id) const;
@@ -177,7 +177,7 @@
     std::map<std::string, std::uint32_t> pendingByQueue() const;
 
     /// Removes an open job without remembering its end, so that its id can be accepted again.
-    void erase(const std::string& id) { m_open.erase(id); }
+    void erase(const std::string& id);
 
     void clear();
 
@@ -191,8 +191,13 @@
         bool stored = true;
     };
 
+    void addFinished(const std::string& id, const finished_entry& finished);
+
     std::map<std::string, open_job> m_open;
+    std::map<std::string, open_job*> m_unstored;
     std::unordered_map<std::string, finished_entry> m_finished;
+    /// Ids of the finished jobs by the time of their end. Earlier entries of jobs that have ended again are left in.
+    std::multimap<time_point, std::string> m_finishedAt;
 };
 
 } // namespace coriandermount::cells
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -130,6 +130,7 @@
     flush.reset();
     flushInFlight = false;
     flushedJobs.clear();
+    changedJobs.clear();
     flushedEnds.clear();
     obsoleteKeys.clear();
     finishedKeys.clear();
@@ -334,8 +335,8 @@
         return {};
     // The answer to an ended job may not have reached the earlier owner of the home cell.
     std::vector<std::string> ids = m_data->jobTable.finishedFor(home.cell);
-    for (const auto& [id, job] : m_data->jobTable.open()) {
-        if (job.lentBy == home.cell)
+    for (const auto& [id, job] : m_data->jobTable.unstored()) {
+        if (job->lentBy == home.cell)
             ids.push_back(id);
     }
     // Any cell may have lent the jobs of the other runs: orphaned ones, whose jobs have not been resubmitted, and those that have
--- a/cells/cell_owner_contacts.cpp
+++ b/cells/cell_owner_contacts.cpp
@@ -85,14 +85,14 @@
     // Keep-alives that are ignored now are followed by others.
     if (contactChecks.isSettling(now - keepAliveInterval))
         return;
-    for (auto& [id, job] : jobTable.open()) {
-        if (job.ended || job.waiters.empty() || hasContact(job, contactLimit, now) != job.outOfContact)
+    for (const auto& [id, job] : jobTable.unstored()) {
+        if (job->ended || job->waiters.empty() || hasContact(*job, contactLimit, now) != job->outOfContact)
             continue;
-        job.outOfContact = !job.outOfContact;
-        if (job.outOfContact)
-            stopWithoutContact(job, now);
+        job->outOfContact = !job->outOfContact;
+        if (job->outOfContact)
+            stopWithoutContact(*job, now);
         else
-            resumeContact(job, now);
+            resumeContact(*job, now);
     }
 }
 
--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -86,7 +86,7 @@
     reportLoss(session, dropped, now);
     for (const auto& run : dropped) {
         if (open_job* job = jobTable.find(run.task.jobId))
-            job->dirty = true;
+            noteChange(*job);
     }
 }
 
@@ -131,7 +131,7 @@
         open_job* job = jobTable.find(key.jobId);
         if (!job || job->ended || !job->contains(key))
             continue;
-        job->dirty = true;
+        noteChange(*job);
         if (toBlame && !isLongRunning(*job, key))
             giveUpLater(key, now);
     }
@@ -314,7 +314,7 @@
     reportSettledLosses();
     for (const auto& jobId : suspicion.takeChanges()) {
         if (open_job* job = jobTable.find(jobId))
-            job->dirty = true;
+            noteChange(*job);
     }
     for (auto& [worker, session] : sessions) {
         if (session.reservedFor.empty())
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -142,6 +142,8 @@
     bool flushInFlight = false;
     time_point nextFlush;
     std::vector<std::string> flushedJobs;
+    /// Stored jobs of which a change or the end is not in a write yet.
+    std::set<std::string> changedJobs;
     /// Number of the last run end that the write in flight makes durable, by worker and boot time.
     std::map<std::pair<worker_id, std::int64_t>, std::uint64_t> flushedEnds;
     /// Keys of records to delete because their job is finished, unknown or cannot be read.
@@ -272,6 +274,8 @@
     void applyProgress(const std::string& jobId, const std::string& value);
     void applyFinished(const jobs::record& current, time_point now);
     void applyOwner(const std::string& value);
+    /// Notes that the progress of a job has to be stored.
+    void noteChange(open_job& job);
     void prepareFlush(time_point now);
     /// Adds changed jobs to the request; returns false when `maxFlushedRecords` leaves some out.
     bool writeJobs(jobs::append_request& request, time_point now);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -68,7 +68,7 @@
         stopRun(elsewhere->second, key, clock.now());
     task.phase = task_phase::done;
     suspicion.noteDone(key);
-    job.dirty = true;
+    noteChange(job);
     job.started = true;
     if (++step.done < step.tasks.size())
         return;
@@ -87,7 +87,7 @@
         return;
     task.failedAttempts.push_back(attempt);
     task.failedOn = by;
-    job.dirty = true;
+    noteChange(job);
     job.started = true;
     writeLog(log_level::info, "cell", "run failed",
         { { "job", key.jobId }, { "step", fmt::to_string(key.step) }, { "task", fmt::to_string(key.index) },
@@ -102,6 +102,7 @@
 {
     const auto now = clock.now();
     job.ended = state;
+    noteChange(job);
     dequeue(job);
     // An unstored job may be submitted again after it was given up.
     if (state == jobs::job_state::completed || !job.accepted.work.answeredAtEnd)
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -220,14 +220,12 @@
 {
     jobs::finished_list finished;
     finished.at = clock.wallNow();
-    bool complete = true;
-    for (auto& [id, job] : jobTable.open()) {
-        if (job.accepted.work.answeredAtEnd || (!job.ended && !job.dirty))
+    while (!changedJobs.empty() && request.records.size() < maxFlushedRecords) {
+        const std::string id = changedJobs.extract(changedJobs.begin()).value();
+        open_job* changed = jobTable.find(id);
+        if (!changed)
             continue;
-        if (request.records.size() >= maxFlushedRecords) {
-            complete = false;
-            break;
-        }
+        open_job& job = *changed;
         if (job.ended) {
             finished.jobs.push_back({ id, *job.ended });
             writeFinishedJob(id, job, request);
@@ -235,14 +233,13 @@
         }
         request.records.push_back({ jobs::progressKey(id), jobs::encodeProgress(outcomesOf(job, suspicion)), 0 });
         job.hasProgress = true;
-        job.dirty = false;
     }
     if (!finished.jobs.empty()) {
         const auto key = jobs::finishedKey(term.epoch, ++flushNumber);
         request.records.push_back({ key, jobs::encodeFinished(finished), 0 });
         finishedKeys.emplace(now + settings.finishedRetention, key);
     }
-    return complete;
+    return changedJobs.empty();
 }
 
 void cell_owner::data::dropOldRecords(jobs::append_request& request, time_point now)
@@ -284,6 +281,12 @@
     });
 }
 
+void cell_owner::data::noteChange(open_job& job)
+{
+    if (!job.accepted.work.answeredAtEnd)
+        changedJobs.insert(job.accepted.work.id);
+}
+
 void cell_owner::data::prepareFlush(time_point now)
 {
     if (flush || now < nextFlush)
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -35,7 +35,8 @@
 void cell_owner::data::endUnclaimedLentJobs(time_point now)
 {
     std::vector<std::string> unclaimed;
-    for (auto& [id, job] : jobTable.open()) {
+    for (const auto& [id, unstored] : jobTable.unstored()) {
+        open_job& job = *unstored;
         if (!job.lentBy || job.ended || job.withdrawnAt || knownEpoch(*job.lentBy) <= job.lenderEpoch)
             continue;
         // A caller that has submitted the job to this cell waits here, whatever becomes of those at home.
@@ -211,9 +212,9 @@
 
 void cell_owner::data::endWithdrawnJobs(time_point now)
 {
-    for (auto& [id, job] : jobTable.open()) {
-        if (job.withdrawnAt && !job.ended)
-            job.giveUpAt = std::min(job.giveUpAt, now - std::chrono::milliseconds(1));
+    for (const auto& [id, job] : jobTable.unstored()) {
+        if (job->withdrawnAt && !job->ended)
+            job->giveUpAt = std::min(job->giveUpAt, now - std::chrono::milliseconds(1));
     }
     checkUnstoredJobs(now);
 }
@@ -444,17 +445,15 @@
 void cell_owner::data::checkUnstoredJobs(time_point now)
 {
     endUnclaimedLentJobs(now);
-    for (auto& [id, job] : jobTable.open()) {
-        if (!job.accepted.work.answeredAtEnd || job.ended)
+    for (const auto& [id, job] : jobTable.unstored()) {
+        if (job->ended || now <= job->giveUpAt)
             continue;
-        if (now > job.giveUpAt) {
-            if (job.withdrawnAt)
-                noteWithdrawal(id, withdrawal_outcome::stopped);
-            limitLeases(id, lastContact(job).value_or(now) + withdrawnLeaseLimit);
-            answer(
-                job, fail(error_kind::deadline_passed_while_running, "the time limit of the caller passed before the job ended"));
-            endJob(job, jobs::job_state::cancelled);
-        }
+        if (job->withdrawnAt)
+            noteWithdrawal(id, withdrawal_outcome::stopped);
+        limitLeases(id, lastContact(*job).value_or(now) + withdrawnLeaseLimit);
+        answer(
+            *job, fail(error_kind::deadline_passed_while_running, "the time limit of the caller passed before the job ended"));
+        endJob(*job, jobs::job_state::cancelled);
     }
     for (const auto& id : endedUnstoredJobs) {
         const open_job* job = jobTable.find(id);
