cells: Forecast starts without a look at each stored job and worker

Callers saw stored jobs that were accepted and never run while most workers were idle. Cause: every 20 ms the owner forecast the start of each waiting job, and looked at all workers for each. Stored jobs are never refused, so that their queue has no bound. An owner whose forecast takes its processor time starts nothing, and its queue grows. On the way, each pass over the queue skipped all jobs that may not start yet, and looked for a worker of its own for each suspected job. Change: the queue keeps sums of the stored work by places close to each other, and by priority for the load that the cell reports. The capacity of a service is summed up once per forecast. Jobs of earlier owners and suspected jobs wait in parts of their own. Result: 1,000 waiting jobs cost the forecast no more than 100; the test was red before.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -120,8 +120,10 @@
     nextRecord = 0;
     jobTable.clear();
     sessions.clear();
-    readyJobs.clear();
+    waiting.clear();
+    resumeAt = {};
     plans.clear();
+    capacitiesValidUntil = {};
     ownerPlan.reset();
     admittedLoad.clear();
     offeredLoad.clear();
@@ -257,6 +259,7 @@
     pollWorkers(now);
     verifyOwnership(now);
     checkSuspicions(now);
+    releaseHeldJobs(now);
     schedule(now);
     trackEvacuation(now);
     if (!settling)
--- a/cells/cell_owner_admission.cpp
+++ b/cells/cell_owner_admission.cpp
@@ -1,6 +1,7 @@
 #include "cells/cell_owner_data.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -141,7 +142,7 @@
         > admittedLoad.ofPriority(jobClass.priority, now) * offeredLoad.ofClass(jobClass, now);
 }
 
-std::optional<refusal_reason> cell_owner::data::findMissingCapacity(const open_job& job) const
+std::optional<refusal_reason> cell_owner::data::findMissingCapacity(const open_job& job)
 {
     if (!workersKnown)
         return std::nullopt;
@@ -177,23 +178,52 @@
         && session.startsPausedUntil() <= until && session.isLargeEnough(step);
 }
 
-double cell_owner::data::usableCores(const service_id& service, const jobs::step& step, time_point until) const
+double cell_owner::data::coresOf(const worker_session& session, time_point now)
+{
+    return static_cast<double>(session.registration().capacity.cpuMillis) / 1000.0 * usableShare * session.usableShare(now)
+        / session.slowness();
+}
+
+const service_capacity& cell_owner::data::capacityOf(const service_id& service, time_point now)
+{
+    if (now >= capacitiesValidUntil) {
+        std::map<service_id, std::vector<usable_worker>> workers;
+        const time_point heardSince = silentFrom(now);
+        counters.forecastVisits += sessions.size();
+        for (const auto& [id, session] : sessions) {
+            const worker_registration& worker = session.registration();
+            // The size of a worker whose registration is still to be read is not known.
+            if (worker.capacity.cpuMillis > 0 && isUsable(session, worker.service, {}, heardSince, time_point::max()))
+                workers[worker.service].push_back({ worker.capacity, coresOf(session, now), session.startsPausedUntil() });
+        }
+        capacities.clear();
+        for (auto& [known, usable] : workers)
+            capacities.emplace(known, std::move(usable));
+        capacitiesValidUntil = now + planInterval;
+    }
+    return capacities[service];
+}
+
+double cell_owner::data::usableCores(const service_id& service, const jobs::step& step, time_point until)
 {
     const auto now = clock.now();
     const double share = evacuation.usableShare(now);
+    ++counters.forecastVisits;
+    if (step.requiredLabel.empty()) {
+        if (const auto cores = capacityOf(service, now).coresFor(step.need, until))
+            return *cores * share;
+    }
     const time_point heardSince = silentFrom(now);
     double cores = 0;
     counters.forecastVisits += sessions.size();
     for (const auto& [id, session] : sessions) {
-        if (!isUsable(session, service, step, heardSince, until))
-            continue;
-        cores += static_cast<double>(session.registration().capacity.cpuMillis) / 1000.0 * usableShare * session.usableShare(now)
-            / session.slowness();
+        if (isUsable(session, service, step, heardSince, until))
+            cores += coresOf(session, now);
     }
     return cores * share;
 }
 
-double cell_owner::data::usableCores(const open_job& job) const
+double cell_owner::data::usableCores(const open_job& job)
 {
     const time_point until = isRefusable(job) ? job.startBy : time_point::max();
     double least = std::numeric_limits<double>::max();
@@ -202,7 +232,7 @@
     return least;
 }
 
-std::chrono::microseconds cell_owner::data::serviceTime(const open_job& job) const
+std::chrono::microseconds cell_owner::data::serviceTime(const open_job& job)
 {
     const double cores = usableCores(job);
     return std::chrono::duration_cast<std::chrono::microseconds>(
@@ -226,20 +256,31 @@
 void cell_owner::data::moveOverdueJobs(time_point now)
 {
     constexpr std::chrono::hours behindAll { 24 };
-    std::vector<std::string> overdue;
-    counters.forecastVisits += readyJobs.size();
-    for (const auto& rank : readyJobs) {
-        const auto& id = std::get<std::string>(rank);
-        const open_job* job = jobTable.find(id);
-        if (job && !job->accepted.work.answeredAtEnd && !job->isLongRunning() && !job->isOverdue && now > job->objective)
-            overdue.push_back(id);
+    for (const auto& id : waiting.takeOverdue(now)) {
+        open_job* job = jobTable.find(id);
+        ++counters.forecastVisits;
+        if (!job || job->ended)
+            continue;
+        dequeue(*job);
+        job->isOverdue = true;
+        job->startOrder += behindAll;
+        enqueue(*job);
     }
-    for (const auto& id : overdue) {
-        open_job& job = *jobTable.find(id);
-        dequeue(job);
-        job.isOverdue = true;
-        job.startOrder += behindAll;
-        enqueue(job);
+}
+
+void cell_owner::data::planStoredWork(
+    start_queue::backlog::const_iterator& next, const std::optional<start_position>& until, time_point now)
+{
+    const auto& stored = waiting.storedWork();
+    for (; next != stored.end() && (!until || !(*until < next->first.first)); ++next) {
+        const auto& [position, service] = next->first;
+        const auto& group = next->second;
+        ++counters.forecastVisits;
+        const double cores = capacityOf(service, now).allCores() * evacuation.usableShare(now);
+        const auto serviceTime = std::chrono::microseconds(cores > 0 ? std::llround(static_cast<double>(group.work) / cores) : 0);
+        plans.try_emplace(service, now).first->second.add({ position, serviceTime, time_point::max() });
+        if (ownerPlan)
+            ownerPlan->add({ position, pace.timeFor(group.tasks), time_point::max() });
     }
 }
 
@@ -253,12 +294,13 @@
     ownerPlan.reset();
     if (pace.isLimited())
         ownerPlan.emplace(now + pace.timeUntilDone(0));
-    if (readyJobs.empty() || isSettling() || evacuation.isActive())
+    if (waiting.isEmpty() || isSettling() || evacuation.isActive())
         return;
     std::vector<std::pair<std::string, refusal_reason>> refused;
     std::vector<std::string> undecided;
-    counters.forecastVisits += readyJobs.size();
-    for (const auto& rank : readyJobs) {
+    counters.forecastVisits += waiting.unstored().size();
+    auto nextStored = waiting.storedWork().begin();
+    for (const auto& rank : waiting.unstored()) {
         open_job* job = jobTable.find(std::get<std::string>(rank));
         if (!job || job->ended || job->isLongRunning() || !mayStart(*job, now))
             continue;
@@ -266,13 +308,14 @@
             undecided.push_back(job->accepted.work.id);
             continue;
         }
+        const start_position position { priorityOf(*job), job->startOrder };
+        planStoredWork(nextStored, position, now);
         const auto missing = isRefusable(*job) ? findMissingCapacity(*job) : std::nullopt;
         if (missing) {
             refused.emplace_back(job->accepted.work.id, *missing);
             continue;
         }
         auto& plan = plans.try_emplace(job->accepted.service, now).first->second;
-        const start_position position { priorityOf(*job), job->startOrder };
         const auto workerWait = plan.waitAt(position, now);
         const auto ownerWait = pace.isRateSettled(now) ? ownerPlan->waitAt(position, now) : std::chrono::microseconds(0);
         if (isRefusable(*job) && now + std::max(workerWait, ownerWait) > job->startBy) {
@@ -286,6 +329,7 @@
             job->promisedStart = job->startBy;
         addToPlans(*job);
     }
+    planStoredWork(nextStored, std::nullopt, now);
     for (const auto& [id, reason] : refused)
         refuseJob(*jobTable.find(id), reason, now);
     for (const auto& id : undecided) {
@@ -302,14 +346,15 @@
 {
     if (!neighbors || evacuation.isActive())
         return;
-    std::vector<std::string> waiting;
-    for (auto entry = readyJobs.begin(); entry != readyJobs.end() && waiting.size() < maxLendTries; ++entry) {
+    std::vector<std::string> tried;
+    const auto& unstored = waiting.unstored();
+    for (auto entry = unstored.begin(); entry != unstored.end() && tried.size() < maxLendTries; ++entry) {
         const auto& id = std::get<std::string>(*entry);
         const open_job* job = jobTable.find(id);
-        if (job && job->accepted.work.answeredAtEnd && !job->started && now >= job->arrivedAt + lendAgainDelay)
-            waiting.push_back(id);
+        if (job && !job->started && now >= job->arrivedAt + lendAgainDelay)
+            tried.push_back(id);
     }
-    for (const auto& id : waiting)
+    for (const auto& id : tried)
         lend(*jobTable.find(id), now);
 }
 
--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -308,13 +308,14 @@
 void cell_owner::data::checkSuspicions(time_point now)
 {
     giveUpBlamed(now);
-    if (suspicion.empty())
-        return;
-    reportLosses(suspicion.expire(now), now);
+    if (!suspicion.empty())
+        reportLosses(suspicion.expire(now), now);
     reportSettledLosses();
     for (const auto& jobId : suspicion.takeChanges()) {
-        if (open_job* job = jobTable.find(jobId))
+        if (open_job* job = jobTable.find(jobId)) {
             noteChange(*job);
+            updateQueue(*job);
+        }
     }
     for (auto& [worker, session] : sessions) {
         if (session.reservedFor.empty())
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -15,8 +15,10 @@
 #include "cells/evacuation.h"
 #include "cells/neighbor_cells.h"
 #include "cells/owner_lag.h"
+#include "cells/service_capacity.h"
 #include "cells/start_pace.h"
 #include "cells/start_plan.h"
+#include "cells/start_queue.h"
 #include "cells/worker_session.h"
 #include "core/log.h"
 #include "core/pause_monitor.h"
@@ -39,17 +41,6 @@
 /// Offset of jobs that were submitted for the first time, which no earlier owner has seen.
 inline constexpr std::uint64_t newestOffset = std::numeric_limits<std::uint64_t>::max();
 
-/// Order in which jobs are placed on workers: by priority, then by the time until which they should start to meet their
-/// objective or, if that can't be met, before their caller stops waiting.
-using queue_rank = std::tuple<std::uint32_t, time_point, std::string>;
-
-/// Returns the priority of a job among all jobs of the cell. Long-running jobs come before all others because they are entitled
-/// to capacity at any time.
-inline std::uint32_t priorityOf(const open_job& job) { return job.isLongRunning() ? 0 : job.accepted.priority + 1; }
-
-/// Returns the rank of a job.
-inline queue_rank rankOf(const open_job& job) { return { priorityOf(job), job.startOrder, job.accepted.work.id }; }
-
 struct cell_owner::data : std::enable_shared_from_this<cell_owner::data> {
     jobs::record_store& store;
     worker_link& link;
@@ -91,6 +82,9 @@
     owner_lag lag;
     pause_monitor pauses;
     start_pace pace;
+    /// Capacities of the workers, by service, which hold until the given time.
+    std::map<service_id, service_capacity> capacities;
+    time_point capacitiesValidUntil;
     /// Expected starts of the waiting jobs, by service, as the capacity of the workers allows.
     std::map<service_id, start_plan> plans;
     /// The same as the processor time of this owner allows; empty while starts are not limited.
@@ -125,10 +119,11 @@
 
     cell_job_table jobTable;
     std::map<worker_id, worker_session> sessions;
-    /// Jobs with tasks that wait for a start, in the order of placement.
-    std::set<queue_rank> readyJobs;
-    /// Where the next pass over the queue goes on behind its front.
-    queue_rank resumeReadyAt;
+    /// Jobs with tasks that wait for a start.
+    start_queue waiting;
+    /// Where the next pass over each part of the queue goes on behind its front.
+    std::array<queue_rank, queuePartCount> resumeAt;
+    time_point nextSuspectedPass;
     time_point nextPlan;
     /// Passes the records that are read in one term to the owner.
     struct term_records;
@@ -220,8 +215,7 @@
     time_point nextPassReport;
     /// When a worker with runs was last found lost.
     time_point lastFallAt;
-    /// Mutable so that forecasts, which change nothing else, can count in `forecastVisits`.
-    mutable cell_counters counters;
+    cell_counters counters;
 
     data(jobs::record_store& target, worker_link& orders, const clock_source& time, jobs::record_stream source,
         const cell_settings& limits)
@@ -441,19 +435,23 @@
     /// Jobs of one priority are equals, but those that may wait for longer find room more easily.
     bool isFavored(arrival_class jobClass, time_point now) const;
     /// Returns why no worker can run the job while its caller waits; empty if one can, or if that is not known yet.
-    std::optional<refusal_reason> findMissingCapacity(const open_job& job) const;
+    std::optional<refusal_reason> findMissingCapacity(const open_job& job);
     /// Returns the time before which a worker that fails polls must last have answered to count as silent.
     time_point silentFrom(time_point now) const;
     /// Returns whether a worker of `service` can be expected to take tasks of a step by `until`. One that fails polls must have
     /// answered after `heardSince`.
     static bool isUsable(const worker_session& session, const service_id& service, const jobs::step& step, time_point heardSince,
         time_point until);
+    /// Returns the cores that tasks may use on a worker.
+    static double coresOf(const worker_session& session, time_point now);
+    /// Returns the capacity of the workers of a service, as it was at most `planInterval` ago.
+    const service_capacity& capacityOf(const service_id& service, time_point now);
     /// Returns the cores of the workers that can be expected to run tasks of a step until `until`.
-    double usableCores(const service_id& service, const jobs::step& step, time_point until) const;
+    double usableCores(const service_id& service, const jobs::step& step, time_point until);
     /// Returns the cores for the step of the job that fewest workers can run.
-    double usableCores(const open_job& job) const;
+    double usableCores(const open_job& job);
     /// Returns the time for which the waiting tasks of a job use all workers that can run them.
-    std::chrono::microseconds serviceTime(const open_job& job) const;
+    std::chrono::microseconds serviceTime(const open_job& job);
     /// Returns the job as a plan sees it that has a capacity which the job uses for `serviceTime`.
     static planned_job plannedJob(const open_job& job, std::chrono::microseconds serviceTime);
     /// Adds a waiting job to the plans and returns its expected start.
@@ -461,6 +459,8 @@
     /// Moves stored jobs that have missed their objective behind the others of their priority: their callers were answered, and
     /// those of the others wait or can still get their result in time.
     void moveOverdueJobs(time_point now);
+    /// Adds the stored work from `next` on, up to the position `until` or all of it, to the plans.
+    void planStoredWork(start_queue::backlog::const_iterator& next, const std::optional<start_position>& until, time_point now);
     /// Forecasts the starts of all waiting jobs, and refuses those that can't start in time any more.
     void planStarts(time_point now);
     /// Returns when the caller of a refused job should return.
@@ -477,16 +477,22 @@
     // Jobs: cell_owner_jobs.cpp.
     void enqueue(const open_job& job);
     void dequeue(const open_job& job);
-    std::size_t waitingJobs() const { return readyJobs.size(); }
+    std::size_t waitingJobs() const { return waiting.size(); }
+    /// Returns where a job waits.
+    queue_part queuePartOf(const open_job& job) const;
+    /// Updates what the queue knows of a job if it waits.
+    void updateQueue(const open_job& job);
+    /// Lets the jobs start that have waited for the runs of earlier owners.
+    void releaseHeldJobs(time_point now);
     /// Largest free CPU of a worker that accepts starts, by service. Not updated when capacity is used; an upper bound.
     using largest_free_cpu = std::map<service_id, std::int64_t>;
     largest_free_cpu largestFreeCpu(time_point now) const;
-    /// Starts tasks of the jobs at the front of a queue. Of the jobs behind those that can't be placed, a part is looked at in
-    /// each pass, from `resumeAt` on, so that every job has its turn.
-    void scheduleQueue(std::set<queue_rank>& queue, queue_rank& resumeAt, largest_free_cpu& largestFree, time_point now);
+    /// Starts tasks of the jobs at the front of a part of the queue. Of the jobs behind those that can't be placed, a part is
+    /// looked at in each pass, from `resumeAt` on, so that every job has its turn.
+    void scheduleQueue(queue_part part, largest_free_cpu& largestFree, time_point now);
     /// Starts tasks of the jobs from `entry` on until `maxBlocked` jobs could not be placed; returns the first job that was not
     /// looked at.
-    std::set<queue_rank>::iterator scheduleFrom(std::set<queue_rank>& queue, std::set<queue_rank>::iterator entry, int maxBlocked,
+    std::set<queue_rank>::const_iterator scheduleFrom(queue_part part, std::set<queue_rank>::const_iterator entry, int maxBlocked,
         largest_free_cpu& largestFree, time_point now);
     /// Returns whether the tasks of the job that wait may fit on a worker.
     bool mayFit(const open_job& job, const largest_free_cpu& largestFree) const;
--- a/cells/cell_owner_evacuation.cpp
+++ b/cells/cell_owner_evacuation.cpp
@@ -43,14 +43,15 @@
 {
     if (!evacuation.isActive())
         return;
-    std::vector<std::string> waiting;
-    for (auto entry = readyJobs.begin(); entry != readyJobs.end() && waiting.size() < maxRelocationsPerTick; ++entry) {
+    std::vector<std::string> relocated;
+    const auto& unstored = waiting.unstored();
+    for (auto entry = unstored.begin(); entry != unstored.end() && relocated.size() < maxRelocationsPerTick; ++entry) {
         const auto& id = std::get<std::string>(*entry);
         const open_job* job = jobTable.find(id);
         if (job && isRefusable(*job) && mayStart(*job, now))
-            waiting.push_back(id);
+            relocated.push_back(id);
     }
-    for (const auto& id : waiting) {
+    for (const auto& id : relocated) {
         open_job* job = jobTable.find(id);
         if (!job || !isRefusable(*job))
             continue;
@@ -69,7 +70,7 @@
 void cell_owner::data::answerUnfinishedJobs()
 {
     std::vector<std::string> unfinished;
-    for (const auto& rank : readyJobs) {
+    for (const auto& rank : waiting.unstored()) {
         const open_job* job = jobTable.find(std::get<std::string>(rank));
         if (job && job->accepted.work.answeredAtEnd && job->started && !job->ended && !job->hasPlacedTasks())
             unfinished.push_back(job->accepted.work.id);
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -12,6 +12,8 @@
     constexpr int maxBlockedAtFront = 32;
     /// Number of jobs behind the front that can't be placed after which a pass over a queue ends.
     constexpr int maxBlockedBehind = 16;
+    /// Time between two passes over the suspected jobs, each of which looks for a worker of its own.
+    constexpr std::chrono::milliseconds suspectedPassInterval { 10 };
     /// Weight of the share of a worker's CPU that stays free after a placement, relative to the worker's measured slowness.
     constexpr double unusedShareWeight = 0.15;
     /// Weight of each task of a long-running step that already runs on a worker. Spreads the tasks, so that the loss of one
@@ -19,18 +21,43 @@
     constexpr double spreadWeight = 1.0;
     /// Factor by which a worker counts as slower for a task whose last run there failed.
     constexpr double failedFactor = 3.0;
-    /// Number of priority levels that the reported load distinguishes.
-    constexpr std::uint32_t reportedPriorities = 4;
 
 } // namespace
 
 void cell_owner::data::enqueue(const open_job& job)
 {
     if (!job.ended && !job.lentTo && !job.withdrawnAt && job.readyTasks() > 0)
-        readyJobs.emplace(rankOf(job));
+        waiting.put(job, queuePartOf(job));
 }
 
-void cell_owner::data::dequeue(const open_job& job) { readyJobs.erase(rankOf(job)); }
+void cell_owner::data::dequeue(const open_job& job) { waiting.remove(rankOf(job)); }
+
+queue_part cell_owner::data::queuePartOf(const open_job& job) const
+{
+    // An earlier owner may have started a stored job, which is known for all of them at the same time.
+    if (!previousRunsKnown && !job.accepted.work.answeredAtEnd && job.offset <= ownerRecordOffset)
+        return queue_part::held;
+    return isRestricted(job) ? queue_part::suspected : queue_part::ready;
+}
+
+void cell_owner::data::updateQueue(const open_job& job)
+{
+    if (waiting.partOf(rankOf(job)))
+        waiting.put(job, queuePartOf(job));
+}
+
+void cell_owner::data::releaseHeldJobs(time_point now)
+{
+    const auto& held = waiting.jobs(queue_part::held);
+    if (held.empty() || !knowsPreviousRuns(now))
+        return;
+    while (!held.empty()) {
+        const queue_rank rank = *held.begin();
+        waiting.remove(rank);
+        if (const open_job* job = jobTable.find(std::get<std::string>(rank)))
+            enqueue(*job);
+    }
+}
 
 void cell_owner::data::requeue(const task_key& key, const worker_id& from, std::uint64_t attempt)
 {
@@ -70,6 +97,7 @@
     suspicion.noteDone(key);
     noteChange(job);
     job.started = true;
+    updateQueue(job);
     if (++step.done < step.tasks.size())
         return;
     if (++job.stepsDone == job.steps.size())
@@ -200,30 +228,38 @@
     workersAwaitVerification = false;
     if (!givesOrders() || waitingJobs() == 0 || isSettling() || !evacuation.allowsStartedJobs(now))
         return;
+    if (!lentJobsQueryCompleted && now < takenOverAt + lentJobsAnswerLimit)
+        return;
     updateReturnRoom(now);
     auto largestFree = largestFreeCpu(now);
-    scheduleQueue(readyJobs, resumeReadyAt, largestFree, now);
+    scheduleQueue(queue_part::ready, largestFree, now);
+    if (now >= nextSuspectedPass) {
+        nextSuspectedPass = now + suspectedPassInterval;
+        scheduleQueue(queue_part::suspected, largestFree, now);
+    }
     verifyOwnership(now);
 }
 
-void cell_owner::data::scheduleQueue(
-    std::set<queue_rank>& queue, queue_rank& resumeAt, largest_free_cpu& largestFree, time_point now)
+void cell_owner::data::scheduleQueue(queue_part part, largest_free_cpu& largestFree, time_point now)
 {
-    const auto first = scheduleFrom(queue, queue.begin(), maxBlockedAtFront, largestFree, now);
+    const auto& queue = waiting.jobs(part);
+    const auto first = scheduleFrom(part, queue.begin(), maxBlockedAtFront, largestFree, now);
     if (first == queue.end())
         return;
-    const auto next = scheduleFrom(queue, queue.lower_bound(std::max(resumeAt, *first)), maxBlockedBehind, largestFree, now);
-    resumeAt = next == queue.end() ? queue_rank() : *next;
+    queue_rank& resume = resumeAt[static_cast<std::size_t>(part)];
+    const auto next = scheduleFrom(part, queue.lower_bound(std::max(resume, *first)), maxBlockedBehind, largestFree, now);
+    resume = next == queue.end() ? queue_rank() : *next;
 }
 
-std::set<queue_rank>::iterator cell_owner::data::scheduleFrom(std::set<queue_rank>& queue, std::set<queue_rank>::iterator entry,
-    int maxBlocked, largest_free_cpu& largestFree, time_point now)
+std::set<queue_rank>::const_iterator cell_owner::data::scheduleFrom(
+    queue_part part, std::set<queue_rank>::const_iterator entry, int maxBlocked, largest_free_cpu& largestFree, time_point now)
 {
+    const auto& queue = waiting.jobs(part);
     int blocked = 0;
     while (entry != queue.end() && blocked < maxBlocked) {
         open_job* job = jobTable.find(std::get<std::string>(*entry));
         if (!job || job->ended || job->withdrawnAt) {
-            entry = queue.erase(entry);
+            waiting.remove(*entry++);
             continue;
         }
         if (!mayStart(*job, now)) {
@@ -257,9 +293,9 @@
         }
         if (!placedAll)
             largestFree = largestFreeCpu(now);
-        // A suspected job waits for a worker of its own and does not delay others.
-        blocked += placedAll || isRestricted(*job) ? 0 : 1;
-        entry = placedAll ? queue.erase(entry) : std::next(entry);
+        blocked += placedAll ? 0 : 1;
+        ++entry;
+        placedAll ? dequeue(*job) : updateQueue(*job);
     }
     return entry;
 }
@@ -363,17 +399,11 @@
             capacity += static_cast<double>(session.registration().capacity.cpuMillis) / 1000.0 * usableShare;
     }
     capacity *= evacuation.usableShare(now);
-    std::array<double, reportedPriorities> waiting {};
-    for (const auto& rank : readyJobs) {
-        const open_job* job = jobTable.find(std::get<std::string>(rank));
-        if (!job || job->ended)
-            continue;
-        const std::uint32_t priority = job->isLongRunning() ? 0 : job->accepted.priority;
-        for (std::uint32_t level = std::min(priority, reportedPriorities - 1); level < reportedPriorities; ++level)
-            waiting[level] += job->waitingWork();
-    }
-    for (const double work : waiting)
+    double work = 0;
+    for (const std::int64_t added : waiting.workByPriority()) {
+        work += static_cast<double>(added) / 1000;
         load.waitByPriority.emplace_back(static_cast<std::int64_t>(capacity > 0 ? work / capacity : 0));
+    }
     for (const auto& [id, session] : sessions)
         load.idleCpu.emplace(session.registration().service.value, 0);
     for (auto& [service, idle] : load.idleCpu)
--- a/cells/cell_owner_runs.cpp
+++ b/cells/cell_owner_runs.cpp
@@ -432,6 +432,7 @@
             session.addRun(key, known);
         }
     }
+    updateQueue(job);
 }
 
 void cell_owner::data::answer(open_job& job, const result<jobs::job_state>& result)
@@ -451,8 +452,7 @@
         if (job->withdrawnAt)
             noteWithdrawal(id, withdrawal_outcome::stopped);
         limitLeases(id, lastContact(*job).value_or(now) + withdrawnLeaseLimit);
-        answer(
-            *job, fail(error_kind::deadline_passed_while_running, "the time limit of the caller passed before the job ended"));
+        answer(*job, fail(error_kind::deadline_passed_while_running, "the time limit of the caller passed before the job ended"));
         endJob(*job, jobs::job_state::cancelled);
     }
     for (const auto& id : endedUnstoredJobs) {
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -28,6 +28,7 @@
 
 void cell_owner::data::updateWorker(worker_registration registration, time_point now)
 {
+    capacitiesValidUntil = {};
     const auto found = sessions.find(registration.id);
     if (found == sessions.end()) {
         reportLosses(suspicion.noteBoot(registration, now), now);
@@ -82,6 +83,7 @@
         writeLog(log_level::info, "cell", "worker deregistered",
             { { "worker", id.value }, { "runs", fmt::to_string(found->second.runs().size()) } });
     found->second.deregistered = true;
+    capacitiesValidUntil = {};
     unlistedWorkerRemoved = unlistedWorkerRemoved || !found->second.listed;
 }
 
@@ -424,6 +426,7 @@
     task.runsOn = id;
     task.attempt = std::max(task.attempt, listed.attempt);
     job->started = true;
+    updateQueue(*job);
     if (isRestricted(*job) && session.reservedFor.empty())
         session.reservedFor = listed.task.jobId;
 }
--- a/cells/crash_suspicion.cpp
+++ b/cells/crash_suspicion.cpp
@@ -163,6 +163,7 @@
         job.lastLoss = now;
         task.lastLoss = now;
         task.established = false;
+        m_changed.insert(run.task.jobId);
         task_loss loss { worker, own->second.from, own->second.to, run.confirmed, run.timing, verdict, observation };
         loss.tasks = own->second.tasks;
         loss.likely = run.established == likely.established;
@@ -194,6 +195,7 @@
             loss.verdict = verdict;
             loss.observation = observation;
             job->second.lastLoss = now;
+            m_changed.insert(key.jobId);
             judged.push_back({ key, observation, worker.first, silent.since });
         }
     }
@@ -288,8 +290,11 @@
 
 void crash_suspicion::noteEstablished(const task_key& task)
 {
-    if (const auto job = m_jobs.find(task.jobId); job != m_jobs.end() && job->second.tasks.contains(task))
-        job->second.tasks[task].established = true;
+    const auto job = m_jobs.find(task.jobId);
+    if (job == m_jobs.end() || !job->second.tasks.contains(task))
+        return;
+    if (!std::exchange(job->second.tasks[task].established, true))
+        m_changed.insert(task.jobId);
 }
 
 void crash_suspicion::noteDone(const task_key& task)
@@ -297,6 +302,7 @@
     const auto job = m_jobs.find(task.jobId);
     if (job == m_jobs.end())
         return;
+    m_changed.insert(task.jobId);
     job->second.tasks.erase(task);
     if (job->second.tasks.empty())
         m_jobs.erase(job);
@@ -484,8 +490,12 @@
     }
     std::erase_if(m_silent, [now](const auto& entry) { return now > entry.second.since + suspicionRetention; });
     std::erase_if(m_falls, [now](const auto& entry) { return now > entry.second.to + fallRetention; });
-    std::erase_if(
-        m_jobs, [now](const auto& entry) { return now > entry.second.lastLoss + vanishedPauses.back() + suspicionRetention; });
+    std::erase_if(m_jobs, [this, now](const auto& entry) {
+        const bool expired = now > entry.second.lastLoss + vanishedPauses.back() + suspicionRetention;
+        if (expired)
+            m_changed.insert(entry.first);
+        return expired;
+    });
     return judged;
 }
 
