cells: Start a suspected task only in trials, which bound its starts

Callers lost workers to tasks that crash them: one task crashed up to 16 workers, and the jobs beside it waited for each of them. Cause: a crash counted against a task only if no other worker fell at that moment. On large cells some other worker falls at nearly each moment, so that tasks which crash their workers excused each other, and nothing bounded the starts of a task whose crashes were never attributed. An owner that died before it had stored a crash left no count of it. Change: after two losses just after its starts, or four of any kind, each start of a task is a trial. It is counted in the store before it is made, runs alone on a worker, and starts apart from the losses of others, one at a time in a cell. A crash in a trial is put down to the task unless three other workers fell without a reason of their own. After five crashes the task is to blame in any case: the platform allows two starts after the third. The pauses of 160 s after the fourth crash are gone, which held jobs back that were accepted and had room; the test of them now asks for the trial and for the blame after the fifth crash.

--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -95,6 +95,7 @@
     endedUnstoredJobs.clear();
     orphanedEnds.clear();
     suspicion.clear();
+    trials = {};
     toGiveUp.clear();
     jobsKeptAlive.clear();
     jobsLentEarlier.clear();
@@ -133,6 +134,7 @@
     flushInFlight = false;
     flushedJobs.clear();
     changedJobs.clear();
+    storedProgress.clear();
     flushedEnds.clear();
     obsoleteKeys.clear();
     finishedKeys.clear();
--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -21,6 +21,8 @@
     constexpr std::chrono::milliseconds certainLease = maxPollWait;
     /// Time after its start within which a run is a likely cause when its worker is lost.
     constexpr std::chrono::milliseconds startWindow { 100 };
+    /// Time after which a trial of which nothing is heard holds back no others.
+    constexpr std::chrono::milliseconds longestTrial { 1000 };
 
     std::string millisecondsBetween(time_point from, time_point to)
     {
@@ -64,8 +66,10 @@
         if (current.confirmedAt || current.uncertain)
             tasks.insert(key);
     }
-    if (!tasks.empty())
+    if (!tasks.empty()) {
         lastFallAt = now;
+        trials.noteFall(now);
+    }
     // A call that was open for a while broke when the worker crashed.
     const time_point from = now - sentAt > brokenCallMargin ? now - brokenCallMargin : session.lastAnswerAt;
     const auto longest = session.refusedAt ? longestUnnoticedCrash : longestUnnoticedSilence;
@@ -213,15 +217,13 @@
         if (mayStart && !runsOnAnyWorker(key))
             startable.push_back(index);
     }
-    if (startable.empty()) {
-        // Nothing can start until it is known whether the last workers have crashed.
-        for (auto& [worker, session] : sessions) {
-            if (session.reservedFor == id && session.runsOfJob(id) == 0)
-                session.reservedFor.clear();
-        }
+    const jobs::step& stepDefinition = job.accepted.work.steps[step];
+    const bool inTrial = !stepDefinition.longRunning && suspicion.needsTrial(id);
+    // Nothing can start until it is known whether the last workers have crashed, or at this moment.
+    if (startable.empty() || (inTrial && !prepareTrial(job, step, startable, now))) {
+        releaseIdleReservations(id);
         return false;
     }
-    const jobs::step& stepDefinition = job.accepted.work.steps[step];
     worker_session* session = reserveWorker(job, step, now);
     if (session ? !session->onlyEstablishedBeside(id) : !stepDefinition.longRunning)
         return false;
@@ -244,10 +246,54 @@
         }
         std::erase(waiting, *index);
         start(job, key, *chosen, now);
+        if (inTrial)
+            trials.noteStart({ chosen->registration().id, chosen->registration().bootTime, now });
     }
     return waiting.empty();
 }
 
+bool cell_owner::data::prepareTrial(
+    const open_job& job, std::uint32_t step, const std::vector<std::uint32_t>& tasks, time_point now)
+{
+    const std::string& id = job.accepted.work.id;
+    bool stored = true;
+    for (const std::uint32_t index : tasks) {
+        const task_key key { id, 0, step, index };
+        if (!suspicion.needsTrial(key))
+            continue;
+        suspicion.planTrial(key);
+        // The suspicion against an unstored job ends with the term.
+        if (job.accepted.work.answeredAtEnd) {
+            suspicion.noteStoring(id);
+            suspicion.noteStored(id);
+        }
+        stored = stored && suspicion.isTrialStored(key);
+    }
+    return stored && trials.isOpen(now);
+}
+
+void cell_owner::data::checkTrial(time_point now)
+{
+    if (!trials.current())
+        return;
+    const running_trial& trial = *trials.current();
+    const auto found = sessions.find(trial.worker);
+    const bool lost = found == sessions.end() || found->second.registration().bootTime != trial.bootTime
+        || found->second.refusedAt || found->second.failedPolls >= failedPollsOfLoss;
+    const bool over = lost || found->second.runs().empty() || found->second.lastAnswerAt > trial.startedAt + startWindow
+        || now > trial.startedAt + longestTrial;
+    if (over)
+        trials.noteEnd();
+}
+
+void cell_owner::data::releaseIdleReservations(const std::string& jobId)
+{
+    for (auto& [worker, session] : sessions) {
+        if (session.reservedFor == jobId && session.runsOfJob(jobId) == 0)
+            session.reservedFor.clear();
+    }
+}
+
 worker_session* cell_owner::data::reserveWorker(const open_job& job, std::uint32_t step, time_point now)
 {
     const std::string& id = job.accepted.work.id;
@@ -308,6 +354,7 @@
 void cell_owner::data::checkSuspicions(time_point now)
 {
     giveUpBlamed(now);
+    checkTrial(now);
     if (!suspicion.empty())
         reportLosses(suspicion.expire(now), now);
     reportSettledLosses();
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -19,6 +19,7 @@
 #include "cells/start_pace.h"
 #include "cells/start_plan.h"
 #include "cells/start_queue.h"
+#include "cells/trial_gate.h"
 #include "cells/worker_session.h"
 #include "core/log.h"
 #include "core/pause_monitor.h"
@@ -137,6 +138,8 @@
     bool flushInFlight = false;
     time_point nextFlush;
     std::vector<std::string> flushedJobs;
+    /// Jobs of which the write in flight stores the progress.
+    std::vector<std::string> storedProgress;
     /// Stored jobs of which a change or the end is not in a write yet.
     std::set<std::string> changedJobs;
     /// Number of the last run end that the write in flight makes durable, by worker and boot time.
@@ -209,6 +212,7 @@
     std::optional<time_point> lastStartAt;
 
     crash_suspicion suspicion;
+    trial_gate trials;
     /// Tasks whose jobs are to be given up, and when.
     std::map<task_key, time_point> toGiveUp;
     /// When a pass that took long may be logged again.
@@ -554,6 +558,12 @@
     /// Starts waiting tasks of a suspected job on the worker that is reserved for it. Long-running tasks that have no place of
     /// their own there start like those of other jobs, unless they are held back. Returns whether all tasks were started.
     bool scheduleRestricted(open_job& job, std::uint32_t step, time_point now);
+    /// Plans trials of the given tasks of a step where they are needed. Returns whether all of them are stored and may start now.
+    bool prepareTrial(const open_job& job, std::uint32_t step, const std::vector<std::uint32_t>& tasks, time_point now);
+    /// Notes whether the last trial has shown what it can.
+    void checkTrial(time_point now);
+    /// Removes the reservation of workers on which nothing of the job runs.
+    void releaseIdleReservations(const std::string& jobId);
     /// Reserves the best worker for a step of a suspected job; returns null if there is none.
     worker_session* reserveWorker(const open_job& job, std::uint32_t step, time_point now);
     /// Returns whether a worker on which the step fits is reserved for the job.
--- a/cells/cell_owner_gangs.cpp
+++ b/cells/cell_owner_gangs.cpp
@@ -82,6 +82,9 @@
     step_state& state = job.steps[step];
     const jobs::step& stepDefinition = job.accepted.work.steps[step];
     const std::string& id = job.accepted.work.id;
+    // Its job is given up soon.
+    if (suspicion.blames(id))
+        return false;
     bool stillRunning = false;
     for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
         const task_key key { id, 0, step, index };
--- a/cells/cell_owner_records.cpp
+++ b/cells/cell_owner_records.cpp
@@ -233,6 +233,8 @@
         }
         request.records.push_back({ jobs::progressKey(id), jobs::encodeProgress(outcomesOf(job, suspicion)), 0 });
         job.hasProgress = true;
+        suspicion.noteStoring(id);
+        storedProgress.push_back(id);
     }
     if (!finished.jobs.empty()) {
         const auto key = jobs::finishedKey(term.epoch, ++flushNumber);
@@ -293,6 +295,7 @@
         return;
     jobs::append_request request;
     flushedJobs.clear();
+    storedProgress.clear();
     flushedEnds.clear();
     const bool complete = writeJobs(request, now);
     dropOldRecords(request, now);
@@ -349,6 +352,8 @@
     }
     nextFlush = now + flushInterval;
     flush.reset();
+    for (const auto& id : storedProgress)
+        suspicion.noteStored(id);
     for (const auto& id : flushedJobs) {
         const open_job* job = jobTable.find(id);
         if (!job)
--- a/cells/cell_owner_workers.cpp
+++ b/cells/cell_owner_workers.cpp
@@ -191,6 +191,9 @@
         = std::any_of(session.runs().begin(), session.runs().end(), [](const auto& entry) { return entry.second.uncertain; });
     if (!session.listed || session.runs().empty() || session.failedPolls > 0 || uncertain)
         return std::chrono::milliseconds(0);
+    // An answer soon after the start ends the trial.
+    if (trials.isOn(session.registration().id))
+        return trialPollWait;
     if (calls.lossShare() < lossyShare)
         return maxPollWait;
     const auto expected = session.timeToNextEnd(now);
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -43,6 +43,8 @@
 /// Shortest wait of a poll while calls are lost, so that a lost answer delays the report of an end by little.
 inline constexpr std::chrono::milliseconds minLossyPollWait { 30 };
 inline constexpr std::chrono::milliseconds maxLossyPollWait { 120 };
+/// Wait of a poll of a worker on which a trial runs.
+inline constexpr std::chrono::milliseconds trialPollWait { 110 };
 /// Added to the expected end of a run for the wait of a poll that should report it.
 inline constexpr std::chrono::milliseconds lossyPollMargin { 15 };
 /// Share of lost calls from which polls wait for shorter times.
--- a/cells/crash_suspicion.cpp
+++ b/cells/crash_suspicion.cpp
@@ -14,18 +14,19 @@
     constexpr std::uint32_t confirmedCrashesToBlame = 2;
     /// The same for crashes of workers of which some may not have started the task.
     constexpr std::uint32_t possibleCrashesToBlame = 3;
-    /// Number of attributed crashes after which a task is to blame even if it was never alone. Keeps the number of starts within
-    /// the limit of the platform, which is six.
+    /// Number of attributed crashes after which a task is to blame even if it was never alone.
     constexpr std::uint32_t crashesToGiveUp = 4;
     /// Number of attributed crashes from which on a task stays alone, however long its run goes on.
     constexpr std::uint32_t crashesUntilAlwaysAlone = 3;
+    /// Number of crashes of any cause after which a task is to blame. The platform allows two more starts after the third crash.
+    constexpr std::uint32_t crashesToBear = 5;
+    /// Number of crashes of any cause from which on each start is a trial.
+    constexpr std::uint32_t crashesUntilTrial = 4;
     /// Number of losses of any cause from which on a task is suspected, and from which on it waits after each further one.
     constexpr std::uint32_t lossesUntilSuspected = 4;
     constexpr std::uint32_t lossesUntilHeldBack = 5;
-    /// Number of crashes just after its start from which on a task is suspected, whatever else was lost then, and from which on
-    /// it waits after each further one.
+    /// Number of crashes just after its start from which on a task is suspected, whatever else was lost then.
     constexpr std::uint32_t crashesUntilSuspected = 2;
-    constexpr std::uint32_t crashesUntilHeldBack = 4;
     /// Number of unexplained losses from which on a task is suspected.
     constexpr std::uint32_t unexplainedUntilSuspected = 2;
     /// Number of workers lost at the same moment that have a cause in common whatever they executed.
@@ -39,8 +40,6 @@
     /// Pauses after `lossesUntilHeldBack` losses without a common cause and after each further one.
     constexpr std::array<std::chrono::milliseconds, 4> lossPauses { std::chrono::seconds(10), std::chrono::seconds(30),
         std::chrono::seconds(160), std::chrono::seconds(600) };
-    /// Pauses after `crashesUntilHeldBack` crashes just after the start and after each further one.
-    constexpr std::array<std::chrono::milliseconds, 2> crashPauses { std::chrono::seconds(160), std::chrono::seconds(600) };
     /// Pauses after `unexplainedUntilSuspected` workers that have not returned and after each further one.
     constexpr std::array<std::chrono::milliseconds, 4> vanishedPauses { std::chrono::seconds(10), std::chrono::seconds(50),
         std::chrono::seconds(160), std::chrono::seconds(600) };
@@ -168,6 +167,7 @@
         loss.tasks = own->second.tasks;
         loss.likely = run.established == likely.established;
         loss.alone = oneJob && loss.likely;
+        loss.inTrial = std::exchange(task.trial, trial_state::none) == trial_state::stored;
         for (const auto& [boot, other] : m_falls)
             compare(loss, run.task, boot, other);
         task.losses.push_back(std::move(loss));
@@ -293,8 +293,10 @@
     const auto job = m_jobs.find(task.jobId);
     if (job == m_jobs.end() || !job->second.tasks.contains(task))
         return;
-    if (!std::exchange(job->second.tasks[task].established, true))
+    suspect& found = job->second.tasks[task];
+    if (!std::exchange(found.established, true))
         m_changed.insert(task.jobId);
+    found.trial = trial_state::none;
 }
 
 void crash_suspicion::noteDone(const task_key& task)
@@ -325,20 +327,113 @@
     }));
 }
 
+std::uint32_t crash_suspicion::crashesUnderRuns(const suspect& task)
+{
+    const auto crashes = std::count_if(task.losses.begin(), task.losses.end(),
+        [](const task_loss& loss) { return loss.verdict == loss_verdict::crashed && loss.timing != loss_timing::unknown; });
+    return total(task.earlier) + task.earlier.unattributedCrashes + static_cast<std::uint32_t>(crashes);
+}
+
+std::uint32_t crash_suspicion::possibleCrashesUnderRuns(const suspect& task)
+{
+    const auto losses = std::count_if(
+        task.losses.begin(), task.losses.end(), [](const task_loss& loss) { return loss.timing != loss_timing::unknown; });
+    return total(task.earlier) + task.earlier.unattributedCrashes + static_cast<std::uint32_t>(losses);
+}
+
+bool crash_suspicion::crashesOften(const suspect& task)
+{
+    return crashesAtStart(task) + total(task.earlier) >= crashesUntilSuspected;
+}
+
 bool crash_suspicion::crashesOften(const task_key& task) const
 {
     const suspect* found = find(task);
-    return found && crashesAtStart(*found) + total(found->earlier) >= crashesUntilSuspected;
+    return found && crashesOften(*found);
 }
 
-bool crash_suspicion::hasCommonCause(const task_loss& loss) const
+bool crash_suspicion::needsTrial(const suspect& task)
 {
-    if (loss.others.size() >= workersOfCommonLoss)
-        return true;
-    return std::any_of(loss.others.begin(), loss.others.end(), [this](const auto& other) {
+    const auto lossesAtStart = std::count_if(task.losses.begin(), task.losses.end(),
+        [](const task_loss& loss) { return loss.timing == loss_timing::at_start && loss.likely; });
+    return total(task.earlier) + static_cast<std::uint32_t>(lossesAtStart) >= crashesUntilSuspected
+        || possibleCrashesUnderRuns(task) >= crashesUntilTrial;
+}
+
+bool crash_suspicion::needsTrial(const task_key& task) const
+{
+    const suspect* found = find(task);
+    return found && needsTrial(*found);
+}
+
+bool crash_suspicion::needsTrial(const std::string& jobId) const
+{
+    const auto job = m_jobs.find(jobId);
+    return job != m_jobs.end() && std::any_of(job->second.tasks.begin(), job->second.tasks.end(), [](const auto& entry) {
+        return needsTrial(entry.second);
+    });
+}
+
+void crash_suspicion::planTrial(const task_key& task)
+{
+    const auto job = m_jobs.find(task.jobId);
+    if (job == m_jobs.end())
+        return;
+    const auto found = job->second.tasks.find(task);
+    if (found == job->second.tasks.end() || found->second.trial != trial_state::none)
+        return;
+    found->second.trial = trial_state::planned;
+    m_changed.insert(task.jobId);
+}
+
+void crash_suspicion::noteStoring(const std::string& jobId)
+{
+    const auto job = m_jobs.find(jobId);
+    if (job == m_jobs.end())
+        return;
+    for (auto& [key, task] : job->second.tasks) {
+        if (task.trial == trial_state::planned)
+            task.trial = trial_state::storing;
+    }
+}
+
+void crash_suspicion::noteStored(const std::string& jobId)
+{
+    const auto job = m_jobs.find(jobId);
+    if (job == m_jobs.end())
+        return;
+    for (auto& [key, task] : job->second.tasks) {
+        if (task.trial == trial_state::storing)
+            task.trial = trial_state::stored;
+    }
+}
+
+bool crash_suspicion::isTrialStored(const task_key& task) const
+{
+    const suspect* found = find(task);
+    return found && found->trial == trial_state::stored;
+}
+
+std::size_t crash_suspicion::unexplainedOthers(const task_loss& loss) const
+{
+    const auto count = std::count_if(loss.others.begin(), loss.others.end(), [this](const auto& other) {
         const auto& tasks = *other.second;
         return std::none_of(tasks.begin(), tasks.end(), [this](const task_key& key) { return crashesOften(key); });
     });
+    return static_cast<std::size_t>(count);
+}
+
+bool crash_suspicion::isCrashInTrial(const task_loss& loss)
+{
+    return loss.inTrial && loss.confirmed && loss.verdict == loss_verdict::crashed && loss.timing == loss_timing::at_start;
+}
+
+bool crash_suspicion::hasCommonCause(const task_loss& loss) const
+{
+    // A worker that crashes by chance just after the start of a trial, together with one or two others, is unlikely.
+    if (isCrashInTrial(loss))
+        return unexplainedOthers(loss) >= workersOfCommonLoss;
+    return loss.others.size() >= workersOfCommonLoss || unexplainedOthers(loss) > 0;
 }
 
 loss_weight crash_suspicion::weightOf(const task_loss& loss) const
@@ -370,6 +465,7 @@
             // Another worker at the address may have taken the place of one that had left.
             const bool certain = loss.timing == loss_timing::at_start && loss.observation != crash_observation::replaced;
             ++(loss.confirmed && certain ? counted.attributed.confirmed : counted.attributed.possible);
+            counted.inTrial += isCrashInTrial(loss) ? 1 : 0;
             counted.attributed.alone = loss.alone;
         } else {
             ++(loss.verdict == loss_verdict::pending        ? counted.pending
@@ -385,6 +481,10 @@
     const tally counted = tallyOf(task, true);
     jobs::crash_counts counts = counted.attributed;
     counts.unattributed = counted.unrelated + counted.unexplained();
+    if (const suspect* found = find(task)) {
+        const std::uint32_t trials = found->trial == trial_state::none ? 0 : 1;
+        counts.unattributedCrashes = crashesUnderRuns(*found) - total(counts) + trials;
+    }
     return counts;
 }
 
@@ -413,13 +513,23 @@
     const auto job = m_jobs.find(jobId);
     return job == m_jobs.end() || std::all_of(job->second.tasks.begin(), job->second.tasks.end(), [this](const auto& entry) {
         const tally counted = tallyOf(entry.first);
-        return total(counted.attributed) == 0 && !counted.ofSeveralTasks && crashesAtStart(entry.second) < crashesUntilSuspected
+        return total(counted.attributed) == 0 && !counted.ofSeveralTasks && !needsTrial(entry.second)
             && counted.unexplained() < unexplainedUntilSuspected && counted.total() < lossesUntilSuspected;
     });
 }
 
 bool crash_suspicion::awaitsVerdict(const task_key& task) const
 {
+    const suspect* found = find(task);
+    if (!found)
+        return false;
+    const auto isPending = [](const task_loss& loss) { return loss.verdict == loss_verdict::pending; };
+    if (std::none_of(found->losses.begin(), found->losses.end(), isPending))
+        return false;
+    const auto isPendingTrial = [](const task_loss& loss) { return loss.verdict == loss_verdict::pending && loss.inTrial; };
+    if (std::any_of(found->losses.begin(), found->losses.end(), isPendingTrial)
+        || possibleCrashesUnderRuns(*found) >= crashesToBear)
+        return true;
     const tally counted = tallyOf(task);
     return counted.pending > 0 && total(counted.attributed) + counted.unexplained() >= confirmedCrashesToBlame;
 }
@@ -432,18 +542,29 @@
     const tally counted = tallyOf(task);
     return found->lastLoss
         + std::max({ pauseAfter(total(counted.attributed) + counted.unexplained(), lossesUntilHeldBack, lossPauses),
-            pauseAfter(counted.vanished, unexplainedUntilSuspected, vanishedPauses),
-            pauseAfter(crashesAtStart(*found), crashesUntilHeldBack, crashPauses) });
+            pauseAfter(counted.vanished, unexplainedUntilSuspected, vanishedPauses) });
 }
 
 bool crash_suspicion::isToBlame(const task_key& task) const
 {
     // A task that runs well again is not the cause, whatever is learned of its earlier workers.
-    if (const suspect* found = find(task); !found || found->established)
+    const suspect* found = find(task);
+    if (!found || found->established)
         return false;
-    const jobs::crash_counts counts = tallyOf(task).attributed;
-    const bool often = counts.confirmed >= confirmedCrashesToBlame || total(counts) >= possibleCrashesToBlame;
-    return (counts.alone && often) || total(counts) >= crashesToGiveUp;
+    const std::uint32_t crashes = crashesUnderRuns(*found);
+    const tally counted = tallyOf(task);
+    const jobs::crash_counts& counts = counted.attributed;
+    const bool often = counts.confirmed >= confirmedCrashesToBlame || total(counts) >= possibleCrashesToBlame
+        || (counted.inTrial > 0 && crashes >= confirmedCrashesToBlame);
+    return (counts.alone && often) || total(counts) >= crashesToGiveUp || crashes >= crashesToBear;
+}
+
+bool crash_suspicion::blames(const std::string& jobId) const
+{
+    const auto job = m_jobs.find(jobId);
+    return job != m_jobs.end() && std::any_of(job->second.tasks.begin(), job->second.tasks.end(), [this](const auto& entry) {
+        return isToBlame(entry.first);
+    });
 }
 
 void crash_suspicion::forget(const std::string& jobId)
@@ -451,8 +572,7 @@
     const auto found = m_jobs.find(jobId);
     if (found == m_jobs.end())
         return;
-    const bool toBlame = std::any_of(
-        found->second.tasks.begin(), found->second.tasks.end(), [this](const auto& entry) { return isToBlame(entry.first); });
+    const bool toBlame = blames(jobId);
     m_jobs.erase(found);
     if (!toBlame)
         return;
--- a/cells/crash_suspicion.h
+++ b/cells/crash_suspicion.h
@@ -134,6 +134,21 @@
     /// Returns the number of crashes that are attributed to a task.
     std::uint32_t crashesAttributedTo(const task_key& task) const;
 
+    /// Returns whether the next start of the task is a trial: workers have crashed under it so often that the start has to show
+    /// whether the task is the cause. A trial is stored before it starts, runs alone on a worker, and starts at a moment apart
+    /// from the losses of other workers.
+    bool needsTrial(const task_key& task) const;
+    /// Returns the same for the tasks of a job.
+    bool needsTrial(const std::string& jobId) const;
+    /// Counts the next start of the task, a trial, as a crash for later owners until its end is known.
+    void planTrial(const task_key& task);
+    /// Records that the counts of a job, as they are now, are in a write to the store.
+    void noteStoring(const std::string& jobId);
+    /// Records that this write has succeeded.
+    void noteStored(const std::string& jobId);
+    /// Returns whether a planned trial of the task is stored.
+    bool isTrialStored(const task_key& task) const;
+
     /// Returns whether no job is suspected, which saves the caller all other queries.
     bool empty() const { return m_jobs.empty(); }
     /// Returns whether tasks of the job may only be started on a worker that runs no other young runs.
@@ -148,6 +163,9 @@
     /// Returns whether the task has crashed so many workers that it is not started any more.
     bool isToBlame(const task_key& task) const;
 
+    /// Returns whether a task of the job is to blame.
+    bool blames(const std::string& jobId) const;
+
     /// Returns the jobs whose stored counts may have changed since the last call.
     std::set<std::string> takeChanges() { return std::exchange(m_changed, {}); }
 
@@ -184,6 +202,8 @@
         bool alone = false;
         /// Whether it is known which other workers were lost at that time.
         bool settled = false;
+        /// Whether the run was a trial.
+        bool inTrial = false;
         /// Tasks that the worker may have executed.
         std::shared_ptr<const std::set<task_key>> tasks;
         /// Whether other workers were lost at that time while they ran other tasks of the job.
@@ -191,12 +211,15 @@
         /// Other workers that were lost at that time without running the job, with their tasks.
         std::map<boot_key, std::shared_ptr<const std::set<task_key>>> others;
     };
+    enum class trial_state { none, planned, storing, stored };
     struct suspect {
         /// Counts that an earlier owner has stored.
         jobs::crash_counts earlier;
         std::vector<task_loss> losses;
         bool established = false;
         time_point lastLoss;
+        /// State of the next or present start if it is a trial.
+        trial_state trial = trial_state::none;
     };
     struct suspected_job {
         std::map<task_key, suspect> tasks;
@@ -212,6 +235,8 @@
     /// Losses under a task by what they say about it.
     struct tally {
         jobs::crash_counts attributed;
+        /// Crashes just after the start of a trial among the attributed ones.
+        std::uint32_t inTrial = 0;
         /// Losses that coincided with those of other workers, and those that an earlier owner has not attributed.
         std::uint32_t unrelated = 0;
         /// Other losses, by their verdicts.
@@ -231,13 +256,23 @@
     tally tallyOf(const task_key& task, bool settledOnly = false) const;
     /// Adds `other` to the losses at the time of `loss` if it is one of them; returns whether it is.
     static bool compare(task_loss& loss, const task_key& task, const boot_key& boot, const fall& other);
+    /// Returns the number of workers lost at the time of the loss whose own tasks don't explain their losses.
+    std::size_t unexplainedOthers(const task_loss& loss) const;
     /// Returns whether the loss coincided with losses of other workers that their own tasks don't explain.
     bool hasCommonCause(const task_loss& loss) const;
+    /// Returns whether the worker crashed just after the start of a trial.
+    static bool isCrashInTrial(const task_loss& loss);
+    /// Returns the number of workers that have crashed under runs of the task, whatever the cause.
+    static std::uint32_t crashesUnderRuns(const suspect& task);
+    /// Returns the same together with the losses under its runs of which it is not known whether they were crashes.
+    static std::uint32_t possibleCrashesUnderRuns(const suspect& task);
     loss_weight weightOf(const task_loss& loss) const;
     /// Returns the number of workers that crashed just after the start of the task, without a likelier cause.
     static std::uint32_t crashesAtStart(const suspect& task);
     /// Returns whether workers have repeatedly crashed just after the start of the task.
     bool crashesOften(const task_key& task) const;
+    static bool crashesOften(const suspect& task);
+    static bool needsTrial(const suspect& task);
     /// Adds losses with the given verdict, and returns them unless they are pending.
     std::vector<judged_loss> addLosses(const boot_key& worker, std::vector<exposed_run> runs, loss_verdict verdict,
         crash_observation observation, time_point now);
--- a/jobs/record_codec.cpp
+++ b/jobs/record_codec.cpp
@@ -172,8 +172,8 @@
     for (const auto& current : outcomes) {
         list.push_back(json::array({ current.step, current.index, current.done, current.failedAttempts }));
         if (current.crashes != crash_counts {})
-            list.back().push_back(json::array(
-                { current.crashes.confirmed, current.crashes.possible, current.crashes.alone, current.crashes.unattributed }));
+            list.back().push_back(json::array({ current.crashes.confirmed, current.crashes.possible, current.crashes.alone,
+                current.crashes.unattributed, current.crashes.unattributedCrashes }));
     }
     return pack(list);
 }
@@ -196,6 +196,8 @@
                 counts.unattributed = numberIn<std::uint32_t>(crashes.at(3));
             else
                 counts = { 0, 0, false, counts.confirmed + counts.possible };
+            if (crashes.size() > 4)
+                counts.unattributedCrashes = numberIn<std::uint32_t>(crashes.at(4));
         }
         return outcomes;
     });
--- a/tests/cells/crash_suspicion_test.cpp
+++ b/tests/cells/crash_suspicion_test.cpp
@@ -268,7 +268,52 @@
     }
     BOOST_TEST(!suspicion.isUnproven("first"));
     BOOST_TEST(suspicion.isToBlame(second));
-    BOOST_TEST((suspicion.heldBackUntil(first) > now + 1min));
+    BOOST_TEST(suspicion.needsTrial(first));
+    suspicion.noteRestart(workerA, 4, { confirmed(first), confirmed(third) }, now);
+    BOOST_TEST(suspicion.isToBlame(first));
+}
+
+// Guards against a task whose crashes are always put down to a common cause, so that nothing bounds its starts (issue 70).
+BOOST_AUTO_TEST_CASE(blame_a_task_in_its_first_trial_unless_several_others_fall_without_a_reason_of_their_own)
+{
+    const auto crashBeside = [&](std::int64_t boot, unsigned others) {
+        suspicion.noteFall(workerA, boot, { first }, now, now + 10ms);
+        for (unsigned number = 0; number < others; ++number)
+            suspicion.noteFall({ "other" + std::to_string(number) }, boot, { second }, now, now + 10ms);
+        suspicion.noteRestart(workerA, boot, { confirmed(first) }, now + 20ms);
+        now += 2s;
+    };
+    const auto storeTrial = [&] {
+        suspicion.planTrial(first);
+        BOOST_TEST(!suspicion.isTrialStored(first));
+        suspicion.noteStoring("first");
+        suspicion.noteStored("first");
+        BOOST_TEST(suspicion.isTrialStored(first));
+    };
+    crashBeside(0, 4);
+    BOOST_TEST(!suspicion.needsTrial(first));
+    crashBeside(1, 4);
+    BOOST_TEST(suspicion.needsTrial(first));
+    storeTrial();
+    BOOST_TEST(suspicion.storedCounts(first).unattributedCrashes == 3U);
+    crashBeside(2, 3);
+    BOOST_TEST(!suspicion.isToBlame(first));
+    BOOST_TEST(!suspicion.isTrialStored(first));
+    storeTrial();
+    crashBeside(3, 2);
+    BOOST_TEST(suspicion.isToBlame(first));
+}
+
+BOOST_AUTO_TEST_CASE(count_a_trial_for_the_next_owner_until_its_run_goes_on)
+{
+    for (std::int64_t boot = 0; boot < 2; ++boot)
+        suspicion.noteRestart(workerA, boot, { confirmed(first), confirmed(second) }, now);
+    suspicion.planTrial(first);
+    const auto stored
+        = jobs::decodeProgress(jobs::encodeProgress({ { 0, 0, false, {}, suspicion.storedCounts(first) } })).value();
+    BOOST_TEST(stored.at(0).crashes.unattributedCrashes == 3U);
+    suspicion.noteEstablished(first);
+    BOOST_TEST(suspicion.storedCounts(first).unattributedCrashes == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(hold_a_task_back_for_longer_after_each_worker_that_does_not_return)
