bench: Measure an owner with a backlog of stored jobs

Cause: owner-bench measured jobs that arrive and are refused in time, so that its queue never grew. With a backlog it shows a burst that the sums left: all stored jobs that become overdue at once moved in one pass, as did those that waited for the runs of an earlier owner.

--- a/bench/owner_bench.cpp
+++ b/bench/owner_bench.cpp
@@ -1,6 +1,9 @@
 // Processor time of a cell's owner for each job, by workers and load: decisions and bookkeeping without network calls. The
-// figures contain the fakes of workers and callers, which do the same work in each row.
+// figures contain the fakes of workers and callers, which do the same work in each row. With --backlog, by stored jobs that wait.
+#include <algorithm>
 #include <ctime>
+#include <string_view>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -29,11 +32,29 @@
     using cell_load_run::cell_load_run;
 
     double ownerSeconds() const { return m_seconds; }
+    /// Returns the processor time of the longest tick since the last call.
+    double takeLongestTick() { return std::exchange(m_longestTick, 0); }
+
+    /// Stores jobs of one task that takes half of a worker.
+    void storeJobs(unsigned count, std::chrono::milliseconds runTime)
+    {
+        jobs::append_request appended;
+        appended.stream = { "jobs", 0 };
+        for (unsigned number = 0; number < count; ++number) {
+            jobs::accepted_job job = request(epoch, fmt::format("{:016x}", number), 1, runTime).accepted;
+            job.work.answeredAtEnd = false;
+            job.work.steps[0].need.cpuMillis = 8000;
+            appended.records.push_back({ jobs::acceptedKey(job.work.id), jobs::encodeAccepted(job), 0 });
+        }
+        records.append(appended, store_fault::none, [](const auto&) {});
+    }
 
 protected:
     void tickOwner() override
     {
+        const double before = m_seconds;
         count([this] { owner.tick(); });
+        m_longestTick = std::max(m_longestTick, m_seconds - before);
     }
     void runOnOwner(jobs::run_request request, cells::job_completion done) override
     {
@@ -69,6 +90,7 @@
     }
 
     double m_seconds = 0;
+    double m_longestTick = 0;
 };
 
 void measure(unsigned workers, double load)
@@ -87,11 +109,40 @@
     std::fflush(stdout);
 }
 
+/// Measures an owner while all workers are occupied and stored jobs wait.
+void measureBacklog(unsigned workers, unsigned waiting)
+{
+    constexpr auto duration = 2s;
+    measured_owner run(workers);
+    run.runFor(2s);
+    // In three seconds 12 jobs start on each worker; in the middle of the measurement, `waiting` jobs are left.
+    run.storeJobs(waiting + 8 * workers, 500ms);
+    run.runFor(1s);
+    run.takeLongestTick();
+    const double before = run.ownerSeconds();
+    const auto startsBefore = run.owner.counterValues().starts;
+    run.runFor(duration);
+    const double seconds = std::chrono::duration<double>(duration).count();
+    const auto starts = static_cast<double>(run.owner.counterValues().starts - startsBefore);
+    const double used = run.ownerSeconds() - before;
+    fmt::print("{:>7} {:>7} {:>9.0f} {:>9.0f} {:>14.2f} {:>10.3f}\n", workers, waiting, starts / seconds, used / starts * 1e6,
+        run.takeLongestTick() * 1e3, used / seconds);
+    std::fflush(stdout);
+}
+
 } // namespace
 
-int main()
+int main(int argumentCount, char** arguments)
 {
     setLogLevel(log_level::error);
+    if (argumentCount > 1 && std::string_view(arguments[1]) == "--backlog") {
+        fmt::print("workers waiting  starts/s  us/start   longest tick ms   cores\n");
+        for (const unsigned workers : { 100U, 500U, 1000U }) {
+            for (const unsigned waiting : { 1000U, 10000U, 100000U })
+                measureBacklog(workers, waiting);
+        }
+        return 0;
+    }
     fmt::print("workers  load    jobs   served  refused     us/job      cores\n");
     for (const unsigned workers : { 30U, 117U, 350U, 1000U }) {
         for (const double load : { 0.6, 1.0, 1.6 })
--- a/cells/cell_owner_admission.cpp
+++ b/cells/cell_owner_admission.cpp
@@ -256,7 +256,7 @@
 void cell_owner::data::moveOverdueJobs(time_point now)
 {
     constexpr std::chrono::hours behindAll { 24 };
-    for (const auto& id : waiting.takeOverdue(now)) {
+    for (const auto& id : waiting.takeOverdue(now, maxMovedPerPass)) {
         open_job* job = jobTable.find(id);
         ++counters.forecastVisits;
         if (!job || job->ended)
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -51,7 +51,7 @@
     const auto& held = waiting.jobs(queue_part::held);
     if (held.empty() || !knowsPreviousRuns(now))
         return;
-    while (!held.empty()) {
+    for (std::size_t moved = 0; moved < maxMovedPerPass && !held.empty(); ++moved) {
         const queue_rank rank = *held.begin();
         waiting.remove(rank);
         if (const open_job* job = jobTable.find(std::get<std::string>(rank)))
--- a/cells/cell_settings.h
+++ b/cells/cell_settings.h
@@ -104,6 +104,8 @@
 /// Time between two forecasts of the starts of waiting jobs: short against the time of callers, so that they learn at once that
 /// capacity was lost.
 inline constexpr std::chrono::milliseconds planInterval { 20 };
+/// Number of waiting jobs whose places in the queue change in one pass; the rest has its turn in the next ones.
+inline constexpr std::size_t maxMovedPerPass = 1000;
 /// Number of waiting jobs for which another cell is sought in each tick.
 inline constexpr int maxLendTries = 16;
 /// How long the end of an unstored job is remembered, to answer resubmissions.
--- a/cells/start_queue.cpp
+++ b/cells/start_queue.cpp
@@ -90,13 +90,13 @@
     return found == m_entries.end() ? std::nullopt : std::optional(found->second.part);
 }
 
-std::vector<std::string> start_queue::takeOverdue(time_point now)
+std::vector<std::string> start_queue::takeOverdue(time_point now, std::size_t most)
 {
     std::vector<std::string> overdue;
-    const auto end = m_objectives.lower_bound({ now, std::string() });
-    for (auto entry = m_objectives.begin(); entry != end; ++entry)
+    auto entry = m_objectives.begin();
+    for (; entry != m_objectives.end() && entry->first < now && overdue.size() < most; ++entry)
         overdue.push_back(entry->second);
-    m_objectives.erase(m_objectives.begin(), end);
+    m_objectives.erase(m_objectives.begin(), entry);
     return overdue;
 }
 
--- a/cells/start_queue.h
+++ b/cells/start_queue.h
@@ -77,8 +77,9 @@
     /// Returns the estimated work of all jobs by reported priority, in core microseconds.
     const std::array<std::int64_t, reportedPriorities>& workByPriority() const { return m_work; }
 
-    /// Returns the stored jobs whose objective has passed and that are not marked as overdue, and forgets about them.
-    std::vector<std::string> takeOverdue(time_point now);
+    /// Returns up to `most` stored jobs whose objective has passed and that are not marked as overdue, and forgets their
+    /// objectives.
+    std::vector<std::string> takeOverdue(time_point now, std::size_t most);
 
 private:
     /// What a job has added to the sums.
--- a/tests/cells/start_queue_test.cpp
+++ b/tests/cells/start_queue_test.cpp
@@ -73,7 +73,15 @@
     add(0, true, now, queue_part::held);
     BOOST_TEST(queue.storedWork().empty());
     BOOST_TEST(queue.workByPriority()[1] == 600000);
-    BOOST_TEST(queue.takeOverdue(now + 1h).empty());
+    BOOST_TEST(queue.takeOverdue(now + 1h, 10).empty());
+}
+
+BOOST_AUTO_TEST_CASE(names_no_more_overdue_jobs_than_asked_for)
+{
+    for (unsigned number = 0; number < 3; ++number)
+        add(number, true, now);
+    BOOST_TEST(queue.takeOverdue(now + 1s, 2).size() == 2U);
+    BOOST_TEST(queue.takeOverdue(now + 1s, 2).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(names_each_overdue_job_once)
@@ -81,8 +89,8 @@
     add(0, true, now);
     add(1, true, now + 10s);
     add(2, false, now);
-    BOOST_TEST(queue.takeOverdue(now + 1s) == std::vector<std::string> { "job0" }, boost::test_tools::per_element());
-    BOOST_TEST(queue.takeOverdue(now + 1s).empty());
+    BOOST_TEST(queue.takeOverdue(now + 1s, 10) == std::vector<std::string> { "job0" }, boost::test_tools::per_element());
+    BOOST_TEST(queue.takeOverdue(now + 1s, 10).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
