cells: A worker that is back before its loss is noted has restarted

Callers lost workers to a task that was started again and again. Cause: a later worker at the address of a lost one shows that it has crashed, but only if it was registered after the loss was noted, which is when the leases have ended. A worker that is back under another id within a second counted as silent for ten seconds, and then as not restarted. Change: when a loss is noted, workers that are registered at the address since then count as well.

--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -86,7 +86,7 @@
     if (session.refusedAt && !session.deregistered)
         reportLosses(suspicion.noteRefusal(worker, dropped, now), now);
     else
-        suspicion.noteSilence(worker, dropped, now);
+        noteSilentLoss(worker, dropped, now);
     reportLoss(session, dropped, now);
     for (const auto& run : dropped) {
         if (open_job* job = jobTable.find(run.task.jobId))
@@ -94,6 +94,17 @@
     }
 }
 
+void cell_owner::data::noteSilentLoss(const worker_registration& worker, const std::vector<exposed_run>& dropped, time_point now)
+{
+    suspicion.noteSilence(worker, dropped, now);
+    // The next worker at the address may have been registered before the leases of this one had ended.
+    for (const auto& [id, other] : sessions) {
+        const worker_registration& later = other.registration();
+        if (later.address == worker.address && later.bootTime > worker.bootTime)
+            reportLosses(suspicion.noteBoot(later, now), now);
+    }
+}
+
 void cell_owner::data::noteAlive(const worker_registration& worker)
 {
     const auto cleared = suspicion.noteAlive(worker.id, worker.bootTime);
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -537,6 +537,8 @@
     void noteFall(const worker_session& session, time_point sentAt, time_point now);
     /// Records that a worker has stopped answering while it may have executed the given runs.
     void noteSilence(const worker_session& session, const std::vector<exposed_run>& dropped, time_point now);
+    /// Records the same of a worker of which it is not known whether it has crashed.
+    void noteSilentLoss(const worker_registration& worker, const std::vector<exposed_run>& dropped, time_point now);
     /// Records that a worker has not crashed in its present boot.
     void noteAlive(const worker_registration& worker);
     /// Returns whether the task runs until its job is cancelled, so that it is never given up.
--- a/tests/cells/crashing_tasks_test.cpp
+++ b/tests/cells/crashing_tasks_test.cpp
@@ -159,6 +159,22 @@
     expectNoViolation(fleet);
 }
 
+// Guards against a task that crashes worker after worker because each is back under another id before its loss is noted.
+BOOST_AUTO_TEST_CASE(is_given_up_when_its_workers_return_under_other_ids_at_once)
+{
+    cell_fleet fleet(1, 2, 4);
+    fleet.runFor(2s);
+    fleet.workers.restartAfterCrash(300ms);
+    fleet.workers.unregisterAfterCrash(100ms);
+    fleet.workers.renameAfterCrash();
+    makeJobDeadly(fleet, "deadly", 1);
+    fleet.store(fleet.owner(0), "deadly", 1, 300ms);
+    fleet.runFor(30s);
+    BOOST_TEST((fleet.state(0, "deadly") == jobs::job_state::failed));
+    BOOST_TEST(fleet.workers.crashesUnder(taskOf("deadly")) < maxStartsOfPlatform);
+    expectNoViolation(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(is_given_up_when_it_crashes_workers_before_their_answer)
 {
     // Guards against a crash that is not counted because the start order was not answered.
