cells: Losses of any kind lead to trials

Callers lost workers to two tasks that crash them late and silently. Cause: where silence leaves open whether a run had ended with its lease, a loss counts for nothing, and not for a trial either. Change: from the fourth loss on, whatever its kind, starts are trials, which keeps them apart, so that the pauses after unexplained losses apply. More than the platform bears: a silent worker does not show when it crashed.

--- a/cells/crash_suspicion.cpp
+++ b/cells/crash_suspicion.cpp
@@ -20,8 +20,8 @@
     constexpr std::uint32_t crashesUntilAlwaysAlone = 3;
     /// Number of crashes of any cause after which a task is to blame. The platform allows two more starts after the third crash.
     constexpr std::uint32_t crashesToBear = 5;
-    /// Number of crashes of any cause from which on each start is a trial.
-    constexpr std::uint32_t crashesUntilTrial = 4;
+    /// Number of losses of any kind from which on each start is a trial.
+    constexpr std::size_t lossesUntilTrial = 4;
     /// Number of losses of any cause from which on a task is suspected, and from which on it waits after each further one.
     constexpr std::uint32_t lossesUntilSuspected = 4;
     constexpr std::uint32_t lossesUntilHeldBack = 5;
@@ -357,7 +357,7 @@
     const auto lossesAtStart = std::count_if(task.losses.begin(), task.losses.end(),
         [](const task_loss& loss) { return loss.timing == loss_timing::at_start && loss.likely; });
     return total(task.earlier) + static_cast<std::uint32_t>(lossesAtStart) >= crashesUntilSuspected
-        || possibleCrashesUnderRuns(task) >= crashesUntilTrial;
+        || total(task.earlier) + task.earlier.unattributed + task.losses.size() >= lossesUntilTrial;
 }
 
 bool crash_suspicion::needsTrial(const task_key& task) const
--- a/tests/cells/crash_suspicion_test.cpp
+++ b/tests/cells/crash_suspicion_test.cpp
@@ -304,6 +304,22 @@
     BOOST_TEST(suspicion.isToBlame(first));
 }
 
+// Guards against two tasks in step with each other whose losses are all put down to a common cause.
+BOOST_AUTO_TEST_CASE(ask_for_a_trial_after_four_losses_of_any_kind)
+{
+    for (std::int64_t boot = 0; boot < 4; ++boot) {
+        BOOST_TEST(!suspicion.needsTrial(first));
+        suspicion.noteFall(workerA, boot, { first }, now, now + 300ms);
+        suspicion.noteFall(workerB, boot, { second }, now, now + 300ms);
+        suspicion.noteRestart(workerA, boot, { heardLater(first) }, now + 1s);
+        suspicion.noteRestart(workerB, boot, { heardLater(second) }, now + 1s);
+        now += 2s;
+    }
+    BOOST_TEST(suspicion.needsTrial(first));
+    BOOST_TEST(suspicion.needsTrial(second));
+    BOOST_TEST(!suspicion.isToBlame(first));
+}
+
 BOOST_AUTO_TEST_CASE(count_a_trial_for_the_next_owner_until_its_run_goes_on)
 {
     for (std::int64_t boot = 0; boot < 2; ++boot)
