cells: An owner finds the ended jobs of another cell by that cell

Cause: each query of a new owner elsewhere walked over all jobs that had ended in the last minutes. Change: the job table lists the ended jobs of each home cell.

--- a/cells/cell_job_table.cpp
+++ b/cells/cell_job_table.cpp
@@ -128,8 +128,19 @@
 
 void cell_job_table::addFinished(const std::string& id, const finished_entry& finished)
 {
-    m_finished.insert_or_assign(id, finished);
+    if (const auto before = m_finished.find(id); before != m_finished.end())
+        removeFinished(before);
+    m_finished.emplace(id, finished);
     m_finishedAt.emplace(finished.at, id);
+    if (finished.lentBy)
+        m_finishedFor[*finished.lentBy].insert(id);
+}
+
+void cell_job_table::removeFinished(std::unordered_map<std::string, finished_entry>::iterator finished)
+{
+    if (finished->second.lentBy)
+        m_finishedFor[*finished->second.lentBy].erase(finished->first);
+    m_finished.erase(finished);
 }
 
 void cell_job_table::erase(const std::string& id)
@@ -156,12 +167,10 @@
 
 std::vector<std::string> cell_job_table::finishedFor(cell_number home) const
 {
-    std::vector<std::string> ids;
-    for (const auto& [id, entry] : m_finished) {
-        if (entry.lentBy == home)
-            ids.push_back(id);
-    }
-    return ids;
+    const auto found = m_finishedFor.find(home);
+    if (found == m_finishedFor.end())
+        return {};
+    return { found->second.begin(), found->second.end() };
 }
 
 void cell_job_table::expire(time_point oldest)
@@ -169,7 +178,7 @@
     for (auto entry = m_finishedAt.begin(); entry != m_finishedAt.end() && entry->first < oldest;) {
         const auto finished = m_finished.find(entry->second);
         if (finished != m_finished.end() && finished->second.at < oldest)
-            m_finished.erase(finished);
+            removeFinished(finished);
         entry = m_finishedAt.erase(entry);
     }
 }
@@ -190,6 +199,7 @@
     m_unstored.clear();
     m_finished.clear();
     m_finishedAt.clear();
+    m_finishedFor.clear();
 }
 
 } // namespace coriandermount::cells
--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -192,12 +192,15 @@
     };
 
     void addFinished(const std::string& id, const finished_entry& finished);
+    void removeFinished(std::unordered_map<std::string, finished_entry>::iterator finished);
 
     std::map<std::string, open_job> m_open;
     std::map<std::string, open_job*> m_unstored;
     std::unordered_map<std::string, finished_entry> m_finished;
     /// Ids of the finished jobs by the time of their end. Earlier entries of jobs that have ended again are left in.
     std::multimap<time_point, std::string> m_finishedAt;
+    /// Ids of the finished jobs that another cell had lent, by that cell.
+    std::map<cell_number, std::set<std::string>> m_finishedFor;
 };
 
 } // namespace coriandermount::cells
