cells: Count a run for later owners when its worker refuses connections

Callers lost six workers to one task on a large site. Cause: a crash is recorded when the leases of the worker have ended, 1.5 s after it was seen. The third trial did not count either, as the worker had crashed before it answered the start order. Change: a young run whose worker refuses connections is stored as a crash at once, until its loss is judged. A trial whose worker refuses connections right after an order without an answer has started.

--- a/cells/cell_owner_crashes.cpp
+++ b/cells/cell_owner_crashes.cpp
@@ -63,8 +63,11 @@
     std::set<task_key> tasks;
     for (const auto& [key, current] : session.runs()) {
         // An order that was refused together with the connection has not started its task.
-        if (current.confirmedAt || current.uncertain)
-            tasks.insert(key);
+        if (!current.confirmedAt && !current.uncertain)
+            continue;
+        tasks.insert(key);
+        if (session.refusedAt && !session.isEstablished(current) && isOpen(key))
+            suspicion.noteExposure(key, now);
     }
     if (!tasks.empty()) {
         lastFallAt = now;
--- a/cells/crash_suspicion.cpp
+++ b/cells/crash_suspicion.cpp
@@ -136,6 +136,15 @@
     m_falls.insert_or_assign(boot, added);
 }
 
+void crash_suspicion::noteExposure(const task_key& task, time_point now)
+{
+    suspected_job& job = m_jobs[task.jobId];
+    job.lastLoss = now;
+    suspect& exposed = job.tasks[task];
+    exposed.exposed = true;
+    m_changed.insert(task.jobId);
+}
+
 std::vector<judged_loss> crash_suspicion::addLosses(
     const boot_key& worker, std::vector<exposed_run> runs, loss_verdict verdict, crash_observation observation, time_point now)
 {
@@ -162,6 +171,7 @@
         job.lastLoss = now;
         task.lastLoss = now;
         task.established = false;
+        task.exposed = false;
         m_changed.insert(run.task.jobId);
         task_loss loss { worker, own->second.from, own->second.to, run.confirmed, run.timing, verdict, observation };
         loss.tasks = own->second.tasks;
@@ -425,7 +435,9 @@
 
 bool crash_suspicion::isCrashInTrial(const task_loss& loss)
 {
-    return loss.inTrial && loss.confirmed && loss.verdict == loss_verdict::crashed && loss.timing == loss_timing::at_start;
+    // A worker that refuses connections after an order without an answer has crashed since it accepted the order.
+    const bool started = loss.confirmed || loss.observation == crash_observation::refused;
+    return loss.inTrial && started && loss.verdict == loss_verdict::crashed && loss.timing == loss_timing::at_start;
 }
 
 bool crash_suspicion::hasCommonCause(const task_loss& loss) const
@@ -482,8 +494,8 @@
     jobs::crash_counts counts = counted.attributed;
     counts.unattributed = counted.unrelated + counted.unexplained();
     if (const suspect* found = find(task)) {
-        const std::uint32_t trials = found->trial == trial_state::none ? 0 : 1;
-        counts.unattributedCrashes = crashesUnderRuns(*found) - total(counts) + trials;
+        const bool maybeCrashes = found->trial != trial_state::none || found->exposed;
+        counts.unattributedCrashes = crashesUnderRuns(*found) - total(counts) + (maybeCrashes ? 1 : 0);
     }
     return counts;
 }
--- a/cells/crash_suspicion.h
+++ b/cells/crash_suspicion.h
@@ -107,6 +107,9 @@
     /// Records that a worker was first found not to answer, as a possible sign of a cause that several workers have in common.
     /// It was lost between `from` and `to`, while it may have executed `tasks`.
     void noteFall(const worker_id& worker, std::int64_t bootTime, std::set<task_key> tasks, time_point from, time_point to);
+    /// Counts a run as a crash for later owners, as its worker has just refused connections, until its loss is recorded or its
+    /// task is done.
+    void noteExposure(const task_key& task, time_point now);
     /// Records the runs of a worker whose leases have ended in silence.
     void noteSilence(const worker_registration& worker, std::vector<exposed_run> runs, time_point now);
     /// Records the runs of a worker whose leases have ended after its address had refused connections. Returns the judged losses.
@@ -220,6 +223,8 @@
         time_point lastLoss;
         /// State of the next or present start if it is a trial.
         trial_state trial = trial_state::none;
+        /// Whether the worker of the present run has refused connections.
+        bool exposed = false;
     };
     struct suspected_job {
         std::map<task_key, suspect> tasks;
