cells: Stored work that no worker can run delays no other job

Callers of unstored jobs were told that no worker has free capacity, while all workers were idle. Cause: the sums of stored work were divided by all the cores of the service. A stored job that fits no worker, or only a few, counted as work for all of them. Change: the sums are kept by the size of the tasks and the label that they require, and divided by the cores of the workers that can run them; work that none can run is left out.

--- a/cells/cell_owner_admission.cpp
+++ b/cells/cell_owner_admission.cpp
@@ -273,12 +273,22 @@
 {
     const auto& stored = waiting.storedWork();
     for (; next != stored.end() && (!until || !(*until < next->first.first)); ++next) {
-        const auto& [position, service] = next->first;
+        const auto& [position, size] = next->first;
         const auto& group = next->second;
         ++counters.forecastVisits;
-        const double cores = capacityOf(service, now).allCores() * evacuation.usableShare(now);
-        const auto serviceTime = std::chrono::microseconds(cores > 0 ? std::llround(static_cast<double>(group.work) / cores) : 0);
-        plans.try_emplace(service, now).first->second.add({ position, serviceTime, time_point::max() });
+        auto known = coresBySize.find(size);
+        if (known == coresBySize.end()) {
+            jobs::step step;
+            step.requiredLabel = size.requiredLabel;
+            step.need = { size.cpuMillis, size.memoryMegabytes, size.accelerators };
+            known = coresBySize.emplace(size, usableCores(size.service, step, time_point::max())).first;
+        }
+        const double cores = known->second;
+        // Work that no worker can run delays nothing.
+        if (cores <= 0)
+            continue;
+        const auto serviceTime = std::chrono::microseconds(std::llround(static_cast<double>(group.work) / cores));
+        plans.try_emplace(size.service, now).first->second.add({ position, serviceTime, time_point::max() });
         if (ownerPlan)
             ownerPlan->add({ position, pace.timeFor(group.tasks), time_point::max() });
     }
@@ -299,6 +309,7 @@
     std::vector<std::pair<std::string, refusal_reason>> refused;
     std::vector<std::string> undecided;
     counters.forecastVisits += waiting.unstored().size();
+    coresBySize.clear();
     auto nextStored = waiting.storedWork().begin();
     for (const auto& rank : waiting.unstored()) {
         open_job* job = jobTable.find(std::get<std::string>(rank));
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -86,6 +86,8 @@
     /// Capacities of the workers, by service, which hold until the given time.
     std::map<service_id, service_capacity> capacities;
     time_point capacitiesValidUntil;
+    /// Cores of the workers that can run stored jobs of one size, as of the present forecast.
+    std::map<start_queue::task_size, double> coresBySize;
     /// Expected starts of the waiting jobs, by service, as the capacity of the workers allows.
     std::map<service_id, start_plan> plans;
     /// The same as the processor time of this owner allows; empty while starts are not limited.
--- a/cells/service_capacity.h
+++ b/cells/service_capacity.h
@@ -18,7 +18,7 @@
     time_point pausedUntil;
 };
 
-/// Workers of one service as they were at one moment.
+/// Workers of one service as they were at one moment. Sums are kept for tasks that fit on the smallest worker, and so on all.
 class service_capacity {
 public:
     service_capacity() = default;
@@ -27,8 +27,6 @@
     /// Returns the cores of the workers that take starts by `until`, if tasks with the given need fit on every worker. Otherwise
     /// it returns nothing, and the caller has to look at each worker.
     std::optional<double> coresFor(const jobs::resources& need, time_point until) const;
-    /// Returns the cores of all workers.
-    double allCores() const { return m_coresBefore.empty() ? 0 : m_coresBefore.back(); }
 
 private:
     /// Smallest of the sizes, taken for each kind of resource.
--- a/cells/start_queue.cpp
+++ b/cells/start_queue.cpp
@@ -1,6 +1,7 @@
 #include "cells/start_queue.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 #include <tuple>
 
@@ -20,6 +21,22 @@
         return { priorityOf(job), time_point(job.startOrder.time_since_epoch() / groupLength * groupLength) };
     }
 
+    start_queue::task_size sizeOf(const open_job& job)
+    {
+        const auto& steps = job.accepted.work.steps;
+        const auto largest = std::max_element(steps.begin(), steps.end(), [](const jobs::step& left, const jobs::step& right) {
+            const auto rank = [](const jobs::step& step) {
+                return std::tuple(!step.requiredLabel.empty(), step.need.accelerators, step.need.cpuMillis);
+            };
+            return rank(left) < rank(right);
+        });
+        const auto roundedDown = [](std::int64_t amount) {
+            return static_cast<std::int64_t>(std::bit_floor(static_cast<std::uint64_t>(std::max<std::int64_t>(amount, 0))));
+        };
+        return { job.accepted.service, largest->requiredLabel, roundedDown(largest->need.cpuMillis),
+            roundedDown(largest->need.memoryMegabytes), largest->need.accelerators };
+    }
+
 } // namespace
 
 start_queue::entry start_queue::entryOf(const open_job& job, queue_part part)
@@ -31,7 +48,7 @@
     added.tasks = job.readyTasks();
     if (part == queue_part::held || job.isLongRunning() || job.accepted.work.answeredAtEnd)
         return added;
-    added.group = backlog::key_type { groupOf(job), job.accepted.service };
+    added.group = backlog::key_type { groupOf(job), sizeOf(job) };
     if (!job.isOverdue)
         added.objective = job.objective;
     return added;
--- a/cells/start_queue.h
+++ b/cells/start_queue.h
@@ -48,14 +48,25 @@
 /// all jobs. Not thread-safe.
 class start_queue {
 public:
-    /// Waiting work of stored jobs of one service whose places are close to each other.
+    /// What decides which workers can run the tasks of a job, roughly: the step that needs most of a worker.
+    struct task_size {
+        service_id service;
+        std::string requiredLabel;
+        /// Need of that step, rounded down to a power of two.
+        std::int64_t cpuMillis = 0;
+        std::int64_t memoryMegabytes = 0;
+        std::int64_t accelerators = 0;
+
+        friend auto operator<=>(const task_size&, const task_size&) = default;
+    };
+    /// Waiting work of stored jobs of one size whose places are close to each other.
     struct backlog_group {
         /// Estimated work in core microseconds.
         std::int64_t work = 0;
         std::size_t tasks = 0;
         std::size_t jobs = 0;
     };
-    using backlog = std::map<std::pair<start_position, service_id>, backlog_group>;
+    using backlog = std::map<std::pair<start_position, task_size>, backlog_group>;
 
     /// Adds a job, or updates its work and its part if it waits already. Its rank must not have changed since it was added.
     void put(const open_job& job, queue_part part);
