cells: Bound the lists in heartbeats, and ask owners for counts left out

Cause: a heartbeat of an owner listed the number of pending jobs of every queue, and with about 380 queues of 40 characters got longer than the 16 KiB that the receiver reads. Nobody could decode it, so the owner counted as silent; so did its successor. An owner of a large fleet relayed the lists of all other cells in the same datagram.

Now the lists of pending jobs take at most 2 KiB of a heartbeat, and those of idle capacity 4 KiB, so that its length no longer depends on the load or the configuration, only on the number of cells. A list of pending jobs that does not fit is left out as a whole. A VM that has to name the number for a queue asks that owner (`queue.pending`), and answers 503 if the owner does not tell, never a count that lacks a cell. Services without idle capacity are not listed any more: readers take a missing service for 0. The owner counts its pending jobs at most five times a second, and copies of its load share the count.

The fleet of the tests now cuts datagrams off where the socket does.

--- a/cells/cell_job_table.cpp
+++ b/cells/cell_job_table.cpp
@@ -174,14 +174,18 @@
     }
 }
 
-std::map<std::string, std::uint32_t> cell_job_table::pendingByQueue() const
+std::shared_ptr<const queue_counts> cell_job_table::pendingByQueue(time_point now)
 {
-    std::map<std::string, std::uint32_t> pending;
+    if (m_pending && now - m_pendingCountedAt < pendingCountAge)
+        return m_pending;
+    auto pending = std::make_shared<queue_counts>();
     for (const auto& [id, current] : m_open) {
         if (!current.started && !current.ended)
-            ++pending[current.accepted.work.queue];
+            ++(*pending)[current.accepted.work.queue];
     }
-    return pending;
+    m_pending = std::move(pending);
+    m_pendingCountedAt = now;
+    return m_pending;
 }
 
 void cell_job_table::clear()
@@ -190,6 +194,7 @@
     m_unstored.clear();
     m_finished.clear();
     m_finishedAt.clear();
+    m_pending.reset();
 }
 
 } // namespace coriandermount::cells
--- a/cells/cell_job_table.h
+++ b/cells/cell_job_table.h
@@ -1,6 +1,7 @@
 /// Table of all jobs of a cell: open jobs with the state of their tasks, finished jobs with their result.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -142,6 +143,12 @@
     bool contains(const task_key& key) const;
 };
 
+/// Time for which a count of the pending jobs is used: it looks at every open job, and heartbeats are sent more often.
+inline constexpr std::chrono::milliseconds pendingCountAge { 200 };
+
+/// Number of jobs by queue.
+using queue_counts = std::map<std::string, std::uint32_t>;
+
 /// Holds the open and finished jobs of one cell. Not thread-safe.
 class cell_job_table {
 public:
@@ -173,8 +180,8 @@
     /// Removes jobs that finished before `oldest`.
     void expire(time_point oldest);
 
-    /// Returns the number of open jobs, by queue, of which no task has started.
-    std::map<std::string, std::uint32_t> pendingByQueue() const;
+    /// Returns the number of open jobs, by queue, of which no task has started, as it was at most `pendingCountAge` before `now`.
+    std::shared_ptr<const queue_counts> pendingByQueue(time_point now);
 
     /// Removes an open job without remembering its end, so that its id can be accepted again.
     void erase(const std::string& id);
@@ -198,6 +205,9 @@
     std::unordered_map<std::string, finished_entry> m_finished;
     /// Ids of the finished jobs by the time of their end. Earlier entries of jobs that have ended again are left in.
     std::multimap<time_point, std::string> m_finishedAt;
+    /// Counts at `m_pendingCountedAt`; null if there are none.
+    std::shared_ptr<const queue_counts> m_pending;
+    time_point m_pendingCountedAt;
 };
 
 } // namespace coriandermount::cells
--- a/cells/cell_owner.cpp
+++ b/cells/cell_owner.cpp
@@ -453,6 +453,17 @@
     return m_data->phase == owner_phase::serving;
 }
 
+result<std::uint32_t> cell_owner::pending(const std::string& queue) const
+{
+    const std::scoped_lock lock(m_data->mutex);
+    const auto now = m_data->clock.now();
+    if (!m_data->recordsAreCurrent(now))
+        return fail(error_kind::owner_unknown, "the owner of the cell has not read the newest records");
+    const auto counts = m_data->jobTable.pendingByQueue(now);
+    const auto found = counts->find(queue);
+    return found == counts->end() ? 0 : found->second;
+}
+
 cell_load cell_owner::load() const
 {
     const std::scoped_lock lock(m_data->mutex);
--- a/cells/cell_owner.h
+++ b/cells/cell_owner.h
@@ -41,8 +41,8 @@
     bool recordsCurrent = false;
     /// Free capacity for further tasks of average size, by service, in thousandths of a core.
     std::map<std::string, std::int64_t> idleCpu;
-    /// Number of accepted jobs, by queue, of which no task has started.
-    std::map<std::string, std::uint32_t> pendingByQueue;
+    /// Number of accepted jobs, by queue, of which no task has started; null if only the owner knows it.
+    std::shared_ptr<const queue_counts> pendingByQueue;
 };
 
 /// What the owner did about a start order that failed.
@@ -297,6 +297,10 @@
     /// Returns whether the records of the term are replayed; true also while orders are paused.
     bool isServing() const;
 
+    /// Returns the number of accepted jobs of a queue of which no task has started, or fails with `owner_unknown` while the
+    /// newest records are not read.
+    result<std::uint32_t> pending(const std::string& queue) const;
+
     /// Returns the current load of the cell.
     cell_load load() const;
     /// Returns the counters so far.
--- a/cells/cell_owner_data.h
+++ b/cells/cell_owner_data.h
@@ -525,7 +525,7 @@
     bool mayStart(const open_job& job, time_point now);
     bool knowsPreviousRuns(time_point now);
     bool recordsAreCurrent(time_point now) const;
-    cell_load currentLoad() const;
+    cell_load currentLoad();
 
     // Jobs that crash workers: cell_owner_crashes.cpp.
     /// Returns what is known of a run of a worker that was lost.
--- a/cells/cell_owner_jobs.cpp
+++ b/cells/cell_owner_jobs.cpp
@@ -388,12 +388,14 @@
     return phase == owner_phase::serving && now - recordsAsOf < recordsAgeLimit;
 }
 
-cell_load cell_owner::data::currentLoad() const
+cell_load cell_owner::data::currentLoad()
 {
     cell_load load;
-    load.recordsCurrent = recordsAreCurrent(clock.now());
-    double capacity = 0;
     const auto now = clock.now();
+    load.recordsCurrent = recordsAreCurrent(now);
+    if (load.recordsCurrent)
+        load.pendingByQueue = jobTable.pendingByQueue(now);
+    double capacity = 0;
     for (const auto& [id, session] : sessions) {
         if (session.acceptsStarts(now))
             capacity += static_cast<double>(session.registration().capacity.cpuMillis) / 1000.0 * usableShare;
@@ -408,7 +410,6 @@
         load.idleCpu.emplace(session.registration().service.value, 0);
     for (auto& [service, idle] : load.idleCpu)
         idle = load.waitByPriority.back().count() > 0 || pace.isLimited() ? 0 : idleCpu({ service }, now);
-    load.pendingByQueue = jobTable.pendingByQueue();
     return load;
 }
 
--- a/cells/fleet_neighbors.cpp
+++ b/cells/fleet_neighbors.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <atomic>
 
+#include <fmt/format.h>
+
 namespace coriandermount::cells {
 
 namespace {
@@ -33,6 +35,28 @@
         }
     };
 
+    /// Adds the numbers of pending jobs of several cells.
+    struct pending_collector {
+        std::mutex mutex;
+        std::size_t pendingAnswers = 0;
+        result<std::uint32_t> sum = 0;
+        pending_completion done;
+
+        void add(const result<std::uint32_t>& answer)
+        {
+            {
+                const std::scoped_lock lock(mutex);
+                if (!answer)
+                    sum = answer;
+                else if (sum)
+                    *sum += *answer;
+                if (--pendingAnswers > 0)
+                    return;
+            }
+            done(sum);
+        }
+    };
+
 } // namespace
 
 fleet_neighbors::fleet_neighbors(const clock_source& clock, cell_owner& owner, owner_link& link, const vm_directory& directory,
@@ -159,6 +183,36 @@
     }
 }
 
+void fleet_neighbors::countPending(const std::string& queue, pending_completion done)
+{
+    std::uint32_t listed = 0;
+    std::vector<std::string> owners;
+    for (cell_number number = 0; number < m_reserved.size(); ++number) {
+        const auto cellOwner = m_directory.owner(number);
+        if (!cellOwner || !cellOwner->load.recordsCurrent) {
+            done(fail(error_kind::owner_unknown, fmt::format("the number of pending jobs of cell {} is unknown", number)));
+            return;
+        }
+        const auto& counts = cellOwner->load.pendingByQueue;
+        if (!counts) {
+            owners.push_back(cellOwner->address);
+            continue;
+        }
+        const auto found = counts->find(queue);
+        listed += found == counts->end() ? 0 : found->second;
+    }
+    if (owners.empty()) {
+        done(listed);
+        return;
+    }
+    auto collector = std::make_shared<pending_collector>();
+    collector->pendingAnswers = owners.size();
+    collector->sum = listed;
+    collector->done = std::move(done);
+    for (const auto& address : owners)
+        m_link.queryPending(address, queue, [collector](const auto& answer) { collector->add(answer); });
+}
+
 void fleet_neighbors::tick()
 {
     for (const auto& router : m_routers)
--- a/cells/fleet_neighbors.h
+++ b/cells/fleet_neighbors.h
@@ -27,6 +27,10 @@
     std::uint64_t announcedEpoch(cell_number cell) const override { return m_directory.highestEpoch(cell); }
     void forgetLentJobs() override;
 
+    /// Counts the accepted jobs of a queue, in all cells, of which no task has started. Asks the owners whose heartbeats do not
+    /// list the number. Fails with `owner_unknown` if the number is not known for a cell.
+    void countPending(const std::string& queue, pending_completion done);
+
     /// Sends lent jobs to new owners of their cells. To be called every few tens of milliseconds.
     void tick();
 
--- a/cells/heartbeat.cpp
+++ b/cells/heartbeat.cpp
@@ -13,7 +13,50 @@
 
 namespace {
 
-    json encodeView(const cell_view& view)
+    /// Room that is left in a heartbeat for lists, in bytes. The rest of a heartbeat grows only with the number of cells.
+    struct list_room {
+        std::size_t pending = 2048;
+        std::size_t idle = 4096;
+    };
+
+    /// Returns a bound for the encoded size of a number with its name.
+    std::size_t entrySize(const std::string& name)
+    {
+        constexpr std::size_t nameHeader = 5;
+        constexpr std::size_t number = 9;
+        return nameHeader + name.size() + number;
+    }
+
+    /// Returns whether the counts are known and fit into `room`, which they take then.
+    bool takeRoom(const std::shared_ptr<const queue_counts>& counts, std::size_t& room)
+    {
+        if (!counts)
+            return false;
+        std::size_t size = 0;
+        for (const auto& [queue, pending] : *counts) {
+            size += entrySize(queue);
+            if (size > room)
+                return false;
+        }
+        room -= size;
+        return true;
+    }
+
+    /// Encodes the idle capacity of as many services as fit into `room`. A service that is not listed has none.
+    json encodeIdle(const std::map<std::string, std::int64_t>& idleCpu, std::size_t& room)
+    {
+        json listed = json::object();
+        for (const auto& [service, idle] : idleCpu) {
+            const std::size_t size = entrySize(service);
+            if (idle == 0 || size > room)
+                continue;
+            room -= size;
+            listed.emplace(service, idle);
+        }
+        return listed;
+    }
+
+    json encodeView(const cell_view& view, list_room& room)
     {
         json fields = json::array(
             { view.cell, view.epoch, view.owned, view.ownerSilence ? view.ownerSilence->count() : std::int64_t { -1 } });
@@ -23,9 +66,13 @@
         for (const auto wait : view.load->waitByPriority)
             waits.push_back(wait.count());
         fields.push_back(std::move(waits));
-        fields.push_back(view.load->pendingByQueue);
-        fields.push_back(view.load->idleCpu);
-        fields.push_back(view.load->recordsCurrent);
+        const bool hasCounts = takeRoom(view.load->pendingByQueue, room.pending);
+        fields.push_back(hasCounts ? json(*view.load->pendingByQueue) : json::object());
+        fields.push_back(encodeIdle(view.load->idleCpu, room.idle));
+        fields.push_back(hasCounts && view.load->recordsCurrent);
+        // VMs of earlier versions, which cannot ask the owner, must not take the empty list for a count.
+        if (!hasCounts)
+            fields.push_back(view.load->recordsCurrent);
         return fields;
     }
 
@@ -39,6 +86,7 @@
     cell_view decodeView(const json& fields)
     {
         constexpr std::size_t fieldsWithLoad = 8;
+        constexpr std::size_t fieldsWithoutCounts = 9;
         cell_view view;
         view.cell = numberIn<cell_number>(fields.at(0));
         view.epoch = numberIn<std::uint64_t>(fields.at(1));
@@ -50,11 +98,17 @@
         view.load.emplace();
         for (const auto& wait : fields.at(4))
             view.load->waitByPriority.push_back(timeIn(wait));
-        for (const auto& [queue, pending] : fields.at(5).items())
-            view.load->pendingByQueue.emplace(queue, numberIn<std::uint32_t>(pending));
         for (const auto& [service, idle] : fields.at(6).items())
             view.load->idleCpu.emplace(service, numberIn<std::int64_t>(idle));
+        if (fields.size() >= fieldsWithoutCounts) {
+            view.load->recordsCurrent = fields.at(8);
+            return view;
+        }
         view.load->recordsCurrent = fields.at(7);
+        queue_counts counts;
+        for (const auto& [queue, pending] : fields.at(5).items())
+            counts.emplace(queue, numberIn<std::uint32_t>(pending));
+        view.load->pendingByQueue = std::make_shared<const queue_counts>(std::move(counts));
         return view;
     }
 
@@ -62,12 +116,13 @@
 
 std::string encode(const heartbeat& current)
 {
+    list_room room;
     json views = json::array();
     for (const auto& view : current.cells)
-        views.push_back(encodeView(view));
+        views.push_back(encodeView(view, room));
     json relayed = json::array();
     for (const auto& entry : current.relayed)
-        relayed.push_back(json::array({ entry.owner.value, entry.age.count(), encodeView(entry.view) }));
+        relayed.push_back(json::array({ entry.owner.value, entry.age.count(), encodeView(entry.view, room) }));
     std::string packed;
     json::to_msgpack(json::array({ current.sender.value, current.incarnation, current.draining, current.storeReachable,
                          std::move(views), current.processorMillis, std::move(relayed) }),
--- a/cells/heartbeat.h
+++ b/cells/heartbeat.h
@@ -58,7 +58,9 @@
     std::vector<relayed_owner> relayed;
 };
 
-/// Returns the datagram that carries a heartbeat.
+/// Returns the datagram that carries a heartbeat. Lists that depend on the load and the configuration take a limited part of it,
+/// so that the owners in it always arrive: an owner's count of pending jobs is left out if it is too long, and services without
+/// room in the list of idle capacity count as busy. The views in `cells` come before those in `relayed`.
 std::string encode(const heartbeat& current);
 /// Returns the heartbeat in `datagram`, or `malformed_request` if it cannot be decoded.
 result<heartbeat> decodeHeartbeat(const std::string& datagram);
--- a/cells/job_router.h
+++ b/cells/job_router.h
@@ -26,6 +26,9 @@
     std::uint64_t epoch = 0;
 };
 
+/// Called once with a number of pending jobs.
+using pending_completion = std::function<void(const result<std::uint32_t>&)>;
+
 /// Calls to owners on other VMs.
 class owner_link {
 public:
@@ -46,6 +49,10 @@
     /// Asks the owner at `address` which jobs it runs for the cell `home`, and to refuse jobs from earlier ownership terms of
     /// that cell. Completes with an empty, incomplete report if the owner does not answer.
     virtual void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(lent_report)> done) = 0;
+
+    /// Asks the owner at `address` for its number of pending jobs of a queue. Fails with `owner_unknown` if the owner does not
+    /// answer or does not know it.
+    virtual void queryPending(const std::string& address, const std::string& queue, pending_completion done) = 0;
 };
 
 /// Why a job was abandoned by the VM that its caller waits at.
--- a/jobs/job_service.h
+++ b/jobs/job_service.h
@@ -39,9 +39,9 @@
     virtual void cancel(const std::string& jobId, std::function<void(result<void>)> done) = 0;
     /// Queries the state of a job. Fails with `job_unknown`, or with `owner_unknown` when no owner can be reached.
     virtual void state(const std::string& jobId, std::function<void(result<job_state>)> done) = 0;
-    /// Returns the number of accepted jobs of a queue of which no task has started. Fails with `owner_unknown` when the number is
+    /// Queries the number of accepted jobs of a queue of which no task has started. Fails with `owner_unknown` when the number is
     /// not available for a cell.
-    virtual result<std::uint32_t> pending(const std::string& queue) const = 0;
+    virtual void pending(const std::string& queue, std::function<void(const result<std::uint32_t>&)> done) = 0;
 
     /// Counts an answer to a caller for metrics; `problem` is empty for a success, and `callerTimeout` is the time for which the
     /// caller was ready to wait.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -44,7 +44,7 @@
     constexpr std::chrono::milliseconds disconnectCheckInterval { 50 };
     /// Timeout of a message to an owner that a caller has left.
     constexpr std::chrono::milliseconds withdrawTimeout { 400 };
-    /// Timeout of a request to an owner for the state of a job.
+    /// Timeout of a request to an owner for the state of a job or for a number of pending jobs.
     constexpr std::chrono::milliseconds stateTimeout { 400 };
     /// Added to the platform's bound for how long the state of a finished job can be queried.
     constexpr std::chrono::seconds retentionMargin { 60 };
@@ -56,6 +56,7 @@
     constexpr std::uint16_t metricsPort = 9464;
 
     constexpr const char* stateMethod = "job.state";
+    constexpr const char* pendingMethod = "queue.pending";
     constexpr const char* runMethod = "job.run";
     constexpr const char* withdrawMethod = "job.withdraw";
     /// Withdraws a request whose caller has its answer. Owners of earlier builds do not know it, and let the job go on.
@@ -69,25 +70,37 @@
     constexpr const char* cellTopic = "keyed.cells";
     constexpr const char* jobTopic = "keyed.jobs";
 
-    /// Encodes a state as its number and an error as its name, followed by the milliseconds until a retry if they are known.
-    std::string encodeState(const result<jobs::job_state>& state)
+    /// Encodes an error as its name, followed by the milliseconds until a retry if they are known.
+    std::string encodeError(const error& problem)
     {
-        if (state)
-            return fmt::to_string(static_cast<int>(*state));
-        const error& problem = state.error();
         return problem.retryAfter ? fmt::format("{} {}", nameOf(problem.kind), problem.retryAfter->count())
                                   : std::string(nameOf(problem.kind));
     }
 
-    /// Decodes a message of `encodeState`. Returns `owner_unknown` for the name of an unknown error.
-    result<jobs::job_state> decodeState(const std::string& message)
+    /// Encodes a state as its number.
+    std::string encodeState(const result<jobs::job_state>& state)
+    {
+        return state ? fmt::to_string(static_cast<int>(*state)) : encodeError(state.error());
+    }
+
+    std::string encodePending(const result<std::uint32_t>& pending)
+    {
+        return pending ? fmt::to_string(*pending) : encodeError(pending.error());
+    }
+
+    /// Returns the number that is all of `message`; empty if it is something else.
+    std::optional<std::uint32_t> numberOf(const std::string& message)
     {
-        constexpr std::int64_t longestRetryDelay = 60000;
         std::uint32_t number = 0;
         const auto [end, problem] = std::from_chars(message.data(), message.data() + message.size(), number);
-        if (problem == std::errc() && end == message.data() + message.size()
-            && number <= static_cast<std::uint32_t>(jobs::job_state::cancelled))
-            return static_cast<jobs::job_state>(number);
+        const bool isNumber = problem == std::errc() && end == message.data() + message.size();
+        return isNumber ? std::optional(number) : std::nullopt;
+    }
+
+    /// Decodes a message of `encodeError`. Returns `owner_unknown` for the name of an unknown error.
+    error decodeError(const std::string& message)
+    {
+        constexpr std::int64_t longestRetryDelay = 60000;
         const auto space = message.find(' ');
         error decoded { findErrorKind(message.substr(0, space)).value_or(error_kind::owner_unknown), "reported by the cell owner",
             std::nullopt };
@@ -95,7 +108,22 @@
         if (space != std::string::npos
             && std::from_chars(message.data() + space + 1, message.data() + message.size(), delay).ec == std::errc())
             decoded.retryAfter = std::chrono::milliseconds(std::clamp<std::int64_t>(delay, 0, longestRetryDelay));
-        return tl::unexpected(std::move(decoded));
+        return decoded;
+    }
+
+    result<jobs::job_state> decodeState(const std::string& message)
+    {
+        const auto number = numberOf(message);
+        if (number && *number <= static_cast<std::uint32_t>(jobs::job_state::cancelled))
+            return static_cast<jobs::job_state>(*number);
+        return tl::unexpected(decodeError(message));
+    }
+
+    result<std::uint32_t> decodePending(const std::string& message)
+    {
+        if (const auto number = numberOf(message))
+            return *number;
+        return tl::unexpected(decodeError(message));
     }
 
     /// Largest body of a request.
@@ -224,7 +252,10 @@
     void withdraw(std::uint64_t submission) override { router.withdraw(submission); }
     void cancel(const std::string& jobId, std::function<void(result<void>)> done) override;
     void state(const std::string& jobId, std::function<void(result<jobs::job_state>)> done) override;
-    result<std::uint32_t> pending(const std::string& queue) const override;
+    void pending(const std::string& queue, cells::pending_completion done) override
+    {
+        neighbors.countPending(queue, std::move(done));
+    }
     void noteAnswer(
         std::optional<error_kind> problem, std::chrono::microseconds took, std::chrono::milliseconds callerTimeout) override
     {
@@ -242,6 +273,7 @@
         heartbeatSocket.send(address, cells::encode(current));
     }
     void queryLentJobs(const std::string& address, jobs::lender home, std::function<void(cells::lent_report)> done) override;
+    void queryPending(const std::string& address, const std::string& queue, cells::pending_completion done) override;
 };
 
 entry_node::data::data(const platform::boot_settings& values)
@@ -284,6 +316,9 @@
     peerService.addMethod(stateMethod, [this](const std::string& jobId, const peers::peer_service::reply_function& reply) {
         owner.awaitState(jobId, [reply](const result<jobs::job_state>& state) { reply(encodeState(state)); });
     });
+    peerService.addMethod(pendingMethod, [this](const std::string& queue, const peers::peer_service::reply_function& reply) {
+        reply(encodePending(owner.pending(queue)));
+    });
     addRunMethods();
     addLentJobsMethod();
 }
@@ -465,6 +500,16 @@
         });
 }
 
+void entry_node::data::queryPending(const std::string& address, const std::string& queue, cells::pending_completion done)
+{
+    peerLink.call(address, pendingMethod, queue, stateTimeout, [done = std::move(done)](const auto& reply) {
+        if (reply)
+            done(decodePending(*reply));
+        else
+            done(fail(error_kind::owner_unknown, reply.error().message));
+    });
+}
+
 void entry_node::data::cancel(const std::string& jobId, std::function<void(result<void>)> done)
 {
     intakes[homeCellOf(jobId)]->cancel(jobId, std::move(done));
@@ -490,27 +535,13 @@
     });
 }
 
-result<std::uint32_t> entry_node::data::pending(const std::string& queue) const
-{
-    std::uint32_t sum = 0;
-    for (cells::cell_number number = 0; number < cellCount; ++number) {
-        const auto cellOwner = directory.owner(number);
-        if (!cellOwner || !cellOwner->load.recordsCurrent)
-            return fail(error_kind::owner_unknown, fmt::format("the number of pending jobs of cell {} is unknown", number));
-        const auto found = cellOwner->load.pendingByQueue.find(queue);
-        sum += found == cellOwner->load.pendingByQueue.end() ? 0 : found->second;
-    }
-    return sum;
-}
-
 void entry_node::data::replyWithMetrics(const std::shared_ptr<net::responder>& responder) const
 {
     const auto cellCounters = owner.counterValues();
     const auto calls = store.counters();
     const auto [evacuationPhase, runsLeft] = owner.evacuation();
     std::vector<metrics::metric_sample> samples { { "task_starts_total", {}, cellCounters.starts },
-        { "jobs_given_up_total", {}, cellCounters.jobsGivenUp },
-        { "long_passes_total", {}, cellCounters.longPasses },
+        { "jobs_given_up_total", {}, cellCounters.jobsGivenUp }, { "long_passes_total", {}, cellCounters.longPasses },
         { "forecast_visits_total", {}, cellCounters.forecastVisits },
         { "lost_workers_heard_again_total", {}, cellCounters.lostWorkersHeardAgain }, { "pauses_total", {}, cellCounters.pauses },
         { "jobs_lent_total", {}, cellCounters.lentJobs }, { "jobs_relocated_total", {}, cellCounters.relocatedJobs },
--- a/net/datagram_socket.cpp
+++ b/net/datagram_socket.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-    constexpr std::size_t maxDatagramBytes = 16 * 1024;
     /// Interval in which the receiving thread checks whether it has to end.
     constexpr timeval receiveTimeout { 1, 0 };
 
--- a/net/datagram_socket.h
+++ b/net/datagram_socket.h
@@ -1,6 +1,7 @@
 /// UDP socket over IPv4.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -10,6 +11,9 @@
 
 namespace coriandermount::net {
 
+/// Largest datagram that is received whole; the rest of a longer one is lost.
+inline constexpr std::size_t maxDatagramBytes = std::size_t { 16 } * 1024;
+
 /// Sends datagrams, and receives them on a thread of its own.
 class datagram_socket {
 public:
--- a/tests/cells/job_router_test.cpp
+++ b/tests/cells/job_router_test.cpp
@@ -29,6 +29,7 @@
         keepAlives.emplace_back(address, current);
     }
     void queryLentJobs(const std::string&, jobs::lender, std::function<void(cells::lent_report)>) override { }
+    void queryPending(const std::string&, const std::string&, cells::pending_completion) override { }
 
     /// Sends the job to the owner of `epoch`.
     void sendTo(std::uint64_t epoch)
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "jobs/record_tail.h"
+#include "net/datagram_socket.h"
 #include "platform/evacuation_list.h"
 
 namespace coriandermount::fakes {
@@ -219,7 +220,7 @@
     {
         fleet.loop.after(networkDelay, [&fleet = fleet, from = name, address, datagram] {
             vm* target = fleet.reachable(from, address);
-            const auto current = decodeHeartbeat(datagram);
+            const auto current = decodeHeartbeat(datagram.substr(0, net::maxDatagramBytes));
             if (!target || !current)
                 return;
             target->handle([target, heartbeat = *current] {
@@ -299,6 +300,21 @@
         fleet.loop.after(lentJobsAnswerLimit, [once] { once({}); });
     }
 
+    void queryPending(const std::string& address, const std::string& queue, pending_completion done) override
+    {
+        auto answered = std::make_shared<bool>(false);
+        auto once
+            = [answered, done = completeIfAlive<result<std::uint32_t>>(std::move(done))](const result<std::uint32_t>& answer) {
+                  if (!std::exchange(*answered, true))
+                      done(answer);
+              };
+        fleet.loop.after(networkDelay, [&fleet = fleet, from = name, address, queue, once] {
+            if (vm* target = fleet.reachable(from, address))
+                target->handle([target, queue, once] { once(target->owner.pending(queue)); });
+        });
+        fleet.loop.after(callTimeout, [once] { once(fail(error_kind::owner_unknown, "no answer")); });
+    }
+
     void start() override
     {
         workerSourceStarted = true;
@@ -484,6 +500,11 @@
     return found->second.get();
 }
 
+void cell_fleet::countPending(const std::string& vm, const std::string& queue, cells::pending_completion done)
+{
+    m_vms.at(vm)->neighbors.countPending(queue, std::move(done));
+}
+
 std::string cell_fleet::owner(unsigned domain) const
 {
     for (const auto& [name, current] : m_vms) {
@@ -559,6 +580,17 @@
     });
 }
 
+void cell_fleet::storeIn(
+    const std::string& queue, const std::string& vm, const std::string& jobId, std::chrono::milliseconds duration)
+{
+    auto accepted = makeJob(jobId, 1, duration, false);
+    accepted.work.queue = queue;
+    m_vms.at(vm)->intake.store(accepted, [this, jobId](const result<void>& answer) {
+        if (answer)
+            stored.push_back(jobId);
+    });
+}
+
 void cell_fleet::storeFor(unsigned domain, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration)
 {
     jobs::append_request request;
--- a/tests/fakes/cell_fleet.h
+++ b/tests/fakes/cell_fleet.h
@@ -112,6 +112,8 @@
     /// Submits a stored job with the given steps, whose tasks run for `duration`, at a VM.
     void store(
         const std::string& vm, const std::string& jobId, std::vector<jobs::step> steps, std::chrono::milliseconds duration);
+    /// Submits a stored job of one task in a queue at a VM.
+    void storeIn(const std::string& queue, const std::string& vm, const std::string& jobId, std::chrono::milliseconds duration);
     /// Stores a job for the cell of `domain`, as a VM of another domain does.
     void storeFor(unsigned domain, const std::string& jobId, std::uint32_t tasks, std::chrono::milliseconds duration);
     /// Cancels a stored job at a VM.
@@ -123,6 +125,9 @@
     /// Queries the owner of the cell of `domain` for the state of a job. The answer is recorded in `answers`.
     void queryState(unsigned domain, const std::string& jobId);
 
+    /// Asks a VM for the number of pending jobs of a queue in all cells.
+    void countPending(const std::string& vm, const std::string& queue, cells::pending_completion done);
+
     /// Returns the counters of the cell owner on a VM.
     cells::cell_counters counterValues(const std::string& vm) const;
 
--- a/tests/platform/client_api_test.cpp
+++ b/tests/platform/client_api_test.cpp
@@ -58,7 +58,7 @@
     }
     void cancel(const std::string&, std::function<void(result<void>)>) override { }
     void state(const std::string&, std::function<void(result<jobs::job_state>)>) override { }
-    result<std::uint32_t> pending(const std::string&) const override { return 0U; }
+    void pending(const std::string&, std::function<void(const result<std::uint32_t>&)> done) override { done(0U); }
     void noteAnswer(std::optional<error_kind>, std::chrono::microseconds, std::chrono::milliseconds callerTimeout) override
     {
         notedTimeout = callerTimeout;
