jobs: Refuse submissions at once while the store is known not to answer

Callers saw: while the store took calls and answered none, a POST of a stored job, or a DELETE, got no answer by its deadline; with a longer one it got 504 after 3.2 s. Cause: each request tried the store for itself, with 1 s for each append and new tries for 2.5 s, whatever earlier calls had shown.

`jobs/store_contact` follows all calls of a VM to the store. The store counts as silent once no call that was sent in the last second has been answered and two are late. 1 s is what each call has for its answer, so no submission could have been accepted. One late call proves nothing: after 0.25 s the VM probes the store on a connection of its own, as those that are open may be dead. It goes on every 0.5 s, and the answer to any call that was sent since ends the silence, whatever its status. A long poll that was sent before and is answered during the silence does not. Long polls are late only after their wait, and after a pause of the VM all calls have their time again.

While the store is silent a submission or cancellation is refused before anything is written: `log_unavailable`, 503, not run, Retry-After 1 s. A repeat of one that this VM has sent, and that may be stored, gets 504 instead. Neither sends a call. What was sent before the silence was noticed is tried as before.

--- a/jobs/job_intake.cpp
+++ b/jobs/job_intake.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
 #include <mutex>
 #include <set>
 
@@ -32,16 +33,20 @@
     record_store& store;
     const clock_source& clock;
     record_stream stream;
+    const store_contact& contact;
     intake_settings settings;
     std::mutex mutex;
     std::vector<pending_pointer> waiting;
     std::set<pending_pointer> active;
+    /// Keys of appends that were given up and that the store may still carry out, and when that ends.
+    std::map<std::string, time_point> mayBeStoredUntil;
     std::atomic<time_point::rep> lastStored { 0 };
 
-    data(record_store& target, const clock_source& time, record_stream where, intake_settings limits)
+    data(record_store& target, const clock_source& time, record_stream where, const store_contact& calls, intake_settings limits)
         : store(target)
         , clock(time)
         , stream(std::move(where))
+        , contact(calls)
         , settings(limits)
     {
     }
@@ -50,6 +55,8 @@
     void onAnswer(const pending_pointer& current, const result<std::uint64_t>& answer);
     void completeWithError(const pending_pointer& current, const error& problem);
     void startAppend(const pending_pointer& current);
+    /// Returns why an append must not be sent now; nothing if it may be.
+    std::optional<error> refusal(const std::string& key);
     void complete(const pending_pointer& current, const result<void>& answer);
 };
 
@@ -85,8 +92,26 @@
     waiting.push_back(current);
 }
 
+std::optional<error> job_intake::data::refusal(const std::string& key)
+{
+    const auto silence = contact.silence();
+    if (!silence)
+        return std::nullopt;
+    const auto detail = fmt::format("the store has not answered for {} ms", silence->count());
+    const std::scoped_lock lock(mutex);
+    const auto given = mayBeStoredUntil.find(key);
+    const bool mayBeStored = (given != mayBeStoredUntil.end() && clock.now() < given->second)
+        || std::any_of(active.begin(), active.end(), [&](const auto& pending) { return pending->content.key == key; });
+    return error { mayBeStored ? error_kind::log_answer_lost : error_kind::log_unavailable, detail,
+        settings.suggestedRetryAfter };
+}
+
 void job_intake::data::startAppend(const pending_pointer& current)
 {
+    if (const auto problem = refusal(current->content.key)) {
+        current->done(tl::unexpected(*problem));
+        return;
+    }
     current->startedAt = clock.now();
     {
         const std::scoped_lock lock(mutex);
@@ -109,15 +134,19 @@
 {
     error response = problem;
     response.retryAfter = settings.suggestedRetryAfter;
-    if (current->mayBeStored)
+    if (current->mayBeStored) {
         response.kind = error_kind::log_answer_lost;
+        const std::scoped_lock lock(mutex);
+        mayBeStoredUntil[current->content.key] = clock.now() + settings.lateAppendLimit;
+    }
     writeLog(log_level::warning, "intake", "a record could not be stored",
         { { "key", current->content.key }, { "outcome", std::string(nameOf(response.kind)) }, { "detail", problem.detail } });
     complete(current, tl::unexpected(response));
 }
 
-job_intake::job_intake(record_store& store, const clock_source& clock, record_stream stream, intake_settings settings)
-    : m_data(std::make_shared<data>(store, clock, std::move(stream), settings))
+job_intake::job_intake(
+    record_store& store, const clock_source& clock, record_stream stream, const store_contact& contact, intake_settings settings)
+    : m_data(std::make_shared<data>(store, clock, std::move(stream), contact, settings))
 {
 }
 
@@ -160,6 +189,7 @@
     {
         const auto now = m_data->clock.now();
         const std::scoped_lock lock(m_data->mutex);
+        std::erase_if(m_data->mayBeStoredUntil, [now](const auto& entry) { return entry.second <= now; });
         const auto first = std::stable_partition(m_data->waiting.begin(), m_data->waiting.end(),
             [now](const pending_pointer& current) { return current->retryAt > now; });
         due.assign(first, m_data->waiting.end());
--- a/jobs/job_intake.h
+++ b/jobs/job_intake.h
@@ -12,6 +12,7 @@
 #include "jobs/job.h"
 #include "jobs/record_codec.h"
 #include "jobs/record_store.h"
+#include "jobs/store_contact.h"
 
 namespace coriandermount::jobs {
 
@@ -25,13 +26,16 @@
     std::chrono::milliseconds retryDelay { 60 };
     /// Delay that callers are asked to wait before they retry.
     std::chrono::milliseconds suggestedRetryAfter { 1000 };
+    /// For how long after the end of an unanswered append the store may still carry it out.
+    std::chrono::milliseconds lateAppendLimit { 10000 };
 };
 
 /// Appends accepted and cancelled jobs to a record stream, with retries. All methods may be called from any thread.
 class job_intake {
 public:
-    /// `store` and `clock` have to outlive the intake.
-    job_intake(record_store& store, const clock_source& clock, record_stream stream, intake_settings settings = {});
+    /// `store`, `clock` and `contact` have to outlive the intake. `contact` is told of the calls to `store`.
+    job_intake(record_store& store, const clock_source& clock, record_stream stream, const store_contact& contact,
+        intake_settings settings = {});
     ~job_intake();
 
     job_intake(const job_intake&) = delete;
@@ -41,7 +45,8 @@
     using completion = std::function<void(result<void>)>;
 
     /// Stores a job. Fails with `log_unavailable` or `log_full` when the job was not stored, and with `log_answer_lost` when the
-    /// job may have been stored.
+    /// job may have been stored. While the store is known not to answer, fails at once and sends nothing to it: with
+    /// `log_answer_lost` if an earlier append of this intake may have stored the job, else with `log_unavailable`.
     void store(const accepted_job& accepted, completion done);
 
     /// Stores the cancellation of a job. Fails like `store`.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -22,6 +22,7 @@
 #include "jobs/configuration_gate.h"
 #include "jobs/job_intake.h"
 #include "jobs/job_service.h"
+#include "jobs/store_contact.h"
 #include "metrics/entry_metrics.h"
 #include "net/datagram_socket.h"
 #include "net/http_client.h"
@@ -168,6 +169,7 @@
     cells::cell_number cell;
     cells::cell_number cellCount;
     std::uint64_t incarnation;
+    jobs::store_contact storeContact;
     net::http_client client;
     platform::store_client store;
     platform::worker_client workerLink;
@@ -249,8 +251,9 @@
     , cell(cellOf(values))
     , cellCount(static_cast<cells::cell_number>(values.failureDomains.size()))
     , incarnation(newIncarnationNumber(clock))
+    , storeContact(clock)
     , client(clientOptions(values))
-    , store(client, values.storeAddress)
+    , store(client, values.storeAddress, storeContact)
     , workerLink(client)
     , gate(clock)
     , owner(store, workerLink, clock, { jobTopic, cell }, cellSettings(values))
@@ -273,7 +276,8 @@
           [this](const net::http_request&, const std::shared_ptr<net::responder>& responder) { replyWithMetrics(responder); })
 {
     for (cells::cell_number number = 0; number < cellCount; ++number)
-        intakes.push_back(std::make_unique<jobs::job_intake>(store, clock, jobs::record_stream { jobTopic, number }));
+        intakes.push_back(
+            std::make_unique<jobs::job_intake>(store, clock, jobs::record_stream { jobTopic, number }, storeContact));
     member.onOwnershipChange([this] { directory.sendHeartbeatOnNextTick(); });
     owner.setNeighbors(neighbors);
     addPeerMethods();
@@ -385,6 +389,7 @@
         runGuarded("node", [this] {
             configuration.tick(clock.now());
             gate.tick(table.read()->version > 0);
+            storeContact.tick(store, { vmTopic, 0 });
             for (const auto& intake : intakes)
                 intake->tick();
         });
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -306,6 +306,7 @@
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.newConnection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendReplyBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, current.get());
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &readEntityTag);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -41,6 +41,8 @@
     /// client could not read it in time.
     std::chrono::milliseconds timeout { 5000 };
     std::chrono::milliseconds connectTimeout { 1000 };
+    /// Opens a connection of its own for the call, because those that are open may be dead.
+    bool newConnection = false;
 };
 
 /// Reply of a server to an `http_call`.
--- a/tests/cells/stored_jobs_test.cpp
+++ b/tests/cells/stored_jobs_test.cpp
@@ -177,7 +177,8 @@
         void read(const jobs::record_stream&, std::uint64_t, std::chrono::milliseconds, read_completion) override { }
         void readNewest(const jobs::record_stream&, read_completion) override { }
     } store(records);
-    jobs::job_intake intake(store, loop, { "jobs", 0 });
+    const jobs::store_contact contact(loop);
+    jobs::job_intake intake(store, loop, { "jobs", 0 }, contact);
     std::vector<result<void>> answers;
     jobs::accepted_job accepted;
     accepted.work.id = "a";
--- a/tests/fakes/cell_fleet.cpp
+++ b/tests/fakes/cell_fleet.cpp
@@ -97,6 +97,7 @@
     vm_directory directory;
     job_router router;
     fleet_neighbors neighbors;
+    jobs::store_contact storeContact;
     jobs::job_intake intake;
 
     vm(cell_fleet& parent, std::string vmName, std::uint64_t incarnationNumber)
@@ -115,7 +116,8 @@
               })
         , router(parent.loop, owner, *this, [this] { return target(); })
         , neighbors(parent.loop, owner, *this, directory, cell, parent.m_domains)
-        , intake(*this, parent.loop, { "jobs", cell })
+        , storeContact(parent.loop)
+        , intake(*this, parent.loop, { "jobs", cell }, storeContact)
     {
         owner.setNeighbors(neighbors);
     }
@@ -168,6 +170,7 @@
         owner.tick();
         router.tick();
         neighbors.tick();
+        storeContact.tick(*this, { "vms", 0 });
         intake.tick();
     }
 
@@ -187,18 +190,34 @@
         return found == fleet.m_storeFaults.end() ? store_fault::none : found->second;
     }
 
+    /// Tells `storeContact` of a call to the store that is sent now, and of its end.
+    template <class Answer> std::function<void(Answer)> noteCall(std::chrono::milliseconds wait, std::function<void(Answer)> done)
+    {
+        const bool isAnswered = storeFault() == store_fault::none || storeFault() == store_fault::refuses_requests;
+        return [this, number = storeContact.noteCall(wait), isAnswered, done = std::move(done)](Answer answer) {
+            if (isAnswered)
+                storeContact.noteAnswer(number);
+            else
+                storeContact.noteFailure(number);
+            done(std::move(answer));
+        };
+    }
+
     void append(jobs::append_request request, append_completion done) override
     {
-        fleet.records.append(request, storeFault(), completeIfAlive<result<std::uint64_t>>(std::move(done)));
+        fleet.records.append(request, storeFault(),
+            completeIfAlive<result<std::uint64_t>>(noteCall(std::chrono::milliseconds(0), std::move(done))));
     }
     void read(
         const jobs::record_stream& stream, std::uint64_t from, std::chrono::milliseconds wait, read_completion done) override
     {
-        fleet.records.read(stream, from, wait, storeFault(), completeIfAlive<result<jobs::record_batch>>(std::move(done)));
+        fleet.records.read(
+            stream, from, wait, storeFault(), completeIfAlive<result<jobs::record_batch>>(noteCall(wait, std::move(done))));
     }
     void readNewest(const jobs::record_stream& stream, read_completion done) override
     {
-        fleet.records.readNewest(stream, storeFault(), completeIfAlive<result<jobs::record_batch>>(std::move(done)));
+        fleet.records.readNewest(stream, storeFault(),
+            completeIfAlive<result<jobs::record_batch>>(noteCall(std::chrono::milliseconds(0), std::move(done))));
     }
 
     void start(const worker_registration& worker, const start_order& order, completion<order_answer> done) override
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -1,5 +1,7 @@
 // Tests which answers of the log service prove that nothing was appended, over the loopback interface.
+#include <atomic>
 #include <future>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
@@ -24,7 +26,7 @@
     {
         response.status = status;
         response.body = body;
-        platform::store_client store(client, fmt::format("127.0.0.1:{}", server.port()));
+        platform::store_client store(client, fmt::format("127.0.0.1:{}", server.port()), contact);
         std::promise<result<std::uint64_t>> answer;
         jobs::append_request request;
         request.stream = { "topic", 0 };
@@ -37,6 +39,8 @@
 
     net::http_response response;
     net::http_server server;
+    system_clock_source clock;
+    jobs::store_contact contact { clock };
     net::http_client client;
 };
 
@@ -65,3 +69,33 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against callers that wait for a log that takes calls and answers none: the client has to report calls and answers.
+BOOST_AUTO_TEST_CASE(a_log_that_falls_silent_and_answers_again_is_noticed)
+{
+    constexpr auto tickInterval = std::chrono::milliseconds(20);
+    constexpr int noticeLimitTicks = 500;
+    std::atomic<bool> isSilent { true };
+    net::http_server server({}, [&](const net::http_request&, const std::shared_ptr<net::responder>& responder) {
+        net::http_response response;
+        response.status = 503;
+        if (!isSilent)
+            responder->reply(response);
+    });
+    BOOST_REQUIRE(server.start());
+    const system_clock_source clock;
+    jobs::store_contact contact(clock);
+    net::http_client client;
+    platform::store_client store(client, fmt::format("127.0.0.1:{}", server.port()), contact);
+    const auto waitFor = [&](bool silent) {
+        for (int tick = 0; tick < noticeLimitTicks && contact.silence().has_value() != silent; ++tick) {
+            contact.tick(store, { "topic", 0 });
+            std::this_thread::sleep_for(tickInterval);
+        }
+        return contact.silence().has_value() == silent;
+    };
+    store.append({ { "topic", 0 }, { { "key", "value", 0 } }, {}, {} }, [](const auto&) {});
+    BOOST_TEST(waitFor(true));
+    isSilent = false;
+    BOOST_TEST(waitFor(false));
+}
