tests: Soak crowds of workers and of tasks that crash them

Cause: plays with losses of workers had at most 24 workers and one task that crashes them, so that crashes of such tasks never coincided, and owners seldom died beside them. A broken play prints the starts of each task of a job that was shown as failed, and counts the crashes under it.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -76,6 +76,18 @@
 # Starts of a task that crashes its workers at which the platform breaks off.
 DEADLY_STARTS = 6
 DEADLY_SHARE = 0.3
+# Crowds: plays of losses with many more workers, and with tasks that crash them in waves. Lower seeds keep the plays that they had.
+FIRST_CROWD_SEED, CROWD_SHARE = 1001, 0.5
+CROWD_VMS, CROWD_WORKERS, CROWD_TOGETHER = (3, 3), (70, 100), 10
+CROWD_RATE = 0.08
+# Jobs of a wave, the seconds within which they arrive, and the seconds to the next wave.
+WAVE_JOBS, WAVE_S, BETWEEN_WAVES_S = (3, 8), (0, 0.3), (0.5, 4)
+CROWD_RACKS = (1, 3, 8)
+CROWD_CUT_OFF = 16
+# A cut makes each worker look through all sockets of the machine.
+CROWD_CUT = 24
+# In crowds with the kind `kill`, in a series of its own.
+CROWD_KINDS = {"kill_in_turn": 1}
 # They are drawn in a series of their own each, so that the draws of the others stay the same for a seed.
 APART = {"apart": ("crash_workers", "mute_workers", "cut_workers"), "vms": ("cut_vms",), "evacuations": ("evacuate",)}
 LIBC = ctypes.CDLL(None)
@@ -280,6 +292,8 @@
         self.program, self.seed, self.seconds, self.folder = os.path.abspath(program), seed, seconds, folder
         self.kinds = {kind: {**KINDS, **LOSSES}[kind] for kind in kinds}
         self.has_losses = any(kind in LOSSES for kind in kinds)
+        self.has_crowd = (self.has_losses and not large and seed >= FIRST_CROWD_SEED
+                          and random.Random(f"{seed} has crowd").random() < CROWD_SHARE)
         self.dice = random.Random(seed)
         self.began = time.monotonic()
         self.is_closing = False
@@ -289,8 +303,10 @@
         self.pairs = {}
         self.jobs = {}
         self.stored = set()
-        # Stored jobs that no answer has shown as ended, with the last answer; those that were accepted; and one that crashes its workers.
-        self.open_jobs, self.accepted, self.deadly = {}, set(), None
+        # Stored jobs that no answer has shown as ended, with the last answer; those that were accepted; and those that crash their workers.
+        self.open_jobs, self.accepted, self.deadly = {}, set(), set()
+        # Sound stored jobs that were shown as failed or cancelled, with the most crashes of workers under one task.
+        self.failed = {}
         self.racks, self.vanished, self.lost_until = [], set(), 0.0
         constants = random.Random(f"{seed} constants")
         self.hold_ms, self.wait_ms = (constants.choice(HOLDS_MS), constants.choice(WAITS_MS)) if self.has_losses else (1000, 2000)
@@ -303,7 +319,8 @@
         # Times between which no task may start in a domain, and times in which VMs could not reach the store.
         self.evacuated, self.store_outages = [], []
         self.starts_in_evacuations = 0
-        self.deadly_starts = 0
+        # Number of tasks that crash their workers by the number of their starts.
+        self.deadly_starts = {}
         # Number of tasks of stored jobs by the number of their runs that were lost.
         self.lost_runs = {}
         self.cut_connections = 0
@@ -318,6 +335,9 @@
         self.processes = []
         if large:
             self.vms_each, self.workers_each, self.together = [10] * 4, [25] * 4, 5
+        elif self.has_crowd:
+            self.vms_each, self.workers_each = [[self.dice.randint(*span) for _ in range(2)] for span in (CROWD_VMS, CROWD_WORKERS)]
+            self.together = CROWD_TOGETHER
         elif self.has_losses:
             self.vms_each, self.workers_each = [[self.dice.randint(*span) for _ in range(2)] for span in ((2, 3), (8, 12))]
             self.together = 4
@@ -326,7 +346,7 @@
             self.vms_each = [self.dice.randint(2, 4) for _ in range(count)]
             self.workers_each, self.together = [self.dice.randint(3, 6) for _ in range(count)], 1
         self.domains = [f"domain-{chr(ord('a') + number)}" for number in range(len(self.vms_each))]
-        self.rate = (LOSS_RATE if self.has_losses else 1.0 if large else 1.6) * sum(self.workers_each)
+        self.rate = (CROWD_RATE if self.has_crowd else LOSS_RATE if self.has_losses else 1.0 if large else 1.6) * sum(self.workers_each)
         self.vms, self.workers = {}, {}
 
     def note(self, text):
@@ -568,14 +588,36 @@
     async def submit_deadly(self):
         """Stores a job whose task crashes its worker each time it starts."""
         dice = random.Random(f"{self.seed} deadly")
-        self.deadly = f"{dice.getrandbits(64):016x}"
-        self.stored.add(self.deadly)
-        spec = json.dumps({"ms": 5000, "cpu": 2000, "crash_after_ms": dice.choice([0, 50, 600])})
-        body = json.dumps({"spec": spec, "phases": [{"count": 1, "cpu": 2000, "mem_mb": 64, "estimate_ms": 5000}]}).encode()
+        job = f"{dice.getrandbits(64):016x}"
+        spec = {"ms": 5000, "cpu": 2000, "crash_after_ms": dice.choice([0, 50, 600])}
         await asyncio.sleep(dice.uniform(0, self.seconds / 2))
-        self.note(f"job {self.deadly} crashes its workers: {spec}")
+        await self.store_deadly(job, spec, 1)
+
+    async def submit_waves(self, end):
+        """Stores such jobs in waves, so that their crashes overlap. Some workers are back under another id, some jobs have several such
+        tasks."""
+        dice = random.Random(f"{self.seed} waves")
+        callers = []
+        while True:
+            await asyncio.sleep(dice.uniform(*BETWEEN_WAVES_S))
+            if time.monotonic() > end:
+                break
+            for _ in range(dice.randint(*WAVE_JOBS)):
+                job = f"{dice.getrandbits(64):016x}"
+                spec = {"ms": 5000, "cpu": 2000, "crash_after_ms": dice.choice([0, 50, 600]),
+                        "renamed": dice.random() < RENAMED_SHARE}
+                callers.append(asyncio.ensure_future(self.store_deadly(job, spec, dice.choice([1, 1, 1, 3]), dice.uniform(*WAVE_S))))
+        await asyncio.gather(*callers)
+
+    async def store_deadly(self, job, spec, count, after_s=0):
+        await asyncio.sleep(after_s)
+        self.deadly.add(job)
+        self.stored.add(job)
+        spec = json.dumps(spec)
+        body = json.dumps({"spec": spec, "phases": [{"count": count, "cpu": 2000, "mem_mb": 64, "estimate_ms": 5000}]}).encode()
+        self.note(f"job {job} crashes its workers: {spec}")
         for _ in range(SUBMISSIONS):
-            if await self.submit(self.deadly, body, 3, self.jobs.setdefault(self.deadly, [])) not in (None, 502, 504):
+            if await self.submit(job, body, 3, self.jobs.setdefault(job, [])) not in (None, 502, 504):
                 return
             await asyncio.sleep(RETRANSMIT_S)
 
@@ -598,6 +640,7 @@
             return
         self.open_jobs[job] = json.loads(raw).get("state") if status == 200 else "unknown"
         if self.open_jobs[job] in ("failed", "cancelled"):
+            self.failed[job] = 0
             self.violation("FAILED", f"job {job} is shown as {self.open_jobs[job]} by {vm.name}; submissions {self.jobs[job]}")
         if self.open_jobs[job] in ("failed", "cancelled", "completed"):
             del self.open_jobs[job]
@@ -659,6 +702,17 @@
         vms = dice.sample(list(self.vms.values()), dice.choice([1, 1, 2]))
         await asyncio.gather(*(vm.stop_and_restart(signal.SIGKILL) for vm in vms))
 
+    async def kill_in_turn(self, dice):
+        """Kills all VMs of a failure domain one after another, so that each owner dies soon after it has taken over."""
+        domain = dice.choice(self.domains)
+        vms = [vm for vm in self.vms.values() if vm.domain == domain]
+        dice.shuffle(vms)
+        tasks = []
+        for vm in vms:
+            tasks.append(asyncio.ensure_future(vm.stop_and_restart(signal.SIGKILL)))
+            await asyncio.sleep(dice.uniform(0.3, 4))
+        await asyncio.gather(*tasks)
+
     async def starve(self, dice):
         vms = dice.sample(list(self.vms.values()), dice.randint(1, min(3, len(self.vms))))
         end = time.monotonic() + dice.uniform(3, 8)
@@ -714,9 +768,10 @@
         await asyncio.sleep(min(lasts, LONGEST_PAUSE_S))
 
     async def crash_racks(self, dice):
+        counts = CROWD_RACKS if self.has_crowd else (1, 1, 2)
         for_all = dice.random() < 0.5
         seconds = dice.uniform(*ABSENT_S)
-        racks = [[name for name in rack if name not in self.vanished] for rack in dice.sample(self.racks, dice.choice([1, 1, 2]))]
+        racks = [[name for name in rack if name not in self.vanished] for rack in dice.sample(self.racks, dice.choice(counts))]
         await asyncio.gather(*(self.lose(dice, rack, 0, 0, seconds if for_all else dice.uniform(*ABSENT_S),
                                          dice.random() < RENAMED_SHARE) for rack in racks if rack))
 
@@ -724,7 +779,8 @@
         left = [name for name in self.workers if name not in self.vanished]
         cut = dice.choice([dice.uniform(0.5, 3), dice.uniform(2, 6), dice.uniform(10, 13)])
         crash = dice.uniform(0, cut) if dice.random() < 0.8 else None
-        await self.lose(dice, dice.sample(left, dice.randint(1, 4)), cut, crash, dice.uniform(*ABSENT_S), dice.random() < RENAMED_SHARE)
+        most = CROWD_CUT_OFF if self.has_crowd else 4
+        await self.lose(dice, dice.sample(left, dice.randint(1, most)), cut, crash, dice.uniform(*ABSENT_S), dice.random() < RENAMED_SHARE)
 
     async def vanish(self, dice):
         domain = dice.choice(self.domains)
@@ -745,7 +801,8 @@
 
     async def cut_workers(self, dice):
         vms = dice.sample(list(self.vms.values()), dice.randint(1, len(self.vms) - 1))
-        chosen = dice.sample(list(self.workers), dice.randint(1, len(self.workers)))
+        most = CROWD_CUT if self.has_crowd else len(self.workers)
+        chosen = dice.sample(list(self.workers), dice.randint(1, most))
         seconds, resets = dice.uniform(0.5, 3), dice.randint(0, 1)
         pids = ",".join(str(vm.process.pid) for vm in vms if vm.is_running())
         self.note(f"{', '.join(vm.name for vm in vms)} can't reach {', '.join(chosen)} for {seconds:.2f} s, connections "
@@ -871,6 +928,9 @@
         kinds = {what for start, end, what in self.vms[vm].disturbed if start <= when + WAKE_S and end >= when and what != "start"}
         return f"after {how} from a VM with {' and '.join(sorted(kinds)) or 'no disruption'}"
 
+    def starts_of(self, runs):
+        return [(round(run["from"] - self.began, 3), run["worker"], run["how"]) for run in runs]
+
     def check_runs(self):
         runs, stops, noted = {}, {}, {}
         for event in list(self.events()):
@@ -896,12 +956,14 @@
             if statuses and all(status in (429, 503) for status in statuses):
                 self.violation("REFUSED", f"task {task} has started, but its job was refused: {self.jobs[job]}")
             same.sort(key=lambda run: run["from"])
-            if job == self.deadly:
-                self.deadly_starts = len(same)
-            if job == self.deadly and len(same) >= DEADLY_STARTS:
-                self.violation("DEADLY", f"task {task}, which crashes its workers, started {len(same)} times: "
-                                         f"{[(round(run['from'] - self.began, 3), run['worker'], run['how']) for run in same]}")
-            if job in self.stored and job != self.deadly:
+            if job in self.failed:
+                self.failed[job] = max(self.failed[job], sum(run["how"] == "crashed" for run in same))
+                self.note(f"task {task} of a job shown as failed: {self.starts_of(same)}")
+            if job in self.deadly:
+                self.deadly_starts[len(same)] = self.deadly_starts.get(len(same), 0) + 1
+            if job in self.deadly and len(same) >= DEADLY_STARTS:
+                self.violation("DEADLY", f"task {task}, which crashes its workers, started {len(same)} times: {self.starts_of(same)}")
+            if job in self.stored and job not in self.deadly:
                 lost = sum(run["how"] in ("crashed", "lapsed") for run in same)
                 self.lost_runs[lost] = self.lost_runs.get(lost, 0) + 1
             for run in same:
@@ -976,7 +1038,8 @@
                 "runs": len(runs), "stored_runs": sum(key[0].split(".")[0] in self.stored for key in runs), "ends": ends,
                 "noted_stored_tasks": self.noted_stored_tasks, "accepted": len(self.accepted),
                 "lost_runs": {str(lost): count for lost, count in sorted(self.lost_runs.items())}, "hold_ms": self.hold_ms,
-                "wait_ms": self.wait_ms, "deadly_starts": self.deadly_starts if self.deadly else None,
+                "wait_ms": self.wait_ms, "failed_after_crashes": sorted(self.failed.values()),
+                "deadly_starts": {str(starts): count for starts, count in sorted(self.deadly_starts.items())},
                 "ended_after_s": round(self.ended_after, 1), "abandoned": abandoned, "killed_after_grace": self.killed_after_grace,
                 "cut_connections": self.cut_connections, "cut_peer_connections": self.cut_peer_connections,
                 "lost_datagrams": self.lost_datagrams, "starts_in_evacuations": self.starts_in_evacuations,
@@ -997,6 +1060,7 @@
                   if kind not in LOSSES and not any(kind in kinds for kinds in APART.values())}
         for number in range(2):
             apart[f"losses {number}"] = {kind: often for kind, often in self.kinds.items() if kind in LOSSES}
+        apart["owners"] = CROWD_KINDS if self.has_crowd and "kill" in self.kinds else {}
         if not self.has_relay:
             del apart["vms"]
         drawn = [{"roll": 1} if "roll" in others else others] + [others] * dice.randint(0, 2)
@@ -1007,7 +1071,9 @@
         callers, asking = [], None
         if self.has_losses:
             asking = asyncio.ensure_future(self.ask_again_and_again())
-            if random.Random(f"{self.seed} has deadly").random() < DEADLY_SHARE:
+            if self.has_crowd:
+                callers.append(asyncio.ensure_future(self.submit_waves(end)))
+            elif random.Random(f"{self.seed} has deadly").random() < DEADLY_SHARE:
                 callers.append(asyncio.ensure_future(self.submit_deadly()))
         while time.monotonic() < end:
             callers.append(asyncio.ensure_future(self.caller()))
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -175,7 +175,8 @@
                                     "ms": work["ms"], "cpu": work["cpu"], "token": fields["fencing_token"]}
         self.note(event="start", task=task, attempt=attempt, token=fields["fencing_token"])
         if "crash_after_ms" in work:
-            asyncio.get_running_loop().call_later(work["crash_after_ms"] / 1000, self.crash_under, (task, attempt))
+            asyncio.get_running_loop().call_later(
+                work["crash_after_ms"] / 1000, self.crash_under, (task, attempt), work.get("renamed", False))
         self.advance()
         return 200, {"clock_ms": self.clock(), "born": self.born}
 
@@ -245,9 +246,9 @@
             self.close()
         self.crashed.set_result((seconds, renamed))
 
-    def crash_under(self, key):
+    def crash_under(self, key, renamed):
         if key in self.runs:
-            self.crash(random.uniform(*ABSENT_S))
+            self.crash(random.uniform(*ABSENT_S), renamed)
 
     def close(self):
         self.server.close()
