cells: Give a task up after four crashes just after its starts

Callers of a task that crashes its workers waited for 160 s before it was started for a fifth time, while workers were free. Result: crash_suspicions, crashing_tasks, a_sound_stored_job, gangs and the sound random losses pass.

--- a/cells/crash_suspicion.cpp
+++ b/cells/crash_suspicion.cpp
@@ -20,6 +20,8 @@
     constexpr std::uint32_t crashesUntilAlwaysAlone = 3;
     /// Number of crashes of any cause after which a task is to blame. The platform allows two more starts after the third crash.
     constexpr std::uint32_t crashesToBear = 5;
+    /// Number of crashes just after its start after which a task is to blame, whatever else was lost then.
+    constexpr std::uint32_t crashesAtStartToBlame = 4;
     /// Number of losses of any kind from which on each start is a trial.
     constexpr std::size_t lossesUntilTrial = 4;
     /// Number of losses of any cause from which on a task is suspected, and from which on it waits after each further one.
@@ -579,7 +581,8 @@
     const jobs::crash_counts& counts = counted.attributed;
     const bool often = counts.confirmed >= confirmedCrashesToBlame || total(counts) >= possibleCrashesToBlame
         || (counted.inTrial > 0 && crashes >= confirmedCrashesToBlame);
-    return (counts.alone && often) || total(counts) >= crashesToGiveUp || crashes >= crashesToBear;
+    return (counts.alone && often) || total(counts) >= crashesToGiveUp || crashes >= crashesToBear
+        || crashesAtStart(*found) >= crashesAtStartToBlame;
 }
 
 bool crash_suspicion::blames(const std::string& jobId) const
