--- a/cells/crash_suspicion.h
+++ b/cells/crash_suspicion.h
@@ -107,8 +107,8 @@
     /// Records that a worker was first found not to answer, as a possible sign of a cause that several workers have in common.
     /// It was lost between `from` and `to`, while it may have executed `tasks`.
     void noteFall(const worker_id& worker, std::int64_t bootTime, std::set<task_key> tasks, time_point from, time_point to);
-    /// Counts a run as a crash for later owners, as its worker has just refused connections, until its loss is recorded or its
-    /// task is done.
+    /// Records that the worker of a run refuses connections. Later owners count the run as a crash, until its loss is recorded or
+    /// its task is done.
     void noteExposure(const task_key& task, time_point now);
     /// Records the runs of a worker whose leases have ended in silence.
     void noteSilence(const worker_registration& worker, std::vector<exposed_run> runs, time_point now);
@@ -138,8 +138,8 @@
     std::uint32_t crashesAttributedTo(const task_key& task) const;
 
     /// Returns whether the next start of the task is a trial: workers have crashed under it so often that the start has to show
-    /// whether the task is the cause. A trial is stored before it starts, runs alone on a worker, and starts at a moment apart
-    /// from the losses of other workers.
+    /// whether the task is the cause. A trial is stored before it starts, runs on a worker without young runs of other jobs, and
+    /// starts at a moment apart from the losses of other workers.
     bool needsTrial(const task_key& task) const;
     /// Returns the same for the tasks of a job.
     bool needsTrial(const std::string& jobId) const;
--- a/cells/start_queue.h
+++ b/cells/start_queue.h
@@ -32,7 +32,7 @@
 enum class queue_part {
     /// It starts as soon as there is room.
     ready,
-    /// It starts only at the times that the suspicion against it leaves.
+    /// It is suspected of crashing workers and starts only in trials or on a worker that is reserved for it.
     suspected,
     /// It starts once the runs of earlier owners are known.
     held,
--- a/jobs/record_codec.h
+++ b/jobs/record_codec.h
@@ -31,7 +31,8 @@
     bool alone = false;
     /// Losses of workers under the task that are not put down to it.
     std::uint32_t unattributed = 0;
-    /// Crashes among these, and a start that may have led to one: it is counted before it is made.
+    /// Crashes of workers that are not put down to the task, and a start that may have led to one: it is counted before it is
+    /// made.
     std::uint32_t unattributedCrashes = 0;
 
     friend auto operator<=>(const crash_counts&, const crash_counts&) = default;
